Lay out the workspace and agree the shared types

Model, the messages of the ownership protocol, the cell's row, the checked configuration and the calls between host processes come first, so that the crates can grow side by side. Every machine is a stub so far.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions about which request may run now: slots, classes, shedding.
--- /dev/null
+++ b/crates/model/src/macros.rs
@@ -0,0 +1,38 @@
+//! One macro for the sets of derives that recur, so that the sets stay the same everywhere.
+
+/// Derives the common traits of a type.
+///
+/// `value` is for small `Copy` types that serve as keys; `data` is for owned data.
+#[macro_export]
+macro_rules! derive_common {
+    (value $(#[$meta:meta])* $vis:vis $kind:ident $name:ident $($rest:tt)*) => {
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(::serde::Serialize, ::serde::Deserialize)]
+        $(#[$meta])* $vis $kind $name $($rest)*
+    };
+    (data $(#[$meta:meta])* $vis:vis $kind:ident $name:ident $($rest:tt)*) => {
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(::serde::Serialize, ::serde::Deserialize)]
+        $(#[$meta])* $vis $kind $name $($rest)*
+    };
+}
+
+/// Defines a newtype over an unsigned integer with the common derives and a plain `Display`.
+#[macro_export]
+macro_rules! number_type {
+    ($(#[$meta:meta])* $vis:vis struct $name:ident($inner:ty);) => {
+        $crate::derive_common! {
+            value
+            $(#[$meta])*
+            #[derive(Default)]
+            #[serde(transparent)]
+            $vis struct $name(pub $inner);
+        }
+
+        impl ::std::fmt::Display for $name {
+            fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+                ::std::fmt::Display::fmt(&self.0, f)
+            }
+        }
+    };
+}
--- /dev/null
+++ b/crates/papayarill/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line of papayarill.
+
+fn main() {}
--- /dev/null
+++ b/crates/placement/src/plan.rs
@@ -0,0 +1,108 @@
+//! The planner.
+
+use model::{Millis, Partition, Session, ZoneName, derive_common};
+
+derive_common! {
+    value
+    /// How much of a fair share a member can take.
+    pub enum Stage {
+        /// The backend server started this long ago and is still warming up.
+        Cold {
+            /// Time since the start.
+            age: Millis,
+        },
+        /// The member takes its full share.
+        Ready,
+        /// The member is leaving: nothing goes to it and all that it has goes elsewhere.
+        Draining,
+    }
+}
+
+derive_common! {
+    data
+    /// One member, as the planner sees it.
+    pub struct MemberLoad {
+        /// The membership.
+        pub session: Session,
+        /// The availability zone.
+        pub zone: ZoneName,
+        /// The slots of its backend server; zero while there is none.
+        pub slots: u32,
+        /// How much it can take.
+        pub stage: Stage,
+    }
+}
+
+derive_common! {
+    value
+    /// One partition, as the planner sees it.
+    pub struct PartitionLoad {
+        /// The partition.
+        pub partition: Partition,
+        /// Requests per second, times 1,000.
+        pub millirequests_per_second: u64,
+        /// The owner, if it has one that is alive.
+        pub owner: Option<Session>,
+        /// The standby, if it has one that is alive.
+        pub standby: Option<Session>,
+    }
+}
+
+derive_common! {
+    data
+    /// All that the planner sees.
+    pub struct Input {
+        /// The members, sorted by session.
+        pub members: Vec<MemberLoad>,
+        /// The partitions, sorted by partition; unowned ones included.
+        pub partitions: Vec<PartitionLoad>,
+    }
+}
+
+derive_common! {
+    value
+    /// Bounds on one plan.
+    pub struct Limits {
+        /// Planned moves, apart from partitions that have no owner or a draining one.
+        pub moves: u32,
+        /// How far above the mean a member's load must be before partitions leave it, in percent.
+        pub hysteresis_percent: u32,
+    }
+}
+
+derive_common! {
+    value
+    /// One change of the plan.
+    pub enum Change {
+        /// Give a partition to a member, by a planned move if it has an owner.
+        Own {
+            /// The partition.
+            partition: Partition,
+            /// The new owner.
+            owner: Session,
+        },
+        /// Name a member as standby.
+        StandBy {
+            /// The partition.
+            partition: Partition,
+            /// The new standby.
+            standby: Session,
+        },
+    }
+}
+
+/// Returns the changes to make now, most urgent first.
+pub fn plan(input: &Input, _limits: &Limits) -> Vec<Change> {
+    let ready: Vec<&MemberLoad> =
+        input.members.iter().filter(|m| m.slots > 0 && m.stage != Stage::Draining).collect();
+    if ready.is_empty() {
+        return Vec::new();
+    }
+    let unowned = input.partitions.iter().filter(|p| p.owner.is_none());
+    unowned
+        .map(|p| {
+            let member = ready[p.partition.0 as usize % ready.len()];
+            Change::Own { partition: p.partition, owner: member.session }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's table service and object store.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions about requests: rules, retries, request records and routes.
--- /dev/null
+++ b/crates/stand-ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for backend servers, with faults on demand.
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Chores: measurements and checks.
+
+fn main() {}
