--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod macros;
 mod names;
 mod outcome;
+mod record;
 mod request;
 
 pub use clock::{Clock, ManualClock, Millis};
@@ -17,4 +18,5 @@
 };
 pub use names::{Name, NameError, RegionName, ServiceName, ZoneName};
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use record::{HandedRecord, KeptAnswer, RecordEnd};
 pub use request::{Priority, RequestId, RequestIdError};
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -1,8 +1,8 @@
 //! What host processes ask each other, in the form that the rest of the code uses.
 
 use model::{
-    CellId, ConfigVersion, Fence, HostAddr, Millis, Partition, Priority, RequestId, ServiceName,
-    derive_common,
+    CellId, ConfigVersion, Fence, HandedRecord, HostAddr, Millis, Partition, Priority, RequestId,
+    ServiceName, derive_common,
 };
 use ownership::{Message, RouteTable, RoutesVersion};
 
@@ -81,35 +81,7 @@
 
 derive_common! {
     data
-    /// One request record.
-    pub struct HandedRecord {
-        /// The request id.
-        pub id: RequestId,
-        /// The digest of the request, so that an id cannot be used for another request.
-        pub digest: u64,
-        /// The age of the record.
-        pub age: Millis,
-        /// The answer; `None` if it is unknown whether the request ran.
-        pub answer: Option<KeptAnswer>,
-    }
-}
-
-derive_common! {
-    data
-    /// An answer that is kept for re-sends.
-    pub struct KeptAnswer {
-        /// The HTTP status.
-        pub status: u16,
-        /// The HTTP headers that matter to the caller.
-        pub headers: Vec<(String, String)>,
-        /// The whole body.
-        pub body: Vec<u8>,
-    }
-}
-
-derive_common! {
-    data
-    /// A request on its way to the owner; the body follows as a stream.
+    /// A request on its way to the owner; the body follows.
     pub struct ForwardHead {
         /// The service.
         pub service: ServiceName,
@@ -132,8 +104,8 @@
         pub target: String,
         /// The headers that go to the backend server.
         pub headers: Vec<(String, Vec<u8>)>,
-        /// The length of the body, if it is known.
-        pub body_length: Option<u64>,
+        /// The length of the body in bytes.
+        pub body_length: u64,
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,4 +5,4 @@
 
 mod call;
 
-pub use call::{AnswerHead, Call, ForwardHead, HandedRecord, Handover, KeptAnswer, Reply};
+pub use call::{AnswerHead, Call, ForwardHead, Handover, Reply};
