--- /dev/null
+++ b/crates/stand-ins/src/platform/http.rs
@@ -0,0 +1,236 @@
+//! The HTTP face of the platform stand-in.
+
+use std::any::Any;
+use std::io;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::os::fd::AsFd;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use actix_web::dev::{Extensions, ServerHandle};
+use actix_web::http::header::{ETAG, HeaderName, IF_MATCH, IF_NONE_MATCH};
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use bytes::Bytes;
+use serde::Deserialize;
+
+use super::store::{Condition, Faults, MAX_OBJECT_BYTES, Put, PutError, Store};
+
+/// Room above the largest object, so that a body that is too large is read and answered with 413.
+const BODY_LIMIT_BYTES: usize = 2 * MAX_OBJECT_BYTES;
+
+/// The content, shared by all connections.
+type Shared = web::Data<Mutex<Store>>;
+
+/// The socket of a connection, kept so that a fault can close it without an answer.
+struct Socket(Arc<TcpStream>);
+
+/// Starts the stand-in on `listener`, inside the running actix system.
+///
+/// The server runs until the returned handle stops it or the system ends.
+pub fn start(listener: TcpListener) -> io::Result<ServerHandle> {
+    listener.set_nonblocking(true)?;
+    let store = Shared::new(Mutex::new(Store::default()));
+    let server = HttpServer::new(move || App::new().app_data(store.clone()).configure(routes))
+        .on_connect(keep_socket)
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?
+        .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+fn routes(cfg: &mut web::ServiceConfig) {
+    cfg.app_data(web::PayloadConfig::new(BODY_LIMIT_BYTES))
+        .app_data(web::JsonConfig::default().limit(BODY_LIMIT_BYTES))
+        .route("/table/{key:.*}", web::get().to(get_row))
+        .route("/table/{key:.*}", web::put().to(put_row))
+        .route("/transact", web::post().to(transact))
+        .route("/objects/{key:.*}", web::get().to(get_object))
+        .route("/objects/{key:.*}", web::put().to(put_object))
+        .route("/admin/faults", web::put().to(put_faults))
+        .route("/admin/counters", web::get().to(get_counters));
+}
+
+fn keep_socket(connection: &dyn Any, extensions: &mut Extensions) {
+    let Some(stream) = connection.downcast_ref::<actix_web::rt::net::TcpStream>() else {
+        return;
+    };
+    let Ok(fd) = stream.as_fd().try_clone_to_owned() else {
+        return;
+    };
+    extensions.insert(Socket(Arc::new(TcpStream::from(fd))));
+}
+
+fn lock(store: &Shared) -> MutexGuard<'_, Store> {
+    store.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn outage() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().body("outage")
+}
+
+/// Counts a read and returns the faults under which it runs.
+fn begin_read(store: &Shared) -> Faults {
+    let mut store = lock(store);
+    store.count_read();
+    store.faults()
+}
+
+/// Counts a write and returns the faults under which it runs.
+fn begin_write(store: &Shared) -> Faults {
+    let mut store = lock(store);
+    store.count_write();
+    store.faults()
+}
+
+async fn delay(faults: Faults) {
+    if faults.delay_ms > 0 {
+        actix_rt::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    }
+}
+
+/// Delays the answer to a write that was carried out, or closes the connection in its place.
+async fn answer_write(req: &HttpRequest, faults: Faults, answer: HttpResponse) -> HttpResponse {
+    delay(faults).await;
+    if faults.lose_write_answers
+        && let Some(Socket(stream)) = req.conn_data::<Socket>()
+    {
+        // A socket that is closed already needs no closing.
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+    answer
+}
+
+async fn get_row(store: Shared, key: web::Path<String>) -> HttpResponse {
+    let faults = begin_read(&store);
+    if faults.outage {
+        return outage();
+    }
+    let found = lock(&store).row(&key);
+    delay(faults).await;
+    match found {
+        Some((version, value)) => {
+            HttpResponse::Ok().insert_header((ETAG, quote(version))).body(value)
+        }
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn put_row(
+    req: HttpRequest,
+    store: Shared,
+    key: web::Path<String>,
+    value: Bytes,
+) -> HttpResponse {
+    let faults = begin_write(&store);
+    if faults.outage {
+        return outage();
+    }
+    let Some(condition) = condition_of(&req) else {
+        return HttpResponse::BadRequest().body("expected if-match: \"N\" or if-none-match: *");
+    };
+    let put = Put { key: key.into_inner(), condition, value };
+    let result = lock(&store).transact(&[put]);
+    let answer = match result {
+        Ok(versions) => {
+            let version = versions.first().copied().unwrap_or_default();
+            HttpResponse::Ok().insert_header((ETAG, quote(version))).finish()
+        }
+        Err(error) => refuse(error),
+    };
+    answer_write(&req, faults, answer).await
+}
+
+/// One write of a transaction, as JSON.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PutDoc {
+    key: String,
+    /// The expected version; `null` or absent if the row must not exist.
+    #[serde(default)]
+    if_match: Option<u64>,
+    value: String,
+}
+
+impl From<PutDoc> for Put {
+    fn from(doc: PutDoc) -> Self {
+        let condition = doc.if_match.map_or(Condition::Absent, Condition::Version);
+        Self { key: doc.key, condition, value: Bytes::from(doc.value) }
+    }
+}
+
+async fn transact(req: HttpRequest, store: Shared, docs: web::Json<Vec<PutDoc>>) -> HttpResponse {
+    let faults = begin_write(&store);
+    if faults.outage {
+        return outage();
+    }
+    let puts: Vec<Put> = docs.into_inner().into_iter().map(Put::from).collect();
+    let result = lock(&store).transact(&puts);
+    let answer = match result {
+        Ok(versions) => HttpResponse::Ok().json(versions),
+        Err(error) => refuse(error),
+    };
+    answer_write(&req, faults, answer).await
+}
+
+async fn get_object(store: Shared, key: web::Path<String>) -> HttpResponse {
+    let faults = begin_read(&store);
+    if faults.outage {
+        return outage();
+    }
+    let found = lock(&store).object(&key);
+    delay(faults).await;
+    match found {
+        Some(value) => HttpResponse::Ok().body(value),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn put_object(
+    req: HttpRequest,
+    store: Shared,
+    key: web::Path<String>,
+    value: Bytes,
+) -> HttpResponse {
+    let faults = begin_write(&store);
+    if faults.outage {
+        return outage();
+    }
+    let result = lock(&store).put_object(&key, value);
+    let answer = match result {
+        Ok(()) => HttpResponse::Ok().finish(),
+        Err(error) => refuse(error),
+    };
+    answer_write(&req, faults, answer).await
+}
+
+async fn put_faults(store: Shared, faults: web::Json<Faults>) -> HttpResponse {
+    lock(&store).set_faults(faults.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn get_counters(store: Shared) -> HttpResponse {
+    HttpResponse::Ok().json(lock(&store).counters())
+}
+
+fn refuse(error: PutError) -> HttpResponse {
+    match error {
+        PutError::Conflict => HttpResponse::PreconditionFailed().finish(),
+        PutError::TooLarge => HttpResponse::PayloadTooLarge().finish(),
+    }
+}
+
+fn quote(version: u64) -> String {
+    format!("\"{version}\"")
+}
+
+fn condition_of(req: &HttpRequest) -> Option<Condition> {
+    let header = |name: HeaderName| req.headers().get(name)?.to_str().ok();
+    if header(IF_NONE_MATCH) == Some("*") {
+        return Some(Condition::Absent);
+    }
+    let version = header(IF_MATCH)?.strip_prefix('"')?.strip_suffix('"')?;
+    version.parse().ok().map(Condition::Version)
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform/store.rs
@@ -0,0 +1,171 @@
+//! The content of the table service and the object store.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// The largest row that the table service keeps, in bytes.
+pub const MAX_ROW_BYTES: usize = 400 * 1_024;
+
+/// The largest object that the object store keeps, in bytes.
+pub const MAX_OBJECT_BYTES: usize = 8 * 1_024 * 1_024;
+
+/// What a conditional write expects of the row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// The row does not exist.
+    Absent,
+    /// The row has this version.
+    Version(u64),
+}
+
+/// One conditional write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Put {
+    /// The key of the row.
+    pub key: String,
+    /// What the row must be for the write to take effect.
+    pub condition: Condition,
+    /// The new content.
+    pub value: Bytes,
+}
+
+/// Why a write had no effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PutError {
+    /// The row is not as the writer expected.
+    Conflict,
+    /// The content is too large.
+    TooLarge,
+}
+
+/// The faults that are in effect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every request is refused with 503 and has no effect.
+    pub outage: bool,
+    /// How long each answer is held back, in milliseconds; a write has taken effect before.
+    pub delay_ms: u64,
+    /// Connections are closed instead of answering a write, after it took effect.
+    pub lose_write_answers: bool,
+}
+
+/// How many requests were carried out, refused ones and conflicts included.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Reads of rows and objects.
+    pub reads: u64,
+    /// Writes of rows and objects; a transaction counts once.
+    pub writes: u64,
+}
+
+struct Row {
+    key: String,
+    version: u64,
+    value: Bytes,
+}
+
+/// All rows and objects, with the faults and counters.
+#[derive(Default)]
+pub struct Store {
+    rows: Vec<Row>,
+    objects: Vec<(String, Bytes)>,
+    faults: Faults,
+    counters: Counters,
+}
+
+/// Queries.
+impl Store {
+    /// Returns the version and the content of a row.
+    pub fn row(&self, key: &str) -> Option<(u64, Bytes)> {
+        let index = self.find(key).ok()?;
+        let row = self.rows.get(index)?;
+        Some((row.version, row.value.clone()))
+    }
+
+    /// Returns the content of an object.
+    pub fn object(&self, key: &str) -> Option<Bytes> {
+        let index = self.objects.binary_search_by(|(k, _)| k.as_str().cmp(key)).ok()?;
+        self.objects.get(index).map(|(_, value)| value.clone())
+    }
+
+    /// Returns the faults that are in effect.
+    pub fn faults(&self) -> Faults {
+        self.faults
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    fn find(&self, key: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|row| row.key.as_str().cmp(key))
+    }
+
+    fn check(&self, put: &Put) -> Result<(), PutError> {
+        if put.value.len() > MAX_ROW_BYTES {
+            return Err(PutError::TooLarge);
+        }
+        let found = self.row(&put.key).map(|(version, _)| version);
+        let as_expected = match put.condition {
+            Condition::Absent => found.is_none(),
+            Condition::Version(expected) => found == Some(expected),
+        };
+        if as_expected { Ok(()) } else { Err(PutError::Conflict) }
+    }
+}
+
+/// Commands.
+impl Store {
+    /// Carries out all writes or none, and returns the new versions in the same order.
+    pub fn transact(&mut self, puts: &[Put]) -> Result<Vec<u64>, PutError> {
+        for put in puts {
+            self.check(put)?;
+        }
+        Ok(puts.iter().map(|put| self.put(put)).collect())
+    }
+
+    /// Replaces an object.
+    pub fn put_object(&mut self, key: &str, value: Bytes) -> Result<(), PutError> {
+        if value.len() > MAX_OBJECT_BYTES {
+            return Err(PutError::TooLarge);
+        }
+        match self.objects.binary_search_by(|(k, _)| k.as_str().cmp(key)) {
+            Ok(index) => self.objects[index].1 = value,
+            Err(index) => self.objects.insert(index, (key.to_owned(), value)),
+        }
+        Ok(())
+    }
+
+    /// Puts other faults into effect.
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// Counts a read.
+    pub fn count_read(&mut self) {
+        self.counters.reads += 1;
+    }
+
+    /// Counts a write.
+    pub fn count_write(&mut self) {
+        self.counters.writes += 1;
+    }
+
+    fn put(&mut self, put: &Put) -> u64 {
+        match self.find(&put.key) {
+            Ok(index) => {
+                let row = &mut self.rows[index];
+                row.version += 1;
+                row.value = put.value.clone();
+                row.version
+            }
+            Err(index) => {
+                let row = Row { key: put.key.clone(), version: 1, value: put.value.clone() };
+                self.rows.insert(index, row);
+                1
+            }
+        }
+    }
+}
