--- /dev/null
+++ b/crates/config/src/error.rs
@@ -0,0 +1,50 @@
+//! What is wrong with a document, all at once.
+
+use std::fmt;
+
+use snafu::Snafu;
+
+/// One thing that is wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The line in the document, counted from 1; `None` for values from a builder.
+    pub line: Option<usize>,
+    /// The path in the document, such as `services[2].slots`.
+    pub path: String,
+    /// What was found.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        if !self.path.is_empty() {
+            write!(f, "{}: ", self.path)?;
+        }
+        write!(f, "found {}, expected {}", self.found, self.expected)
+    }
+}
+
+/// A document or a builder that makes no valid configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{}", self.lines("")))]
+pub struct ConfigError {
+    /// What is wrong, in the order of the document; never empty, at most 50 entries.
+    pub faults: Vec<Fault>,
+}
+
+impl ConfigError {
+    /// Returns one line of text per fault, each of which names `file`.
+    pub fn in_file(&self, file: &str) -> String {
+        self.lines(&format!("{file}: "))
+    }
+
+    fn lines(&self, prefix: &str) -> String {
+        let lines: Vec<String> = self.faults.iter().map(|f| format!("{prefix}{f}")).collect();
+        lines.join("\n")
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,24 @@
 //! The operators' library: builders, YAML documents and their validation.
 //!
-//! The types in this module are the checked form. The YAML form has types of its own, so that a
-//! value of these types is always valid.
+//! The types in [`Config`] and below are the checked form. The YAML form has types of its own, so
+//! that a value of the checked types that came from [`parse`] or a builder is always valid.
 
+mod builder;
+mod cells;
+mod check;
 mod document;
+mod error;
+mod limits;
+mod lines;
+mod print;
+mod yaml;
 
+pub use builder::{ConfigBuilder, RuleBuilder, ServiceBuilder};
+pub use cells::MAX_HOSTS_PER_CELL;
 pub use document::{Config, KeySource, Method, PathPattern, Region, Repeat, Rule, Service};
+pub use error::{ConfigError, Fault};
+pub use limits::{
+    MAX_DOCUMENT_BYTES, MAX_PARTITIONS, MAX_PARTITIONS_PER_CELL, MAX_REGIONS, MAX_RULES,
+    MAX_SERVICES, MAX_ZONES,
+};
+pub use yaml::{parse, to_yaml};
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,209 @@
+//! The interface to the platform that the rest of the project uses.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use model::{CellId, ConfigVersion, Millis, RowVersion, WriterTag};
+use ownership::{CellRow, VersionedRow};
+use serde::de::DeserializeOwned;
+use snafu::ensure;
+
+use crate::error::{ConflictSnafu, FailedSnafu, MalformedSnafu, NoSuchConfigSnafu, UnknownSnafu};
+use crate::head::{Head, HeadDoc, HeadEntry};
+use crate::http::Http;
+use crate::row_doc::{self, RowDoc};
+use crate::{ReadError, WriteError};
+
+/// The key of the head in the table service.
+const HEAD_KEY: &str = "config/head";
+
+/// How often a write of the head is repeated whose outcome is unknown.
+const HEAD_WRITE_ATTEMPTS: u32 = 3;
+
+/// A client of the table service and the object store. Cloning is cheap; clones share their
+/// connections. It belongs to one thread of an actix system.
+#[derive(Clone)]
+pub struct Platform {
+    http: Http,
+    /// The head as it was read last, which saves a read when a document is fetched next.
+    head: Rc<RefCell<Head>>,
+}
+
+/// The head as it was read or written, with its version in the table service.
+struct StoredHead {
+    row: Option<RowVersion>,
+    head: Head,
+}
+
+impl Platform {
+    /// Makes a client of the platform at `base`. Each request takes at most `time_limit`.
+    pub fn new(base: SocketAddr, time_limit: Millis) -> Self {
+        Self { http: Http::new(base, time_limit), head: Rc::default() }
+    }
+}
+
+/// Queries.
+impl Platform {
+    /// Reads the row of a cell; `None` if there is none yet.
+    pub async fn read_row(&self, cell: &CellId) -> Result<Option<VersionedRow>, ReadError> {
+        let key = row_key(cell);
+        let Some((version, body)) = self.http.get_row(&key).await? else {
+            return Ok(None);
+        };
+        let doc: RowDoc = parse(&key, &body)?;
+        match CellRow::try_from(doc) {
+            Ok(row) => Ok(Some(VersionedRow { version, row })),
+            Err(error) => MalformedSnafu { key, message: error.to_string() }.fail(),
+        }
+    }
+
+    /// Reads the newest version of the configuration; `None` if none was ever accepted.
+    pub async fn read_head(&self) -> Result<Option<ConfigVersion>, ReadError> {
+        let stored = self.load_head().await?;
+        Ok(stored.head.version())
+    }
+
+    /// Reads the YAML document of a version. Only the 16 newest versions can be found.
+    pub async fn read_config(&self, version: ConfigVersion) -> Result<String, ReadError> {
+        let entry = self.find_entry(version).await?;
+        let key = entry.object_key();
+        let Some(body) = self.http.get_object(&key).await? else {
+            return NoSuchConfigSnafu { version: version.0 }.fail();
+        };
+        match String::from_utf8(body.to_vec()) {
+            Ok(yaml) => Ok(yaml),
+            Err(error) => MalformedSnafu { key, message: error.to_string() }.fail(),
+        }
+    }
+
+    async fn find_entry(&self, version: ConfigVersion) -> Result<HeadEntry, ReadError> {
+        if let Some(entry) = self.head.borrow().entry(version) {
+            return Ok(entry);
+        }
+        let stored = self.load_head().await?;
+        match stored.head.entry(version) {
+            Some(entry) => Ok(entry),
+            None => NoSuchConfigSnafu { version: version.0 }.fail(),
+        }
+    }
+
+    async fn load_head(&self) -> Result<StoredHead, ReadError> {
+        let Some((row, body)) = self.http.get_row(HEAD_KEY).await? else {
+            return Ok(StoredHead { row: None, head: Head::default() });
+        };
+        let doc: HeadDoc = parse(HEAD_KEY, &body)?;
+        let head = match Head::try_from(doc) {
+            Ok(head) => head,
+            Err(message) => return MalformedSnafu { key: HEAD_KEY, message }.fail(),
+        };
+        self.head.replace(head.clone());
+        Ok(StoredHead { row: Some(row), head })
+    }
+}
+
+/// Commands.
+impl Platform {
+    /// Writes the row of a cell if it still has the expected version, or creates it if that is
+    /// `None`. After [`WriteError::Unknown`], read the row and compare the writer tag.
+    pub async fn write_row(
+        &self,
+        cell: &CellId,
+        expected: Option<RowVersion>,
+        row: &CellRow,
+    ) -> Result<RowVersion, WriteError> {
+        if let Err(error) = row_doc::check(row) {
+            // A row that no reader accepts would stop the cell for good.
+            return FailedSnafu { message: error.to_string() }.fail();
+        }
+        let body = to_json(&RowDoc::from(row))?;
+        self.http.put_row(&row_key(cell), expected, body).await
+    }
+
+    /// Makes `yaml` the newest configuration if `based_on` still is. The document goes first, so
+    /// that a head never names a document that is not there.
+    ///
+    /// A lost answer is settled here as far as the platform answers at all; what is left is
+    /// [`WriteError::Unknown`]. `writer` must be drawn anew for every call.
+    pub async fn apply_config(
+        &self,
+        based_on: Option<ConfigVersion>,
+        yaml: &str,
+        writer: WriterTag,
+    ) -> Result<ConfigVersion, WriteError> {
+        let stored = match self.load_head().await {
+            Ok(stored) => stored,
+            Err(error) => return FailedSnafu { message: error.to_string() }.fail(),
+        };
+        ensure!(stored.head.version() == based_on, ConflictSnafu);
+        let entry = stored.head.next_entry(writer);
+        self.store_document(&entry, yaml).await?;
+        self.write_head(&stored, entry).await
+    }
+
+    /// Stores the document. Without a head that names it, it has no effect.
+    async fn store_document(&self, entry: &HeadEntry, yaml: &str) -> Result<(), WriteError> {
+        let body = Bytes::copy_from_slice(yaml.as_bytes());
+        match self.http.put_object(&entry.object_key(), body).await {
+            Ok(()) => Ok(()),
+            Err(error) => FailedSnafu { message: error.to_string() }.fail(),
+        }
+    }
+
+    /// Writes the head. The same conditional write may be sent again after a lost answer: it can
+    /// take effect only once.
+    async fn write_head(
+        &self,
+        stored: &StoredHead,
+        entry: HeadEntry,
+    ) -> Result<ConfigVersion, WriteError> {
+        let body = to_json(&HeadDoc::from(&stored.head.with(entry)))?;
+        let mut doubt = match self.http.put_row(HEAD_KEY, stored.row, body.clone()).await {
+            Ok(_) => return Ok(entry.version),
+            Err(WriteError::Unknown { message }) => message,
+            Err(error) => return Err(error),
+        };
+        for _ in 1..HEAD_WRITE_ATTEMPTS {
+            // From here on a conflict may come from the first attempt, and a failure says nothing
+            // about it, so only the head itself can tell.
+            match self.http.put_row(HEAD_KEY, stored.row, body.clone()).await {
+                Ok(_) => return Ok(entry.version),
+                Err(WriteError::Conflict) => return self.settle(entry).await,
+                Err(error) => doubt = error.to_string(),
+            }
+        }
+        UnknownSnafu { message: doubt }.fail()
+    }
+
+    /// Tells whose entry the head holds, once it is certain that some writer took the version.
+    async fn settle(&self, entry: HeadEntry) -> Result<ConfigVersion, WriteError> {
+        let stored = match self.load_head().await {
+            Ok(stored) => stored,
+            Err(error) => return UnknownSnafu { message: error.to_string() }.fail(),
+        };
+        match stored.head.entry(entry.version) {
+            Some(found) if found == entry => Ok(entry.version),
+            Some(_) => Err(WriteError::Conflict),
+            None => UnknownSnafu { message: "too many versions were accepted since" }.fail(),
+        }
+    }
+}
+
+fn row_key(cell: &CellId) -> String {
+    format!("cell/{cell}")
+}
+
+fn parse<T: DeserializeOwned>(key: &str, body: &[u8]) -> Result<T, ReadError> {
+    match serde_json::from_slice(body) {
+        Ok(doc) => Ok(doc),
+        Err(error) => MalformedSnafu { key, message: error.to_string() }.fail(),
+    }
+}
+
+fn to_json(doc: &impl serde::Serialize) -> Result<Bytes, WriteError> {
+    match serde_json::to_vec(doc) {
+        Ok(bytes) => Ok(bytes.into()),
+        Err(error) => FailedSnafu { message: error.to_string() }.fail(),
+    }
+}
--- a/crates/stand-ins/src/platform.rs
+++ b/crates/stand-ins/src/platform.rs
@@ -7,4 +7,6 @@
 mod store;
 
 pub use http::start;
-pub use store::{Condition, Counters, Faults, MAX_OBJECT_BYTES, MAX_ROW_BYTES, Put, PutError, Store};
+pub use store::{
+    Condition, Counters, Faults, MAX_OBJECT_BYTES, MAX_ROW_BYTES, Put, PutError, Store,
+};
