--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -167,22 +167,21 @@
         entry: HeadEntry,
     ) -> Result<ConfigVersion, WriteError> {
         let body = to_json(&HeadDoc::from(&stored.head.with(entry)))?;
-        let first = self.http.put_row(HEAD_KEY, stored.row, body.clone()).await;
-        let Err(WriteError::Unknown { message }) = first else {
-            return first.map(|_| entry.version);
-        };
-        for _ in 1..HEAD_WRITE_ATTEMPTS {
+        let mut doubt = String::new();
+        for attempt in 0..HEAD_WRITE_ATTEMPTS {
+            match self.http.put_row(HEAD_KEY, stored.row, body.clone()).await {
+                Ok(_) => return Ok(entry.version),
+                Err(WriteError::Unknown { message }) => doubt = message,
+                Err(error) if attempt == 0 => return Err(error),
+                // A conflict may come from the first attempt, and a failure says nothing about
+                // it, so only the head itself can tell.
+                Err(_) => {}
+            }
             if let Some(settled) = self.settle(entry).await {
                 return settled;
             }
-            // A conflict may come from the first attempt, and a failure says nothing about it, so
-            // whatever follows is judged by the head itself.
-            if self.http.put_row(HEAD_KEY, stored.row, body.clone()).await.is_ok() {
-                return Ok(entry.version);
-            }
         }
-        let settled = self.settle(entry).await;
-        settled.unwrap_or_else(|| UnknownSnafu { message }.fail())
+        UnknownSnafu { message: doubt }.fail()
     }
 
     /// Tells whose entry the head holds for the version of `entry`, if it holds one.
--- a/crates/platform/tests/contract.rs
+++ b/crates/platform/tests/contract.rs
@@ -7,8 +7,8 @@
 use actix_rt::System;
 use awc::error::SendRequestError;
 use fixtures::{
-    HASTY, SLOW_MS, answer_with, cell, closed_port, counters, patient, row, set_faults,
-    start_stand_in,
+    HASTY, SLOW_MS, answer_in_turn, answer_with, cell, closed_port, counters, patient, row,
+    set_faults, start_stand_in,
 };
 use model::{ConfigVersion, RowVersion, WriterTag};
 use platform::{Platform, ReadError, WriteError};
@@ -349,6 +349,38 @@
     });
 }
 
+/// After one attempt of unknown outcome, neither a conflict nor a failure of the next one decides.
+#[test]
+fn a_doubt_about_the_head_is_settled_by_the_head() {
+    const LOST: (&str, &str) = ("", "");
+    let check = |second: &str, head: (&str, &str), expected: &str| {
+        let answer = |(status, body): (&str, &str)| {
+            match status {
+            "" => Vec::new(),
+            _ => format!(
+                "HTTP/1.1 {status}\r\netag: \"1\"\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len(),
+            )
+            .into_bytes(),
+        }
+        };
+        let absent = ("404 None", "");
+        let down = ("503 Down", "");
+        let turns = [absent, ("200 OK", ""), LOST, absent, (second, ""), head, down];
+        let addr = answer_in_turn(turns.map(answer).to_vec());
+        let applied = System::new().block_on(apply(addr, 0, "doc", 7));
+        assert_eq!(applied, expected, "{second} {head:?}");
+    };
+    for second in ["412 No", "503 Down", "413 Large"] {
+        check(second, ("200 OK", "{\"entries\": [[1, 7]]}"), "ok");
+        check(second, ("200 OK", "{\"entries\": [[2, 9], [1, 7]]}"), "ok");
+        check(second, ("200 OK", "{\"entries\": [[1, 9]]}"), "conflict");
+        check(second, ("503 Down", ""), "unknown");
+        check(second, ("200 OK", "{\"entries\": [[40, 9]]}"), "unknown");
+        check(second, ("200 OK", "{\"entries\": [[1, 7], [2, 9]]}"), "unknown");
+    }
+}
+
 #[test]
 fn only_recent_documents_are_found() {
     System::new().block_on(async {
