Add the machine that holds the configuration in force

It never goes back, refuses when its knowledge is too old, and bounds how long a newer version may stay unfetched.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,7 @@
 mod check;
 mod document;
 mod error;
+mod in_force;
 mod limits;
 mod lines;
 mod print;
@@ -17,6 +18,7 @@
 pub use cells::MAX_HOSTS_PER_CELL;
 pub use document::{Config, KeySource, Method, PathPattern, Region, Repeat, Rule, Service};
 pub use error::{ConfigError, Fault};
+pub use in_force::{FreshnessLimits, InForce};
 pub use limits::{
     MAX_DOCUMENT_BYTES, MAX_PARTITIONS, MAX_PARTITIONS_PER_CELL, MAX_REGIONS, MAX_RULES,
     MAX_SERVICES, MAX_ZONES,
