--- /dev/null
+++ b/crates/ownership/src/coordinator.rs
@@ -0,0 +1,310 @@
+//! The coordinator's role: the first live grantor, which changes the row and sends orders.
+//!
+//! Two processes may believe to be the coordinator at once. The row has one winner of each
+//! version, and every order rests on claims that have ended, so that is slow but safe.
+
+use model::{Epoch, Fence, HostAddr, Incarnation, Millis, Partition, Session};
+
+use crate::cx::Cx;
+use crate::grantor::GrantorRole;
+use crate::loss::Losses;
+use crate::moves::{Moves, addr_of};
+use crate::seal::Seals;
+use crate::store::Store;
+use crate::view::View;
+use crate::{
+    Assignment, CellRow, Join, Message, Report, Transfer, VersionedRow, agenda, grantor_set,
+    succession,
+};
+
+/// Plans are made this many times per renew interval.
+const PLANS_PER_INTERVAL: u64 = 3;
+
+/// How an assignment came about, as far as the coordinator that wrote it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Provenance {
+    partition: Partition,
+    fence: Fence,
+    handed_over_from: Option<Fence>,
+    first: bool,
+}
+
+/// An order that was sent, until the row moves on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Sent {
+    partition: Partition,
+    fence: Fence,
+    at: Millis,
+    acked: bool,
+}
+
+/// The knowledge of the node that the coordinator uses.
+#[derive(Clone, Copy)]
+pub(crate) struct Known<'a> {
+    pub(crate) row: &'a VersionedRow,
+    pub(crate) grantor: &'a GrantorRole,
+    pub(crate) seals: &'a Seals,
+    pub(crate) dead: &'a [Incarnation],
+}
+
+/// The memory of a coordinator, which starts empty in each epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Coordinator {
+    epoch: Epoch,
+    since: Millis,
+    /// Sorted by session.
+    joins: Vec<Join>,
+    losses: Losses,
+    moves: Moves,
+    provenance: Vec<Provenance>,
+    sent: Vec<Sent>,
+    /// Since when a change of the row has been waiting to be written.
+    waiting_since: Option<Millis>,
+    planned_at: Option<Millis>,
+}
+
+/// Commands.
+impl Coordinator {
+    pub(crate) fn new(epoch: Epoch, now: Millis) -> Self {
+        Self {
+            epoch,
+            since: now,
+            joins: Vec::new(),
+            losses: Losses::default(),
+            moves: Moves::default(),
+            provenance: Vec::new(),
+            sent: Vec::new(),
+            waiting_since: None,
+            planned_at: None,
+        }
+    }
+
+    pub(crate) fn on_join(&mut self, join: &Join) {
+        if let Err(i) = self.joins.binary_search_by_key(&join.session, |j| j.session) {
+            self.joins.insert(i, join.clone());
+        }
+    }
+
+    pub(crate) fn on_lapsed(
+        &mut self,
+        from: HostAddr,
+        epoch: Epoch,
+        session: Session,
+        remaining: Millis,
+        now: Millis,
+    ) {
+        if epoch == self.epoch {
+            self.losses.on_lapsed(from, session, remaining, now);
+        }
+    }
+
+    pub(crate) fn on_released(&mut self, transfer: &Transfer, handed_over: bool) {
+        if transfer.epoch == self.epoch {
+            self.moves.on_released(transfer, handed_over);
+            self.moves.hasten(transfer.partition);
+        }
+    }
+
+    pub(crate) fn on_serving(&mut self, transfer: &Transfer) {
+        let same = |s: &&mut Sent| (s.partition, s.fence) == (transfer.partition, transfer.fence);
+        if let Some(sent) = self.sent.iter_mut().find(same) {
+            sent.acked = true;
+        }
+    }
+
+    /// Does whatever is due: ends silent sessions, changes the row, sends orders.
+    pub(crate) fn drive(&mut self, known: Known<'_>, store: &mut Store, cx: &mut Cx<'_>) {
+        self.forget_past(&known.row.row);
+        self.find_losses(known, cx);
+        self.losses.ask(self.epoch, &known.row.row.grantors, cx);
+        self.follow_moves(known, cx);
+        self.change_row(known, store, cx);
+        self.moves.ask(&known.row.row, cx);
+        self.assign(known, cx);
+        self.take_over(known, store, cx);
+    }
+
+    fn forget_past(&mut self, row: &CellRow) {
+        let is_current = |partition, fence| {
+            row.assignment(partition).is_none_or(|a: &Assignment| a.fence <= fence)
+        };
+        self.sent.retain(|s| is_current(s.partition, s.fence));
+        self.provenance.retain(|p| is_current(p.partition, p.fence));
+        self.joins.retain(|j| row.member(j.session).is_none());
+        self.losses.retain(|s| row.names(s));
+    }
+
+    fn find_losses(&mut self, known: Known<'_>, cx: &mut Cx<'_>) {
+        let row = &known.row.row;
+        let claimants = row.assignments.iter().flat_map(|a| [Some(a.owner), a.standby]).flatten();
+        let mut sessions: Vec<Session> = row.members.iter().map(|m| m.session).collect();
+        sessions.extend(claimants);
+        sessions.sort_unstable();
+        sessions.dedup();
+        for session in sessions {
+            let view = view(&self.losses, &self.moves, self.since, known);
+            if let Some(reason) = view.loss_reason(session, cx) {
+                self.losses.begin(session, reason, cx);
+            }
+        }
+    }
+
+    fn follow_moves(&mut self, known: Known<'_>, cx: &mut Cx<'_>) {
+        let mut moves = std::mem::take(&mut self.moves);
+        let is_lost = |s| view(&self.losses, &self.moves, self.since, known).is_lost(s);
+        moves.follow(&known.row.row, is_lost, cx);
+        self.moves = moves;
+    }
+
+    fn change_row(&mut self, known: Known<'_>, store: &mut Store, cx: &mut Cx<'_>) {
+        let stored = &known.row.row;
+        let view = view(&self.losses, &self.moves, self.since, known);
+        let mut next = succession::next_row(&view, &self.joins, cx);
+        self.waiting_since =
+            if next == *stored { None } else { self.waiting_since.or(Some(cx.now)) };
+        if !store.can_write(cx) {
+            return;
+        }
+        let mut begun = Vec::new();
+        let settled = cx.now >= self.since + cx.timing().term || !stored.assignments.is_empty();
+        let better = grantor_set::next_row(&view, cx).filter(|_| settled && next == *stored);
+        let plan_pause = Millis(cx.timing().renew_interval.0 / PLANS_PER_INTERVAL);
+        if let Some(better) = better {
+            cx.record(None, "grantors", format!("epoch {} gets other grantors", better.epoch));
+            next = better;
+        } else if settled && cx.is_due(self.planned_at, plan_pause) {
+            let agenda = agenda::next(&view, next, cx);
+            self.planned_at = Some(cx.now);
+            next = agenda.row;
+            begun = agenda.moves;
+        }
+        let provenance = provenance(stored, &next, &self.moves);
+        for (new, reason) in begun {
+            self.sent.retain(|s| s.partition != new.partition);
+            self.moves.begin(new, reason, cx);
+        }
+        if next != *stored {
+            record_changes(stored, &next, cx);
+            self.provenance.extend(provenance);
+            store.write(Some(known.row.version), next, cx);
+        }
+    }
+
+    /// Tells owners to serve, until they say that they do.
+    fn assign(&mut self, known: Known<'_>, cx: &mut Cx<'_>) {
+        if cx.rules.inherited_marks.is_kept() && !known.seals.are_closed(cx) {
+            return;
+        }
+        let row = &known.row.row;
+        for a in &row.assignments {
+            let view = view(&self.losses, &self.moves, self.since, known);
+            let is_leaving = view.moves.get(a.partition).is_some_and(|m| m.owner != a.owner);
+            let has_left = view.moves.given_up(a.owner, a).is_some();
+            if is_leaving || has_left || view.is_lost(a.owner) {
+                continue;
+            }
+            let Some(to) = addr_of(row, a.owner) else {
+                continue;
+            };
+            if !self.note_sent(a.partition, a.fence, cx) {
+                continue;
+            }
+            let known =
+                self.provenance.iter().find(|p| p.fence == a.fence && p.partition == a.partition);
+            let message = Message::Assign {
+                transfer: transfer(row, a.owner, a.partition, a.fence),
+                handed_over_from: known.and_then(|p| p.handed_over_from),
+                first: known.is_some_and(|p| p.first),
+            };
+            cx.send(to, message);
+        }
+    }
+
+    /// Tells standbys to serve while the row cannot be written. The row names them already, so
+    /// nothing new has to be agreed.
+    fn take_over(&mut self, known: Known<'_>, store: &Store, cx: &mut Cx<'_>) {
+        if cx.rules.inherited_marks.is_kept() && !known.seals.are_closed(cx) {
+            return;
+        }
+        let patience = cx.timing().store_patience;
+        let waited = self.waiting_since.is_some_and(|since| cx.now >= since + patience);
+        if !waited && !store.is_failing() {
+            return;
+        }
+        let row = &known.row.row;
+        for a in &row.assignments {
+            let view = view(&self.losses, &self.moves, self.since, known);
+            let Some(standby) = a.standby.filter(|s| !view.is_lost(*s)) else {
+                continue;
+            };
+            let is_free = view.is_over(a.owner, cx) && view.moves.given_up(standby, a).is_none();
+            let Some(to) = addr_of(row, standby).filter(|_| is_free) else {
+                continue;
+            };
+            let fence = a.fence.takeover();
+            if self.note_sent(a.partition, fence, cx) {
+                let text = format!("standby {standby} follows {} at fence {fence}", a.owner);
+                cx.record(Some(a.partition), "takeover", text);
+                cx.send(to, Message::TakeOver(transfer(row, standby, a.partition, fence)));
+            }
+        }
+    }
+
+    /// Notes that an order is sent now. Returns whether it is due.
+    fn note_sent(&mut self, partition: Partition, fence: Fence, cx: &Cx<'_>) -> bool {
+        let same = |s: &&mut Sent| (s.partition, s.fence) == (partition, fence);
+        let Some(sent) = self.sent.iter_mut().find(same) else {
+            self.sent.push(Sent { partition, fence, at: cx.now, acked: false });
+            return true;
+        };
+        let is_due = !sent.acked && cx.is_due(Some(sent.at), cx.timing().renew_interval);
+        if is_due {
+            sent.at = cx.now;
+        }
+        is_due
+    }
+}
+
+/// Queries.
+impl Coordinator {
+    /// Returns whether requests may be sent to a member.
+    pub(crate) fn takes_work(&self, known: Known<'_>, session: Session) -> bool {
+        view(&self.losses, &self.moves, self.since, known).is_usable(session)
+    }
+}
+
+fn view<'a>(losses: &'a Losses, moves: &'a Moves, since: Millis, known: Known<'a>) -> View<'a> {
+    let Known { row, grantor, seals, dead } = known;
+    View { row: &row.row, grantor, seals, dead, losses, moves, since }
+}
+
+fn transfer(row: &CellRow, session: Session, partition: Partition, fence: Fence) -> Transfer {
+    Transfer { epoch: row.epoch, session, partition, fence }
+}
+
+/// Returns how the changed assignments of `next` come about.
+fn provenance(stored: &CellRow, next: &CellRow, moves: &Moves) -> Vec<Provenance> {
+    let changed = next.assignments.iter().filter(|a| stored.assignment(a.partition) != Some(a));
+    changed
+        .map(|a| {
+            let former = stored.assignment(a.partition);
+            let given_up = former.and_then(|f| moves.given_up(f.owner, f));
+            let handed_over_from = given_up.filter(|g| g.handed_over).map(|g| g.fence);
+            let first = former.is_none();
+            Provenance { partition: a.partition, fence: a.fence, handed_over_from, first }
+        })
+        .collect()
+}
+
+fn record_changes(stored: &CellRow, next: &CellRow, cx: &mut Cx<'_>) {
+    for a in next.assignments.iter().filter(|a| stored.assignment(a.partition) != Some(a)) {
+        let standby = a.standby.map_or_else(|| "nobody".to_owned(), |s| s.to_string());
+        let text = format!("owner {}, standby {standby}, fence {}", a.owner, a.fence);
+        cx.record(Some(a.partition), "assignment", text);
+    }
+}
+
+/// The report of a host process whose backend server has not been seen yet.
+pub(crate) fn empty_report() -> Report {
+    Report { slots: 0, slots_in_use: 0, draining: false, partitions: Vec::new() }
+}
--- /dev/null
+++ b/crates/ownership/src/grantor.rs
@@ -0,0 +1,135 @@
+//! The grantor's role: promises to members, and marks on sessions that were ended.
+
+use model::{HostAddr, Incarnation, Millis, Session, ZoneName};
+
+use crate::cx::Cx;
+use crate::{CellRow, Grantor, Renew, Report};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Promise {
+    session: Session,
+    until: Millis,
+}
+
+/// What a grantor last heard from a session.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Heard {
+    pub(crate) session: Session,
+    pub(crate) addr: HostAddr,
+    pub(crate) at: Millis,
+    pub(crate) report: Report,
+    /// When the backend server was first seen with slots.
+    pub(crate) up_since: Option<Millis>,
+}
+
+/// The memory of a grantor.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct GrantorRole {
+    /// Sorted by session.
+    promises: Vec<Promise>,
+    /// Sessions that get no promise any more, sorted.
+    lapsed: Vec<Session>,
+    /// Sorted by session.
+    heard: Vec<Heard>,
+}
+
+/// Commands.
+impl GrantorRole {
+    /// Forgets what the row of a new epoch no longer needs.
+    pub(crate) fn enter_epoch(&mut self, row: &CellRow) {
+        self.promises.clear();
+        self.lapsed.retain(|s| row.names(*s));
+    }
+
+    /// Forgets sessions that have been silent for `limit` and that the row does not name.
+    pub(crate) fn forget_silent(&mut self, row: &CellRow, limit: Millis, now: Millis) {
+        self.heard.retain(|h| now.since(h.at) < limit || row.names(h.session));
+        self.promises.retain(|p| now < p.until);
+    }
+
+    pub(crate) fn hear(&mut self, from: HostAddr, renew: &Renew, now: Millis) {
+        let is_up = renew.report.slots > 0;
+        let report = renew.report.clone();
+        let (session, addr) = (renew.session, from);
+        match self.heard.binary_search_by_key(&session, |h| h.session) {
+            Ok(i) => {
+                let heard = &mut self.heard[i];
+                let up_since = heard.up_since.or(Some(now)).filter(|_| is_up);
+                *heard = Heard { session, addr, at: now, report, up_since };
+            }
+            Err(i) => {
+                let up_since = is_up.then_some(now);
+                self.heard.insert(i, Heard { session, addr, at: now, report, up_since });
+            }
+        }
+    }
+
+    pub(crate) fn promise(&mut self, session: Session, cx: &Cx<'_>) {
+        let until = cx.now + cx.timing().term;
+        match self.promises.binary_search_by_key(&session, |p| p.session) {
+            Ok(i) => self.promises[i].until = until,
+            Err(i) => self.promises.insert(i, Promise { session, until }),
+        }
+    }
+
+    /// Marks a session as lapsed and returns how long its last promise still runs.
+    pub(crate) fn lapse(&mut self, session: Session, cx: &Cx<'_>) -> Millis {
+        if cx.rules.sticky_lapse.is_kept() {
+            self.mark(session);
+        }
+        let promise = self.promises.iter().find(|p| p.session == session);
+        promise.map_or(Millis::ZERO, |p| p.until.since(cx.now))
+    }
+
+    pub(crate) fn mark(&mut self, session: Session) {
+        if let Err(i) = self.lapsed.binary_search(&session) {
+            self.lapsed.insert(i, session);
+        }
+    }
+}
+
+/// Queries.
+impl GrantorRole {
+    pub(crate) fn is_lapsed(&self, session: Session) -> bool {
+        self.lapsed.binary_search(&session).is_ok()
+    }
+
+    pub(crate) fn lapsed(&self) -> &[Session] {
+        &self.lapsed
+    }
+
+    pub(crate) fn heard(&self, session: Session) -> Option<&Heard> {
+        let index = self.heard.binary_search_by_key(&session, |h| h.session).ok()?;
+        self.heard.get(index)
+    }
+
+    pub(crate) fn all_heard(&self) -> &[Heard] {
+        &self.heard
+    }
+
+    /// Returns when any session of a process was last heard.
+    pub(crate) fn heard_process(&self, incarnation: Incarnation) -> Option<Millis> {
+        let of_process = self.heard.iter().filter(|h| h.session.incarnation == incarnation);
+        of_process.map(|h| h.at).max()
+    }
+
+    /// Returns whether the same process took a later session, and so ended this one itself.
+    pub(crate) fn is_superseded(&self, session: Session) -> bool {
+        let later = |other: Session| {
+            other.incarnation == session.incarnation && other.number > session.number
+        };
+        self.heard.iter().any(|h| later(h.session))
+    }
+
+    /// Returns whether another process was heard at the address since.
+    pub(crate) fn is_replaced(&self, session: Session, addr: HostAddr) -> bool {
+        let since = self.heard(session).map(|h| h.at);
+        let other = |h: &Heard| h.session.incarnation != session.incarnation && h.addr == addr;
+        self.heard.iter().any(|h| other(h) && Some(h.at) > since)
+    }
+}
+
+/// Makes the entry of a grantor for the row.
+pub(crate) fn grantor_entry(session: Session, addr: HostAddr, zone: &ZoneName) -> Grantor {
+    Grantor { addr, incarnation: session.incarnation, zone: zone.clone() }
+}
--- /dev/null
+++ b/crates/ownership/src/grantor_set.rs
@@ -0,0 +1,99 @@
+//! Who should be grantor.
+
+use model::{Incarnation, ZoneName};
+
+use crate::cx::Cx;
+use crate::grantor::grantor_entry;
+use crate::view::View;
+use crate::{CellRow, Grantor, GrantorSet};
+
+/// How many grantors a cell has that is large enough.
+const FULL_SET: usize = 3;
+
+/// How many grantors of a full set stay when it changes.
+const KEPT_OF_FULL_SET: usize = 2;
+
+/// Returns the row with a better set of grantors, if there is one now.
+pub(crate) fn next_row(view: &View<'_>, cx: &Cx<'_>) -> Option<CellRow> {
+    if !view.row.unsealed.is_empty() {
+        return None;
+    }
+    let chosen = choose(view, cx)?;
+    let same = chosen.iter().all(|g| view.row.is_grantor(g.incarnation));
+    if same && chosen.len() == view.row.grantors.len() {
+        return None;
+    }
+    Some(replace_grantors(view.row, chosen))
+}
+
+/// Returns the row at the next epoch, with the present set among those to be sealed.
+pub(crate) fn replace_grantors(row: &CellRow, grantors: Vec<Grantor>) -> CellRow {
+    let mut next = row.clone();
+    let former = std::mem::replace(&mut next.grantors, grantors);
+    next.unsealed.push(GrantorSet { epoch: row.epoch, grantors: former });
+    next.epoch.0 += 1;
+    next
+}
+
+fn choose(view: &View<'_>, cx: &Cx<'_>) -> Option<Vec<Grantor>> {
+    let kept: Vec<Grantor> =
+        view.row.grantors.iter().filter(|g| is_fit(g.incarnation, view, cx)).cloned().collect();
+    let was_full = view.row.grantors.len() >= FULL_SET;
+    if was_full && kept.len() < KEPT_OF_FULL_SET {
+        return None;
+    }
+    let candidates = candidates(&kept, view, cx);
+    if candidates.len() < FULL_SET {
+        let alone = kept.first().or(candidates.first())?.clone();
+        return (!was_full).then(|| vec![alone]);
+    }
+    let mut chosen = spread_over_zones(&[], &candidates);
+    let stayed = chosen.iter().filter(|g| view.row.is_grantor(g.incarnation)).count();
+    if was_full && stayed < KEPT_OF_FULL_SET {
+        chosen = spread_over_zones(&kept[..KEPT_OF_FULL_SET], &candidates);
+    }
+    Some(chosen)
+}
+
+/// The grantors that can stay, in their order, and then all other members that could be one.
+fn candidates(kept: &[Grantor], view: &View<'_>, cx: &Cx<'_>) -> Vec<Grantor> {
+    let mut found = kept.to_vec();
+    for member in &view.row.members {
+        let incarnation = member.session.incarnation;
+        let is_new = found.iter().all(|g| g.incarnation != incarnation);
+        if is_new && !view.is_lost(member.session) && is_fit(incarnation, view, cx) {
+            found.push(grantor_entry(member.session, member.addr, &member.zone));
+        }
+    }
+    found
+}
+
+/// Takes one candidate of each zone first, and then any.
+fn spread_over_zones(fixed: &[Grantor], candidates: &[Grantor]) -> Vec<Grantor> {
+    let mut chosen = fixed.to_vec();
+    for candidate in candidates {
+        let zones: Vec<&ZoneName> = chosen.iter().map(|g| &g.zone).collect();
+        let is_new_zone = !zones.contains(&&candidate.zone);
+        if chosen.len() < FULL_SET && is_new_zone && !chosen.contains(candidate) {
+            chosen.push(candidate.clone());
+        }
+    }
+    for candidate in candidates {
+        if chosen.len() < FULL_SET && !chosen.contains(candidate) {
+            chosen.push(candidate.clone());
+        }
+    }
+    chosen
+}
+
+/// A process is fit if it was heard lately and is not draining.
+fn is_fit(incarnation: Incarnation, view: &View<'_>, cx: &Cx<'_>) -> bool {
+    let limit = cx.timing().silence_limit;
+    let start = view.since - cx.timing().renew_interval;
+    let is_grantor = view.row.is_grantor(incarnation);
+    let heard = view.grantor.heard_process(incarnation).or(is_grantor.then_some(start));
+    let is_recent = heard.is_some_and(|at| cx.now.since(at) <= limit);
+    let drains = |h: &&crate::grantor::Heard| h.session.incarnation == incarnation;
+    let is_draining = view.grantor.all_heard().iter().filter(drains).any(|h| h.report.draining);
+    is_recent && !is_draining
+}
--- /dev/null
+++ b/crates/ownership/src/lease.rs
@@ -0,0 +1,215 @@
+//! A member's lease: one session, renewed with a majority of the grantors.
+
+use model::{Epoch, HostAddr, Incarnation, Millis, Session};
+
+use crate::cx::Cx;
+use crate::{Command, Grantor, Message, RefusalReason, Renew, Report};
+
+/// How many grantors a member renews with while all is well.
+const USUAL_GRANTORS: usize = 2;
+
+/// Unanswered renewals are repeated this many times per renew interval.
+const RETRIES_PER_INTERVAL: u64 = 3;
+
+/// Returns how many of `count` grantors make a lease.
+pub(crate) fn majority(count: usize) -> usize {
+    count / 2 + 1
+}
+
+/// Returns how many of `count` grantors are enough to rule out a majority without them.
+pub(crate) fn blocking(count: usize) -> usize {
+    count.saturating_sub(majority(count)) + 1
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Ack {
+    grantor: HostAddr,
+    sent_at: Millis,
+}
+
+/// The lease of this host process.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Lease {
+    session: Session,
+    epoch: Epoch,
+    /// The highest epoch of any order; no order below it is taken.
+    order_epoch: Epoch,
+    grantors: Vec<Grantor>,
+    /// The latest acknowledged renewal of this epoch per grantor, sorted by grantor.
+    acks: Vec<Ack>,
+    end: Option<Millis>,
+    sent_at: Option<Millis>,
+}
+
+/// Commands.
+impl Lease {
+    pub(crate) fn new(incarnation: Incarnation) -> Self {
+        Self {
+            session: Session { incarnation, number: 1 },
+            epoch: Epoch::default(),
+            order_epoch: Epoch::default(),
+            grantors: Vec::new(),
+            acks: Vec::new(),
+            end: None,
+            sent_at: None,
+        }
+    }
+
+    /// Turns to the grantors of a higher epoch. Promises of the former ones still count.
+    pub(crate) fn learn(&mut self, epoch: Epoch, grantors: &[Grantor]) {
+        if epoch <= self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        self.raise_order_epoch(epoch);
+        self.grantors = grantors.to_vec();
+        self.acks.clear();
+        self.sent_at = None;
+    }
+
+    /// Refuses orders from epochs below `epoch` from now on.
+    pub(crate) fn raise_order_epoch(&mut self, epoch: Epoch) {
+        self.order_epoch = self.order_epoch.max(epoch);
+    }
+
+    /// Makes the next call of `renew` send a renewal.
+    pub(crate) fn hasten(&mut self) {
+        self.sent_at = None;
+    }
+
+    /// Sends a renewal if one is due.
+    pub(crate) fn renew(&mut self, report: &Report, cx: &mut Cx<'_>) {
+        let answered = self.usual_grantors_answered(cx);
+        let interval = cx.timing().renew_interval;
+        let pause = if answered { interval } else { Millis(interval.0 / RETRIES_PER_INTERVAL) };
+        if !cx.is_due(self.sent_at, pause) {
+            return;
+        }
+        let renew = Renew {
+            epoch: self.epoch,
+            session: self.session,
+            sent_at: cx.now,
+            report: report.clone(),
+        };
+        let targets = if answered { self.usual_grantors(cx) } else { self.grantor_addrs() };
+        for to in targets {
+            cx.send(to, Message::Renew(renew.clone()));
+        }
+        self.sent_at = Some(cx.now);
+    }
+
+    /// Notes a promise. Returns whether it was one for this session and epoch.
+    pub(crate) fn on_renewed(
+        &mut self,
+        from: HostAddr,
+        epoch: Epoch,
+        session: Session,
+        sent_at: Millis,
+        cx: &Cx<'_>,
+    ) -> bool {
+        let known = self.grantors.iter().any(|g| g.addr == from);
+        if epoch != self.epoch || session != self.session || !known {
+            return false;
+        }
+        self.note_ack(from, sent_at);
+        if let Some(start) = self.majority_sent_at() {
+            let end = (start + cx.timing().term) - cx.timing().drift_margin;
+            self.end = self.end.max(Some(end));
+        }
+        true
+    }
+
+    /// Ends the session for good and takes the next number.
+    pub(crate) fn lose(&mut self, reason: &str, cx: &mut Cx<'_>) {
+        let text = format!("session {} is over: {reason}", self.session);
+        cx.record(None, "lease-lost", text);
+        cx.push(Command::StopAll);
+        self.session.number += 1;
+        self.acks.clear();
+        self.end = None;
+        self.sent_at = None;
+    }
+
+    fn note_ack(&mut self, grantor: HostAddr, sent_at: Millis) {
+        match self.acks.binary_search_by_key(&grantor, |a| a.grantor) {
+            Ok(i) => self.acks[i].sent_at = self.acks[i].sent_at.max(sent_at),
+            Err(i) => self.acks.insert(i, Ack { grantor, sent_at }),
+        }
+    }
+}
+
+/// Queries.
+impl Lease {
+    pub(crate) fn session(&self) -> Session {
+        self.session
+    }
+
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    pub(crate) fn order_epoch(&self) -> Epoch {
+        self.order_epoch
+    }
+
+    pub(crate) fn grantors(&self) -> &[Grantor] {
+        &self.grantors
+    }
+
+    pub(crate) fn end(&self) -> Option<Millis> {
+        self.end
+    }
+
+    pub(crate) fn is_valid(&self, now: Millis) -> bool {
+        self.end.is_some_and(|end| now < end)
+    }
+
+    /// Returns whether the lease was held and has run out.
+    pub(crate) fn has_run_out(&self, now: Millis) -> bool {
+        self.end.is_some_and(|end| now >= end)
+    }
+
+    /// Returns how a refusal ends this session, if it does.
+    pub(crate) fn is_ended_by(&self, session: Session, reason: &RefusalReason) -> bool {
+        session == self.session && *reason == RefusalReason::Lapsed
+    }
+
+    fn grantor_addrs(&self) -> Vec<HostAddr> {
+        self.grantors.iter().map(|g| g.addr).collect()
+    }
+
+    /// The first grantor, which coordinates, and one more: in the own zone if there is one.
+    ///
+    /// A grantor renews with all others, so that they notice when it falls silent.
+    fn usual_grantors(&self, cx: &Cx<'_>) -> Vec<HostAddr> {
+        let incarnation = cx.settings.incarnation;
+        let is_grantor = self.grantors.iter().any(|g| g.incarnation == incarnation);
+        if is_grantor || self.grantors.len() <= USUAL_GRANTORS {
+            return self.grantor_addrs();
+        }
+        let rest = &self.grantors[1..];
+        let near = rest.iter().find(|g| g.zone == cx.settings.zone);
+        let spread = incarnation.0 % rest.len() as u64;
+        let second = near.unwrap_or(&rest[usize::try_from(spread).unwrap_or(0)]);
+        vec![self.grantors[0].addr, second.addr]
+    }
+
+    fn usual_grantors_answered(&self, cx: &Cx<'_>) -> bool {
+        let Some(sent_at) = self.sent_at else {
+            return false;
+        };
+        self.usual_grantors(cx).iter().all(|g| self.acked(*g) == Some(sent_at))
+    }
+
+    fn acked(&self, grantor: HostAddr) -> Option<Millis> {
+        let index = self.acks.binary_search_by_key(&grantor, |a| a.grantor).ok()?;
+        Some(self.acks[index].sent_at)
+    }
+
+    /// The latest send time that a majority of the grantors has acknowledged.
+    fn majority_sent_at(&self) -> Option<Millis> {
+        let mut times: Vec<Millis> = self.acks.iter().map(|a| a.sent_at).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(majority(self.grantors.len()) - 1).copied()
+    }
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -3,14 +3,39 @@
 //! Everything here is a pure state machine: an event and the time go in, commands come out. The
 //! crate performs no I/O, reads no clock and draws no random number, so that the model checker,
 //! the tests and the host process run the very same code.
+//!
+//! `lease` and `claims` are the member's part, `grantor` and `seal` the grantor's, and
+//! `coordinator` with `loss`, `moves`, `succession`, `grantor_set` and `agenda` the coordinator's.
+//! `store` is each process's dealings with the row, and `node` joins them all.
 
+mod agenda;
+mod claims;
+mod coordinator;
+mod cx;
+mod event;
+mod grantor;
+mod grantor_set;
+mod lease;
+mod loss;
 mod message;
+mod moves;
 mod node;
+mod rescue;
+mod routes;
 mod row;
+mod rules;
+mod seal;
+mod settings;
+mod store;
+mod succession;
+mod view;
 
+pub use event::{Command, Decision, Event, Origin};
 pub use message::{
     Join, Message, PartitionReport, RefusalReason, Release, Renew, Report, RouteEntry, RouteTable,
     RoutesVersion, Transfer,
 };
-pub use node::{Command, Decision, Event, Node, NodeSettings, Origin, Timing};
+pub use node::Node;
 pub use row::{Assignment, CellRow, Grantor, GrantorSet, MemberEntry, VersionedRow};
+pub use rules::{Rule, Rules};
+pub use settings::{NodeSettings, Timing};
--- /dev/null
+++ b/crates/ownership/src/loss.rs
@@ -0,0 +1,111 @@
+//! Ending a session without its consent, and knowing for certain when its lease is over.
+
+use model::{Epoch, HostAddr, Millis, Session};
+
+use crate::cx::Cx;
+use crate::lease::blocking;
+use crate::{Grantor, Message};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Answer {
+    grantor: HostAddr,
+    /// When the last promise of this grantor is over, on our clock.
+    over_at: Millis,
+}
+
+/// One session that is being ended in the current epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Loss {
+    session: Session,
+    answers: Vec<Answer>,
+    begun: Millis,
+    asked_at: Option<Millis>,
+}
+
+/// The sessions that are being ended in the current epoch, sorted by session.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Losses(Vec<Loss>);
+
+/// Commands.
+impl Losses {
+    /// Begins to end a session, unless that was begun already.
+    pub(crate) fn begin(&mut self, session: Session, reason: &str, cx: &mut Cx<'_>) {
+        let Err(index) = self.0.binary_search_by_key(&session, |l| l.session) else {
+            return;
+        };
+        cx.record(None, "lapse", format!("session {session} is ended: {reason}"));
+        self.0.insert(index, Loss { session, answers: Vec::new(), begun: cx.now, asked_at: None });
+    }
+
+    /// Asks the grantors that have not answered yet.
+    pub(crate) fn ask(&mut self, epoch: Epoch, grantors: &[Grantor], cx: &mut Cx<'_>) {
+        let pause = cx.timing().renew_interval;
+        for loss in &mut self.0 {
+            if !cx.is_due(loss.asked_at, pause) {
+                continue;
+            }
+            loss.asked_at = Some(cx.now);
+            for grantor in grantors {
+                if loss.answers.iter().all(|a| a.grantor != grantor.addr) {
+                    cx.send(grantor.addr, Message::Lapse { epoch, session: loss.session });
+                }
+            }
+        }
+    }
+
+    /// Notes that a grantor marked a session, and how long its last promise runs.
+    pub(crate) fn on_lapsed(
+        &mut self,
+        grantor: HostAddr,
+        session: Session,
+        remaining: Millis,
+        now: Millis,
+    ) {
+        let Ok(index) = self.0.binary_search_by_key(&session, |l| l.session) else {
+            return;
+        };
+        let answers = &mut self.0[index].answers;
+        if answers.iter().all(|a| a.grantor != grantor) {
+            answers.push(Answer { grantor, over_at: now + remaining });
+        }
+    }
+
+    /// Forgets sessions that the row does not name any more.
+    pub(crate) fn retain(&mut self, keep: impl Fn(Session) -> bool) {
+        self.0.retain(|l| keep(l.session));
+    }
+}
+
+/// Queries.
+impl Losses {
+    /// Returns whether a session is being ended, or has ended.
+    pub(crate) fn contains(&self, session: Session) -> bool {
+        self.0.binary_search_by_key(&session, |l| l.session).is_ok()
+    }
+
+    /// Returns whether every promise to the session is certainly over.
+    ///
+    /// A lease needs a majority of the grantors. Once as many are marked as can block one, the
+    /// lease cannot be renewed, and it ends no later than the longest of their promises.
+    pub(crate) fn is_over(&self, session: Session, grantors: &[Grantor], cx: &Cx<'_>) -> bool {
+        let Ok(index) = self.0.binary_search_by_key(&session, |l| l.session) else {
+            return false;
+        };
+        let answers = &self.0[index].answers;
+        if answers.len() < blocking(grantors.len()) {
+            return false;
+        }
+        let last = answers.iter().map(|a| a.over_at).max().unwrap_or(cx.now);
+        let wait = cx.timing().drift_margin + cx.timing().unfenced_grace;
+        !cx.rules.lapse_wait.is_kept() || cx.now >= last + wait
+    }
+
+    /// Returns whether the grace for backend servers that check no fences has passed since it
+    /// was learned that the session is over.
+    pub(crate) fn is_grace_over(&self, session: Session, cx: &Cx<'_>) -> bool {
+        let Ok(index) = self.0.binary_search_by_key(&session, |l| l.session) else {
+            return false;
+        };
+        cx.now >= self.0[index].begun + cx.timing().unfenced_grace
+    }
+}
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -73,7 +73,7 @@
     pub struct RoutesVersion {
         /// The version of the row that the table shows.
         pub row: RowVersion,
-        /// How many takeovers since that row the table shows.
+        /// How many takeovers and changes of the open members since that row the table shows.
         pub takeovers: u32,
     }
 }
--- a/crates/ownership/src/node.rs
+++ b/crates/ownership/src/node.rs
@@ -3,249 +3,444 @@
 //! This is the face of the crate towards the host process. It feeds events to the machines and
 //! gathers their commands.
 
-use model::{
-    CellId, ConfigVersion, Epoch, Fence, HostAddr, Incarnation, Millis, Partition, RowVersion,
-    Session, ZoneName, derive_common,
+mod receive;
+
+use std::sync::Arc;
+
+use model::{ConfigVersion, Epoch, Fence, HostAddr, Millis, Partition, Session, WriterTag};
+
+use crate::claims::Claims;
+use crate::coordinator::{Coordinator, Known, empty_report};
+use crate::cx::Cx;
+use crate::grantor::{GrantorRole, grantor_entry};
+use crate::lease::Lease;
+use crate::rescue::{self, Rescue};
+use crate::routes::{self, Takeover};
+use crate::seal::{Inherited, Seals};
+use crate::store::Store;
+use crate::{
+    CellRow, Command, Event, Join, MemberEntry, Message, NodeSettings, Report, RouteTable, Rules,
+    VersionedRow,
 };
 
-use crate::{CellRow, Message, Report, RouteTable, VersionedRow};
-
-derive_common! {
-    value
-    /// The time limits of the protocol, the same on every host of a cell.
-    pub struct Timing {
-        /// How long a grantor's promise runs.
-        pub term: Millis,
-        /// How far two clocks may drift apart during one term.
-        pub drift_margin: Millis,
-        /// The pause between two renewals.
-        pub renew_interval: Millis,
-        /// How long a grantor goes without a renewal before it ends the session.
-        pub silence_limit: Millis,
-        /// How long a coordinator waits for the store before it orders takeovers.
-        pub store_patience: Millis,
-        /// How long an owner may take to finish requests when it releases a partition.
-        pub release_time_limit: Millis,
-        /// How long partitions wait after a lease ended whose backend server checks no fences.
-        pub unfenced_grace: Millis,
-    }
+/// The most rounds in which a node handles messages to itself after one event.
+const MAX_OWN_ROUNDS: usize = 16;
+
+/// One host process's part in its cell.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Node {
+    settings: Arc<NodeSettings>,
+    rules: Rules,
+    row: Option<VersionedRow>,
+    /// When this process became a grantor of the row's epoch.
+    epoch_since: Millis,
+    lease: Lease,
+    claims: Claims,
+    grantor: GrantorRole,
+    seals: Seals,
+    coordinator: Option<Coordinator>,
+    rescue: Rescue,
+    store: Store,
+    report: Report,
+    draining: bool,
+    drained: bool,
+    joined_at: Option<Millis>,
+    takeovers: Vec<Takeover>,
+    routes: RouteTable,
+    config: ConfigVersion,
+    /// When the configuration was known to be the newest, on this host's clock.
+    config_as_of: Option<Millis>,
 }
 
-impl Default for Timing {
-    fn default() -> Self {
+/// Commands.
+impl Node {
+    /// Makes a node that is not a member yet.
+    pub fn new(settings: NodeSettings) -> Self {
+        Self::with_rules(settings, Rules::default())
+    }
+
+    /// Makes a node that skips some rules, for the model checker.
+    pub fn with_rules(settings: NodeSettings, rules: Rules) -> Self {
         Self {
-            term: Millis(1_000),
-            drift_margin: Millis(50),
-            renew_interval: Millis(300),
-            silence_limit: Millis(900),
-            store_patience: Millis(500),
-            release_time_limit: Millis(10_000),
-            unfenced_grace: Millis(0),
+            lease: Lease::new(settings.incarnation),
+            settings: Arc::new(settings),
+            rules,
+            row: None,
+            epoch_since: Millis::ZERO,
+            claims: Claims::default(),
+            grantor: GrantorRole::default(),
+            seals: Seals::default(),
+            coordinator: None,
+            rescue: Rescue::default(),
+            store: Store::default(),
+            report: empty_report(),
+            draining: false,
+            drained: false,
+            joined_at: None,
+            takeovers: Vec::new(),
+            routes: RouteTable::default(),
+            config: ConfigVersion::default(),
+            config_as_of: None,
         }
     }
-}
 
-/// What a node has to know before it starts.
-#[derive(Clone, Debug)]
-pub struct NodeSettings {
-    /// The cell to join.
-    pub cell: CellId,
-    /// Where this host process listens.
-    pub addr: HostAddr,
-    /// This run of the host process.
-    pub incarnation: Incarnation,
-    /// The availability zone of this host.
-    pub zone: ZoneName,
-    /// The partitions of the cell: from the first to before the second.
-    pub partitions: (Partition, Partition),
-    /// The time limits.
-    pub timing: Timing,
-}
+    /// Handles one event and returns what is to be done, in order.
+    pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Command> {
+        let settings = self.settings.clone();
+        let rules = self.rules;
+        let mut cx = Cx { settings: &settings, rules: &rules, now, out: Vec::new() };
+        self.check_lease(&mut cx);
+        self.dispatch(event, &mut cx);
+        self.drive(&mut cx);
+        for _ in 0..MAX_OWN_ROUNDS {
+            if !self.handle_own_messages(&mut cx) {
+                break;
+            }
+            self.drive(&mut cx);
+        }
+        cx.out
+    }
 
-/// What happened outside the node.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Event {
-    /// Time passed. Expected at least every 50 ms.
-    Tick,
-    /// A message came in.
-    Received {
-        /// Who sent it.
-        from: HostAddr,
-        /// The message.
-        message: Message,
-    },
-    /// The row was read; `None` if there is none yet.
-    RowRead(Option<VersionedRow>),
-    /// The row could not be read.
-    RowReadFailed,
-    /// The row was written and has this version now.
-    RowWritten(RowVersion),
-    /// The write lost a race; nothing was changed.
-    RowConflict,
-    /// The write may or may not have taken effect.
-    RowWriteUnknown,
-    /// The write certainly had no effect.
-    RowWriteFailed,
-    /// The backend server is up with so many slots, or down with zero. Anything else that the
-    /// member reports about itself comes along.
-    Reported(Report),
-    /// A partition that was to be released is quiet: nothing of it runs any more.
-    Quiesced {
-        /// The partition.
-        partition: Partition,
-        /// The fence under which it was served.
-        fence: Fence,
-        /// Whether the request records reached the next owner.
-        handed_over: bool,
-    },
-    /// The operator wants this host to leave.
-    Drain,
-    /// Wall time and boot time moved apart by more than the margin: the lease counts as lost.
-    ClockJumped,
-    /// The platform said that this is the newest configuration.
-    ConfigSeen(ConfigVersion),
-    /// The operator states that these sessions are dead for good.
-    DeclaredDead(Vec<Session>),
-}
+    /// Ends the session if its lease has run out. This comes before every event.
+    fn check_lease(&mut self, cx: &mut Cx<'_>) {
+        if cx.rules.own_lease_end.is_kept() && self.lease.has_run_out(cx.now) {
+            self.lose_lease("its lease ran out", cx);
+        }
+    }
 
-derive_common! {
-    value
-    /// How a partition came to its owner. It decides which request ids the owner can vouch for.
-    pub enum Origin {
-        /// Nobody owned the partition before.
-        First,
-        /// The former owner handed over its request records.
-        Planned {
-            /// The fence under which the former owner served.
-            from: Fence,
-        },
-        /// The former owner is lost, and its records with it.
-        Unplanned,
+    fn lose_lease(&mut self, reason: &str, cx: &mut Cx<'_>) {
+        self.lease.lose(reason, cx);
+        self.claims.clear();
+        self.joined_at = None;
     }
-}
 
-/// What the host process has to do.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Command {
-    /// Send a message; a failure needs no report.
-    Send {
-        /// The receiver.
-        to: HostAddr,
-        /// The message.
-        message: Message,
-    },
-    /// Read the cell's row and report `RowRead` or `RowReadFailed`.
-    ReadRow,
-    /// Write the cell's row if it still has the expected version.
-    WriteRow {
-        /// The version to replace; `None` creates the row.
-        expected: Option<RowVersion>,
-        /// The new content. The host process fills in nothing.
-        row: CellRow,
-    },
-    /// Start to serve a partition.
-    Serve {
-        /// The partition.
-        partition: Partition,
-        /// The fence to serve under.
-        fence: Fence,
-        /// How the partition came here.
-        origin: Origin,
-    },
-    /// Take no new work for a partition, finish what runs, hand the records to `next`, and
-    /// report `Quiesced` within the time limit.
-    Quiesce {
-        /// The partition.
-        partition: Partition,
-        /// The fence under which it is served.
-        fence: Fence,
-        /// The next owner, if it is known.
-        next: Option<HostAddr>,
-        /// How long that may take.
-        time_limit: Millis,
-    },
-    /// Go on serving a partition that was being quiesced.
-    Resume {
-        /// The partition.
-        partition: Partition,
-        /// The fence to serve under, as before.
-        fence: Fence,
-    },
-    /// The lease is lost: stop serving everything at once and cancel what runs.
-    StopAll,
-    /// A grantor knows this configuration version; fetch it if it is newer.
-    ConfigKnown {
-        /// The version.
-        version: ConfigVersion,
-        /// When it was known to be the newest, on this host's clock.
-        as_of: Millis,
-    },
-    /// The drain is over: this host owns nothing any more.
-    Drained,
-    /// Log a decision, count it and keep it for `explain`.
-    Record(Decision),
-}
+    fn dispatch(&mut self, event: Event, cx: &mut Cx<'_>) {
+        match event {
+            Event::Tick => {}
+            Event::Received { from, message } => self.receive(from, message, cx),
+            Event::RowRead(row) => self.on_row_read(row, cx),
+            Event::RowReadFailed | Event::RowWriteFailed => self.store.on_failed(cx),
+            Event::RowWritten(version) => self.on_row_written(version, cx),
+            Event::RowConflict => self.store.on_conflict(),
+            Event::RowWriteUnknown => self.store.on_unknown(),
+            Event::Reported(report) => self.on_reported(report),
+            Event::Quiesced { partition, fence, handed_over } => {
+                self.claims.on_quiesced(partition, fence, handed_over, cx);
+            }
+            Event::Drain => self.on_drain(),
+            Event::ClockJumped => self.lose_lease("the clock jumped", cx),
+            Event::ConfigSeen(version) => self.note_config(version, cx.now),
+            Event::DeclaredDead(sessions) => self.on_declared_dead(&sessions, cx),
+        }
+    }
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-/// A decision that operators can ask about.
-pub struct Decision {
-    /// The partition that it is about, if it is about one.
-    pub partition: Option<Partition>,
-    /// What was decided: a short fixed term, such as `takeover`, that also names a metric.
-    pub kind: &'static str,
-    /// Why, in one short sentence.
-    pub reason: String,
-}
+    /// Does what is due, whatever the event was.
+    fn drive(&mut self, cx: &mut Cx<'_>) {
+        self.renew_and_join(cx);
+        self.want_rows(cx);
+        self.store.run(cx);
+        self.seal_older_sets(cx);
+        self.coordinate(cx);
+        self.rescue(cx);
+        self.finish_drain(cx);
+    }
 
-/// One host process's part in its cell.
-#[derive(Clone, Debug)]
-pub struct Node {
-    settings: NodeSettings,
-}
+    /// Handles the messages that the node just sent to itself. Returns whether there were any.
+    fn handle_own_messages(&mut self, cx: &mut Cx<'_>) -> bool {
+        let own = cx.own_addr();
+        let is_own = |c: &Command| matches!(c, Command::Send { to, .. } if *to == own);
+        let (to_self, out) = std::mem::take(&mut cx.out).into_iter().partition(is_own);
+        cx.out = out;
+        let to_self: Vec<Command> = to_self;
+        let any = !to_self.is_empty();
+        for command in to_self {
+            if let Command::Send { message, .. } = command {
+                self.receive(own, message, cx);
+            }
+        }
+        any
+    }
 
-impl Node {
-    /// Makes a node that is not a member yet.
-    pub fn new(settings: NodeSettings) -> Self {
-        Self { settings }
+    fn on_row_read(&mut self, row: Option<VersionedRow>, cx: &mut Cx<'_>) {
+        self.store.on_answered();
+        match row {
+            Some(row) => self.adopt(row, cx),
+            None if self.row.is_none() => self.create_row(cx),
+            None => {}
+        }
     }
 
-    /// Handles one event and returns what is to be done, in order.
-    pub fn handle(&mut self, _event: Event, _now: Millis) -> Vec<Command> {
-        Vec::new()
+    fn on_row_written(&mut self, version: model::RowVersion, cx: &mut Cx<'_>) {
+        let Some(written) = self.store.on_written(version) else {
+            return;
+        };
+        for to in self.everyone(&written.row) {
+            cx.send(to, Message::RowNotice(written.clone()));
+        }
+        self.adopt(written, cx);
+    }
+
+    fn create_row(&mut self, cx: &mut Cx<'_>) {
+        let session = self.lease.session();
+        let (addr, zone) = (cx.own_addr(), &cx.settings.zone);
+        let row = CellRow {
+            writer: WriterTag::default(),
+            epoch: Epoch(1),
+            grantors: vec![grantor_entry(session, addr, zone)],
+            unsealed: Vec::new(),
+            members: vec![MemberEntry { session, addr, zone: zone.clone() }],
+            assignments: Vec::new(),
+        };
+        self.store.write(None, row, cx);
+    }
+
+    /// Takes a row as the newest, if it is newer than the known one.
+    fn adopt(&mut self, known: VersionedRow, cx: &mut Cx<'_>) {
+        if self.row.as_ref().is_some_and(|r| r.version >= known.version) {
+            return;
+        }
+        let row = &known.row;
+        let former = self.row.as_ref().map(|r| r.row.epoch);
+        if former != Some(row.epoch) {
+            self.epoch_since = cx.now;
+            self.grantor.enter_epoch(row);
+            self.coordinator = None;
+        }
+        self.lease.learn(row.epoch, &row.grantors);
+        self.rescue.follow(row, cx);
+        self.seals.follow(row, cx);
+        self.takeovers.retain(|t| row.assignment(t.partition).is_some_and(|a| a.fence < t.fence));
+        let table = routes::build(&known, &self.takeovers, 0, |_| true);
+        if table.version > self.routes.version {
+            self.routes = table;
+        }
+        self.row = Some(known);
     }
 
+    fn on_reported(&mut self, report: Report) {
+        let urgent = (report.slots > 0) != (self.report.slots > 0);
+        self.report = report;
+        if urgent {
+            self.lease.hasten();
+        }
+    }
+
+    fn on_drain(&mut self) {
+        self.draining = true;
+        self.lease.hasten();
+    }
+
+    fn note_config(&mut self, version: ConfigVersion, as_of: Millis) {
+        if version > self.config {
+            self.config = version;
+            self.config_as_of = Some(as_of);
+        } else if version == self.config {
+            self.config_as_of = self.config_as_of.max(Some(as_of));
+        }
+    }
+
+    fn on_declared_dead(&mut self, sessions: &[Session], cx: &mut Cx<'_>) {
+        for session in sessions {
+            cx.record(None, "declared-dead", format!("the operator says so of {session}"));
+            self.rescue.mark_dead(session.incarnation);
+        }
+    }
+
+    fn renew_and_join(&mut self, cx: &mut Cx<'_>) {
+        if self.lease.grantors().is_empty() {
+            return;
+        }
+        let mut report = self.report.clone();
+        report.draining |= self.draining;
+        self.lease.renew(&report, cx);
+        let session = self.lease.session();
+        let is_member = self.row.as_ref().is_some_and(|r| r.row.member(session).is_some());
+        if is_member || self.draining || !cx.is_due(self.joined_at, cx.timing().renew_interval) {
+            return;
+        }
+        self.joined_at = Some(cx.now);
+        let (addr, zone, slots) = (cx.own_addr(), cx.settings.zone.clone(), report.slots);
+        let join = Join { session, addr, zone, slots };
+        for grantor in self.lease.grantors() {
+            cx.send(grantor.addr, Message::Join(join.clone()));
+        }
+    }
+
+    /// Reads the row again when there is a sign that it changed.
+    fn want_rows(&mut self, cx: &Cx<'_>) {
+        let known_epoch = self.row.as_ref().map(|r| r.row.epoch);
+        let behind = known_epoch < Some(self.lease.epoch());
+        let pause = cx.timing().renew_interval;
+        let alone = !self.lease.is_valid(cx.now);
+        let lonely_pause = cx.timing().silence_limit;
+        let due = |p| cx.is_due(self.store.read_at(), p);
+        if (behind && due(pause)) || (alone && due(lonely_pause)) {
+            self.store.want_read();
+        }
+    }
+
+    /// As a grantor, seals the older sets and takes over the marks of each.
+    fn seal_older_sets(&mut self, cx: &mut Cx<'_>) {
+        let Some(known) = self.row.as_ref().filter(|_| self.is_grantor()) else {
+            return;
+        };
+        self.seals.ask(&known.row, cx);
+        for inherited in self.seals.close(self.rescue.dead(), cx) {
+            if !cx.rules.inherited_marks.is_kept() {
+                continue;
+            }
+            match inherited {
+                Inherited::Known(sessions) => sessions.iter().for_each(|s| self.grantor.mark(*s)),
+                Inherited::Any => mark_all_claimants(&known.row, &mut self.grantor),
+            }
+        }
+        let limit = Millis(cx.timing().silence_limit.0 * 2);
+        self.grantor.forget_silent(&known.row, limit, cx.now);
+    }
+
+    fn coordinate(&mut self, cx: &mut Cx<'_>) {
+        if !self.should_coordinate(cx.now) {
+            self.coordinator = None;
+            return;
+        }
+        let Some(row) = &self.row else {
+            return;
+        };
+        let known =
+            Known { row, grantor: &self.grantor, seals: &self.seals, dead: self.rescue.dead() };
+        let fresh = || Coordinator::new(row.row.epoch, cx.now);
+        let mut coordinator = self.coordinator.take().unwrap_or_else(fresh);
+        coordinator.drive(known, &mut self.store, cx);
+        let changes = self.routes.version.takeovers;
+        let takes_work = |s| coordinator.takes_work(known, s);
+        let table = routes::build(row, &self.takeovers, changes, takes_work);
+        self.coordinator = Some(coordinator);
+        self.publish(table, cx);
+    }
+
+    /// Makes a table of the known row the newest and sends it to everyone, if it differs.
+    fn publish(&mut self, mut table: RouteTable, cx: &mut Cx<'_>) {
+        if table == self.routes || table.version.row < self.routes.version.row {
+            return;
+        }
+        table.version.takeovers += 1;
+        self.routes = table;
+        let Some(known) = &self.row else {
+            return;
+        };
+        for to in self.everyone(&known.row) {
+            cx.send(to, Message::Routes(self.routes.clone()));
+        }
+    }
+
+    /// Replaces the grantors if too many of them are dead for anyone to hold a lease.
+    fn rescue(&mut self, cx: &mut Cx<'_>) {
+        let Some(known) = self.row.as_ref().filter(|_| !self.lease.is_valid(cx.now)) else {
+            return;
+        };
+        self.rescue.probe(&known.row, cx);
+        if !self.draining && self.rescue.is_needed(&known.row) && self.store.can_write(cx) {
+            cx.record(None, "rescue", format!("the grantors of epoch {} died", known.row.epoch));
+            let next = rescue::next_row(&known.row, self.lease.session(), cx);
+            self.store.write(Some(known.version), next, cx);
+        }
+    }
+
+    fn finish_drain(&mut self, cx: &mut Cx<'_>) {
+        if !self.draining || self.drained || !self.claims.is_idle() {
+            return;
+        }
+        let Some(known) = &self.row else {
+            return;
+        };
+        let incarnation = self.settings.incarnation;
+        let older = known.row.unsealed.iter().flat_map(|s| &s.grantors);
+        let grants = known.row.grantors.iter().chain(older).any(|g| g.incarnation == incarnation);
+        if !grants && !known.row.has_claims(self.lease.session()) {
+            self.drained = true;
+            cx.push(Command::Drained);
+        }
+    }
+}
+
+/// Queries.
+impl Node {
     /// Returns the fence under which this host may serve `partition` right now.
-    pub fn serves(&self, _partition: Partition, _now: Millis) -> Option<Fence> {
-        None
+    pub fn serves(&self, partition: Partition, now: Millis) -> Option<Fence> {
+        let leased = self.lease.is_valid(now) || !self.rules.own_lease_end.is_kept();
+        self.claims.serving(partition).filter(|_| leased)
     }
 
     /// Returns the session and the end of its lease, if there is one.
-    pub fn lease(&self, _now: Millis) -> Option<(Session, Millis)> {
-        None
+    pub fn lease(&self, now: Millis) -> Option<(Session, Millis)> {
+        let end = self.lease.end().filter(|_| self.lease.is_valid(now))?;
+        Some((self.lease.session(), end))
     }
 
     /// Returns the newest routing table that this node knows.
     pub fn routes(&self) -> &RouteTable {
-        unreachable!("the stub knows no routes")
+        &self.routes
     }
 
     /// Returns the epoch that this node knows.
     pub fn epoch(&self) -> Epoch {
-        Epoch::default()
+        self.lease.epoch()
     }
 
     /// Returns the newest row that this node knows.
     pub fn row(&self) -> Option<&VersionedRow> {
-        None
+        self.row.as_ref()
     }
 
     /// Returns whether this node acts as the coordinator of its cell.
     pub fn is_coordinator(&self) -> bool {
-        false
+        self.coordinator.is_some()
     }
 
     /// Returns the settings.
     pub fn settings(&self) -> &NodeSettings {
         &self.settings
     }
+
+    /// Returns whether this process is a grantor of the newest epoch that it knows.
+    fn is_grantor(&self) -> bool {
+        let named = |r: &VersionedRow| {
+            r.row.epoch == self.lease.epoch() && r.row.is_grantor(self.settings.incarnation)
+        };
+        self.row.as_ref().is_some_and(named)
+    }
+
+    /// The first grantor coordinates; a later one does while all before it are silent.
+    fn should_coordinate(&self, now: Millis) -> bool {
+        let Some(known) = self.row.as_ref().filter(|_| self.is_grantor()) else {
+            return false;
+        };
+        let limit = self.settings.timing.silence_limit;
+        let is_before = |g: &&crate::Grantor| g.incarnation != self.settings.incarnation;
+        let mut before = known.row.grantors.iter().take_while(is_before);
+        before.all(|g| {
+            let heard = self.grantor.heard_process(g.incarnation).unwrap_or(self.epoch_since);
+            now.since(heard.max(self.epoch_since)) > limit
+        })
+    }
+
+    /// Returns the other hosts that have to learn of changes, sorted.
+    fn everyone(&self, row: &CellRow) -> Vec<HostAddr> {
+        let older = row.unsealed.iter().flat_map(|s| s.grantors.iter());
+        let grantors = row.grantors.iter().chain(older).map(|g| g.addr);
+        let members = row.members.iter().map(|m| m.addr);
+        let mut addrs: Vec<HostAddr> = grantors.chain(members).collect();
+        addrs.sort_unstable();
+        addrs.dedup();
+        addrs.retain(|a| *a != self.settings.addr);
+        addrs
+    }
+}
+
+/// Without the marks of the older set, any session with a claim may be one that it ended.
+fn mark_all_claimants(row: &CellRow, grantor: &mut GrantorRole) {
+    for assignment in &row.assignments {
+        grantor.mark(assignment.owner);
+        assignment.standby.into_iter().for_each(|s| grantor.mark(s));
+    }
 }
--- /dev/null
+++ b/crates/ownership/src/node/receive.rs
@@ -0,0 +1,218 @@
+//! What a node does with each message.
+
+use model::{Epoch, Fence, HostAddr, Incarnation, Millis, Session};
+
+use super::Node;
+use crate::claims::Order;
+use crate::cx::Cx;
+use crate::routes::Takeover;
+use crate::{
+    Grantor, Join, Message, Origin, RefusalReason, Renew, RouteTable, RoutesVersion, Transfer,
+};
+
+impl Node {
+    pub(super) fn receive(&mut self, from: HostAddr, message: Message, cx: &mut Cx<'_>) {
+        match message {
+            Message::Join(join) => self.on_join(from, &join, cx),
+            Message::Renew(renew) => self.on_renew(from, &renew, cx),
+            Message::Renewed { epoch, session, sent_at, routes, config, config_age } => {
+                if self.lease.on_renewed(from, epoch, session, sent_at, cx) {
+                    self.on_news(from, sent_at, routes, config, config_age, cx);
+                }
+            }
+            Message::RenewRefused { session, reason, .. } => {
+                self.on_refused(session, &reason, cx);
+            }
+            Message::Assign { transfer, handed_over_from, first } => {
+                let origin = origin(handed_over_from, first);
+                self.take(&Order { transfer, origin }, from, cx);
+            }
+            Message::TakeOver(transfer) => {
+                self.take(&Order { transfer, origin: Origin::Unplanned }, from, cx);
+            }
+            Message::Serving(transfer) => self.on_serving(from, &transfer),
+            Message::Release(release) => self.claims.release(&release, from, &self.lease, cx),
+            Message::Released { transfer, handed_over } => {
+                if let Some(coordinator) = &mut self.coordinator {
+                    coordinator.on_released(&transfer, handed_over);
+                }
+            }
+            Message::Lapse { epoch, session } => self.on_lapse(from, epoch, session, cx),
+            Message::Lapsed { epoch, session, remaining } => {
+                if let Some(coordinator) = &mut self.coordinator {
+                    coordinator.on_lapsed(from, epoch, session, remaining, cx.now);
+                }
+            }
+            Message::Seal { epoch, sealed, grantors, incarnation } => {
+                self.on_seal(from, epoch, sealed, &grantors, incarnation, cx);
+            }
+            Message::Sealed { sealed, incarnation, lapsed, .. } => {
+                self.seals.on_sealed(from, sealed, incarnation, &lapsed);
+                if let Some(known) = &self.row {
+                    self.rescue.on_sealed(&known.row, from, sealed, incarnation);
+                }
+            }
+            Message::RowNotice(known) => self.adopt(known, cx),
+            Message::AskRoutes(have) => {
+                if self.routes.version > have {
+                    cx.send(from, Message::Routes(self.routes.clone()));
+                }
+            }
+            Message::Routes(table) => self.on_routes(table),
+        }
+    }
+
+    /// A member that missed the row gets it again; others wait for the next write.
+    fn on_join(&mut self, from: HostAddr, join: &Join, cx: &mut Cx<'_>) {
+        let (Some(coordinator), Some(known)) = (&mut self.coordinator, &self.row) else {
+            return;
+        };
+        if known.row.member(join.session).is_some() {
+            cx.send(from, Message::RowNotice(known.clone()));
+        } else {
+            coordinator.on_join(join);
+        }
+    }
+
+    fn on_renew(&mut self, from: HostAddr, renew: &Renew, cx: &mut Cx<'_>) {
+        let (session, sent_at) = (renew.session, renew.sent_at);
+        let is_grantor = self.is_grantor();
+        if is_grantor {
+            self.grantor.hear(from, renew, cx.now);
+        }
+        if renew.epoch > self.lease.epoch() {
+            self.store.want_read();
+            return;
+        }
+        if let Some(reason) = self.refusal(renew, is_grantor) {
+            cx.send(from, Message::RenewRefused { session, sent_at, reason });
+            return;
+        }
+        let is_open = self.seals.are_closed(cx) || !cx.rules.grant_after_seal.is_kept();
+        if !is_open {
+            return;
+        }
+        self.grantor.promise(session, cx);
+        let age = |as_of: Millis| cx.now.since(as_of);
+        let renewed = Message::Renewed {
+            epoch: renew.epoch,
+            session,
+            sent_at,
+            routes: self.routes.version,
+            config: self.config,
+            config_age: self.config_as_of.map_or(Millis(u64::MAX), age),
+        };
+        cx.send(from, renewed);
+    }
+
+    fn refusal(&self, renew: &Renew, is_grantor: bool) -> Option<RefusalReason> {
+        if renew.epoch < self.lease.epoch() {
+            let (epoch, grantors) = (self.lease.epoch(), self.lease.grantors().to_vec());
+            return Some(RefusalReason::OtherEpoch { epoch, grantors });
+        }
+        if !is_grantor {
+            return Some(RefusalReason::NotGrantor);
+        }
+        self.grantor.is_lapsed(renew.session).then_some(RefusalReason::Lapsed)
+    }
+
+    /// Follows up what a grantor knows besides the lease.
+    fn on_news(
+        &mut self,
+        from: HostAddr,
+        sent_at: Millis,
+        routes: RoutesVersion,
+        config: model::ConfigVersion,
+        config_age: Millis,
+        cx: &mut Cx<'_>,
+    ) {
+        if routes > self.routes.version {
+            cx.send(from, Message::AskRoutes(self.routes.version));
+        }
+        let is_behind = self.row.as_ref().is_some_and(|r| r.version < routes.row);
+        if is_behind && self.is_grantor() {
+            self.store.want_read();
+        }
+        if config_age < Millis(u64::MAX) && from != cx.own_addr() {
+            self.note_config(config, sent_at.since(config_age));
+        }
+        let as_of = self.config_as_of.filter(|_| config_age < Millis(u64::MAX));
+        if let Some(as_of) = as_of {
+            cx.push(crate::Command::ConfigKnown { version: self.config, as_of });
+        }
+    }
+
+    fn on_refused(&mut self, session: Session, reason: &RefusalReason, cx: &mut Cx<'_>) {
+        if self.lease.is_ended_by(session, reason) {
+            self.lose_lease("a grantor ended it", cx);
+        } else if let RefusalReason::OtherEpoch { epoch, grantors } = reason {
+            self.lease.learn(*epoch, grantors);
+        }
+    }
+
+    fn take(&mut self, order: &Order, from: HostAddr, cx: &mut Cx<'_>) {
+        self.claims.take(order, from, &self.lease, cx);
+        self.lease.raise_order_epoch(order.transfer.epoch);
+    }
+
+    fn on_serving(&mut self, from: HostAddr, transfer: &Transfer) {
+        let Some(coordinator) = &mut self.coordinator else {
+            return;
+        };
+        coordinator.on_serving(transfer);
+        let Transfer { partition, fence, .. } = *transfer;
+        let stored = self.row.as_ref().and_then(|r| r.row.assignment(partition));
+        let is_takeover = stored
+            .is_some_and(|a| a.standby == Some(transfer.session) && a.fence.takeover() == fence);
+        let takeover = Takeover { partition, fence, owner: from };
+        if is_takeover && !self.takeovers.contains(&takeover) {
+            self.takeovers.push(takeover);
+        }
+    }
+
+    /// Marks a session, if this process grants in the epoch that the asker means.
+    fn on_lapse(&mut self, from: HostAddr, epoch: Epoch, session: Session, cx: &mut Cx<'_>) {
+        if !self.is_grantor() || epoch != self.lease.epoch() {
+            return;
+        }
+        let remaining = self.grantor.lapse(session, cx);
+        cx.send(from, Message::Lapsed { epoch, session, remaining });
+    }
+
+    /// Stops granting in an older epoch. A process that never granted in it only says which run
+    /// it is, and that proves that the run which did is dead.
+    fn on_seal(
+        &mut self,
+        from: HostAddr,
+        epoch: Epoch,
+        sealed: Epoch,
+        grantors: &[Grantor],
+        incarnation: Incarnation,
+        cx: &mut Cx<'_>,
+    ) {
+        let own = cx.settings.incarnation;
+        let is_meant = incarnation == own;
+        if is_meant && epoch <= sealed {
+            return;
+        }
+        let lapsed = if is_meant { self.grantor.lapsed().to_vec() } else { Vec::new() };
+        if is_meant {
+            self.lease.learn(epoch, grantors);
+        }
+        cx.send(from, Message::Sealed { epoch, sealed, incarnation: own, lapsed });
+    }
+
+    fn on_routes(&mut self, table: RouteTable) {
+        if table.version > self.routes.version {
+            self.routes = table;
+        }
+    }
+}
+
+fn origin(handed_over_from: Option<Fence>, first: bool) -> Origin {
+    match handed_over_from {
+        Some(from) => Origin::Planned { from },
+        None if first => Origin::First,
+        None => Origin::Unplanned,
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/rescue.rs
@@ -0,0 +1,109 @@
+//! Getting a cell going again when too many grantors are dead for good.
+//!
+//! A process that answers at a grantor's address as another run proves that the grantor is dead.
+//! It proves nothing about the sessions that the dead grantor ended: those marks are lost, so
+//! after a rescue every session that holds a claim is ended and replaced.
+
+use model::{Epoch, HostAddr, Incarnation, Millis, Session};
+
+use crate::cx::Cx;
+use crate::grantor::grantor_entry;
+use crate::lease::blocking;
+use crate::{CellRow, Grantor, MemberEntry, Message, grantor_set};
+
+/// What is known about dead processes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Rescue {
+    /// Sorted.
+    dead: Vec<Incarnation>,
+    asked_at: Option<Millis>,
+}
+
+/// Commands.
+impl Rescue {
+    pub(crate) fn mark_dead(&mut self, incarnation: Incarnation) {
+        if let Err(i) = self.dead.binary_search(&incarnation) {
+            self.dead.insert(i, incarnation);
+        }
+    }
+
+    /// Notes the former runs of this very process.
+    pub(crate) fn follow(&mut self, row: &CellRow, cx: &Cx<'_>) {
+        for grantor in grantors(row) {
+            self.on_answer(&grantor, cx.own_addr(), cx.settings.incarnation);
+        }
+    }
+
+    /// Notes which run of a host process answered at an address when a grantor was asked for.
+    ///
+    /// The answer proves something only about grantors of the very epoch that was asked about:
+    /// they started before the question was sent. A late answer to an earlier question may come
+    /// from a run before theirs.
+    pub(crate) fn on_sealed(
+        &mut self,
+        row: &CellRow,
+        from: HostAddr,
+        sealed: Epoch,
+        answered: Incarnation,
+    ) {
+        let older = row.unsealed.iter().filter(|s| s.epoch == sealed).flat_map(|s| &s.grantors);
+        let current = row.grantors.iter().filter(|_| row.epoch == sealed);
+        for grantor in older.chain(current) {
+            self.on_answer(grantor, from, answered);
+        }
+    }
+
+    /// Asks the grantors which run they are. A seal of the epoch for itself seals nothing.
+    pub(crate) fn probe(&mut self, row: &CellRow, cx: &mut Cx<'_>) {
+        if !cx.is_due(self.asked_at, cx.timing().renew_interval) {
+            return;
+        }
+        self.asked_at = Some(cx.now);
+        for grantor in &row.grantors {
+            if grantor.addr == cx.own_addr() || self.dead.contains(&grantor.incarnation) {
+                continue;
+            }
+            let message = Message::Seal {
+                epoch: row.epoch,
+                sealed: row.epoch,
+                grantors: Vec::new(),
+                incarnation: grantor.incarnation,
+            };
+            cx.send(grantor.addr, message);
+        }
+    }
+
+    fn on_answer(&mut self, grantor: &Grantor, from: HostAddr, answered: Incarnation) {
+        if grantor.addr == from && grantor.incarnation != answered {
+            self.mark_dead(grantor.incarnation);
+        }
+    }
+}
+
+/// Queries.
+impl Rescue {
+    pub(crate) fn dead(&self) -> &[Incarnation] {
+        &self.dead
+    }
+
+    /// Returns whether so many grantors are dead that no lease can be had.
+    pub(crate) fn is_needed(&self, row: &CellRow) -> bool {
+        let dead = row.grantors.iter().filter(|g| self.dead.contains(&g.incarnation)).count();
+        dead >= blocking(row.grantors.len())
+    }
+}
+
+/// Returns the row with this process as the only grantor.
+pub(crate) fn next_row(row: &CellRow, session: Session, cx: &Cx<'_>) -> CellRow {
+    let (addr, zone) = (cx.own_addr(), &cx.settings.zone);
+    let mut next = grantor_set::replace_grantors(row, vec![grantor_entry(session, addr, zone)]);
+    if let Err(i) = next.members.binary_search_by_key(&session, |m| m.session) {
+        next.members.insert(i, MemberEntry { session, addr, zone: zone.clone() });
+    }
+    next
+}
+
+fn grantors(row: &CellRow) -> Vec<Grantor> {
+    let older = row.unsealed.iter().flat_map(|s| s.grantors.iter());
+    row.grantors.iter().chain(older).cloned().collect()
+}
--- /dev/null
+++ b/crates/ownership/src/routes.rs
@@ -0,0 +1,39 @@
+//! The routing table that follows from the row, the takeovers and the members' reports.
+
+use model::{Fence, HostAddr, Partition, ZoneName};
+
+use crate::{RouteEntry, RouteTable, RoutesVersion, VersionedRow};
+
+/// A takeover that the row does not show yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Takeover {
+    pub(crate) partition: Partition,
+    pub(crate) fence: Fence,
+    pub(crate) owner: HostAddr,
+}
+
+/// Builds the table of a row. `takes_work` says whether requests may be sent to a member.
+pub(crate) fn build(
+    known: &VersionedRow,
+    takeovers: &[Takeover],
+    changes: u32,
+    takes_work: impl Fn(model::Session) -> bool,
+) -> RouteTable {
+    let row = &known.row;
+    let route = |a: &crate::Assignment| {
+        let taken = takeovers.iter().find(|t| t.partition == a.partition && t.fence > a.fence);
+        let stored = || Some((a.fence, row.member(a.owner)?.addr));
+        let (fence, owner) = taken.map(|t| (t.fence, t.owner)).or_else(stored)?;
+        Some(RouteEntry { partition: a.partition, fence, owner })
+    };
+    let open = row.members.iter().filter(|m| takes_work(m.session));
+    let mut members: Vec<(HostAddr, ZoneName)> = open.map(|m| (m.addr, m.zone.clone())).collect();
+    members.sort_unstable();
+    members.dedup();
+    RouteTable {
+        version: RoutesVersion { row: known.version, takeovers: changes },
+        grantors: row.grantors.iter().map(|g| g.addr).collect(),
+        members,
+        routes: row.assignments.iter().filter_map(route).collect(),
+    }
+}
--- a/crates/ownership/src/row.rs
+++ b/crates/ownership/src/row.rs
@@ -89,6 +89,22 @@
         let index = self.members.binary_search_by_key(&session, |m| m.session).ok()?;
         self.members.get(index)
     }
+
+    /// Returns whether `session` owns a partition or is a standby.
+    pub fn has_claims(&self, session: Session) -> bool {
+        let claims = |a: &Assignment| a.owner == session || a.standby == Some(session);
+        self.assignments.iter().any(claims)
+    }
+
+    /// Returns whether the row names `session` at all.
+    pub fn names(&self, session: Session) -> bool {
+        self.member(session).is_some() || self.has_claims(session)
+    }
+
+    /// Returns whether this run of a host process is a grantor.
+    pub fn is_grantor(&self, incarnation: Incarnation) -> bool {
+        self.grantors.iter().any(|g| g.incarnation == incarnation)
+    }
 }
 
 derive_common! {
--- /dev/null
+++ b/crates/ownership/src/seal.rs
@@ -0,0 +1,169 @@
+//! Sealing: making sure that older grantors never grant again, and taking over their marks.
+//!
+//! Every grantor of an epoch seals the older sets for itself. Until it has done so it promises
+//! nothing, because a session that the older set ended must not get a lease from the new one.
+
+use model::{Epoch, HostAddr, Incarnation, Millis, Session};
+
+use crate::cx::Cx;
+use crate::lease::blocking;
+use crate::{CellRow, Grantor, GrantorSet, Message};
+
+/// Seals are asked for this many times per renew interval.
+const ASKS_PER_INTERVAL: u64 = 3;
+
+/// What happened to the marks of a set that is sealed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Marks {
+    /// Enough grantors answered to know every session that was ended.
+    Known,
+    /// Too many grantors are dead. Any session may have been ended.
+    Lost,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct SetSeal {
+    set: GrantorSet,
+    answered: Vec<Incarnation>,
+    marked: Vec<Session>,
+    begun: Millis,
+    asked_at: Option<Millis>,
+    sealed_at: Option<Millis>,
+}
+
+/// The seals of the older sets that the row names.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Seals(Vec<SetSeal>);
+
+/// The sessions that a set which was just sealed had ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Inherited {
+    /// Exactly these sessions.
+    Known(Vec<Session>),
+    /// Perhaps any session that the row names.
+    Any,
+}
+
+/// Commands.
+impl Seals {
+    /// Follows the row: begins with sets that are new in it, drops those that left it.
+    pub(crate) fn follow(&mut self, row: &CellRow, cx: &Cx<'_>) {
+        self.0.retain(|s| row.unsealed.iter().any(|set| set.epoch == s.set.epoch));
+        for set in &row.unsealed {
+            if self.0.iter().any(|s| s.set.epoch == set.epoch) {
+                continue;
+            }
+            self.0.push(SetSeal {
+                set: set.clone(),
+                answered: Vec::new(),
+                marked: Vec::new(),
+                begun: cx.now,
+                asked_at: None,
+                sealed_at: None,
+            });
+        }
+    }
+
+    /// Asks the older grantors that have not answered yet.
+    pub(crate) fn ask(&mut self, row: &CellRow, cx: &mut Cx<'_>) {
+        let pause = Millis(cx.timing().renew_interval.0 / ASKS_PER_INTERVAL);
+        for seal in self.0.iter_mut().filter(|s| s.sealed_at.is_none()) {
+            if !cx.is_due(seal.asked_at, pause) {
+                continue;
+            }
+            seal.asked_at = Some(cx.now);
+            for grantor in seal.unanswered() {
+                let message = Message::Seal {
+                    epoch: row.epoch,
+                    sealed: seal.set.epoch,
+                    grantors: row.grantors.clone(),
+                    incarnation: grantor.incarnation,
+                };
+                cx.send(grantor.addr, message);
+            }
+        }
+    }
+
+    /// Notes the answer of an older grantor.
+    pub(crate) fn on_sealed(
+        &mut self,
+        from: HostAddr,
+        sealed: Epoch,
+        incarnation: Incarnation,
+        lapsed: &[Session],
+    ) {
+        let Some(seal) = self.0.iter_mut().find(|s| s.set.epoch == sealed) else {
+            return;
+        };
+        let asked = |g: &Grantor| g.addr == from && g.incarnation == incarnation;
+        if !seal.set.grantors.iter().any(asked) || seal.answered.contains(&incarnation) {
+            return;
+        }
+        seal.answered.push(incarnation);
+        seal.marked.extend_from_slice(lapsed);
+    }
+
+    /// Closes the sets that enough grantors answered for, and returns what they had ended.
+    pub(crate) fn close(&mut self, dead: &[Incarnation], cx: &mut Cx<'_>) -> Vec<Inherited> {
+        let mut inherited = Vec::new();
+        for seal in self.0.iter_mut().filter(|s| s.sealed_at.is_none()) {
+            let Some(marks) = seal.outcome(dead, cx) else {
+                continue;
+            };
+            seal.sealed_at = Some(cx.now);
+            cx.record(None, "seal", format!("the grantors of epoch {} stopped", seal.set.epoch));
+            inherited.push(match marks {
+                Marks::Known => Inherited::Known(seal.marked.clone()),
+                Marks::Lost => Inherited::Any,
+            });
+        }
+        inherited
+    }
+}
+
+/// Queries.
+impl Seals {
+    /// Returns whether all older sets have stopped granting.
+    pub(crate) fn are_closed(&self, cx: &Cx<'_>) -> bool {
+        !cx.rules.seal.is_kept() || self.0.iter().all(|s| s.sealed_at.is_some())
+    }
+
+    /// Returns whether the last promises of all older sets are over, too.
+    pub(crate) fn are_waited_out(&self, cx: &Cx<'_>) -> bool {
+        !cx.rules.seal.is_kept() || self.0.iter().all(|s| s.is_waited_out(cx))
+    }
+
+    /// Returns whether the last promises of one older set are over.
+    pub(crate) fn is_waited_out(&self, epoch: Epoch, cx: &Cx<'_>) -> bool {
+        let of_epoch = self.0.iter().find(|s| s.set.epoch == epoch);
+        of_epoch.is_some_and(|s| s.is_waited_out(cx))
+    }
+}
+
+impl SetSeal {
+    fn unanswered(&self) -> Vec<&Grantor> {
+        let open = |g: &&Grantor| !self.answered.contains(&g.incarnation);
+        self.set.grantors.iter().filter(open).collect()
+    }
+
+    fn is_waited_out(&self, cx: &Cx<'_>) -> bool {
+        let wait = cx.timing().term + cx.timing().drift_margin;
+        self.sealed_at.is_some_and(|at| cx.now >= at + wait)
+    }
+
+    /// Dead grantors seal a set as well, but their marks are gone. A live one that is slow gets
+    /// some time to answer, because without marks every session has to be replaced.
+    fn outcome(&self, dead: &[Incarnation], cx: &Cx<'_>) -> Option<Marks> {
+        let count = self.set.grantors.len();
+        if self.answered.len() >= blocking(count) {
+            return Some(Marks::Known);
+        }
+        let lost = self.unanswered().iter().filter(|g| dead.contains(&g.incarnation)).count();
+        if self.answered.len() + lost < blocking(count) {
+            return None;
+        }
+        let may_answer = count - lost >= blocking(count);
+        let waited = cx.now >= self.begun + cx.timing().silence_limit;
+        (waited || !may_answer).then_some(Marks::Lost)
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/settings.rs
@@ -0,0 +1,55 @@
+//! What a node has to know before it starts.
+
+use model::{CellId, HostAddr, Incarnation, Millis, Partition, ZoneName, derive_common};
+
+derive_common! {
+    value
+    /// The time limits of the protocol, the same on every host of a cell.
+    pub struct Timing {
+        /// How long a grantor's promise runs.
+        pub term: Millis,
+        /// How far two clocks may drift apart during one term.
+        pub drift_margin: Millis,
+        /// The pause between two renewals.
+        pub renew_interval: Millis,
+        /// How long a grantor goes without a renewal before it ends the session.
+        pub silence_limit: Millis,
+        /// How long a coordinator waits for the store before it orders takeovers.
+        pub store_patience: Millis,
+        /// How long an owner may take to finish requests when it releases a partition.
+        pub release_time_limit: Millis,
+        /// How long partitions wait after a lease ended whose backend server checks no fences.
+        pub unfenced_grace: Millis,
+    }
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            term: Millis(1_000),
+            drift_margin: Millis(50),
+            renew_interval: Millis(300),
+            silence_limit: Millis(900),
+            store_patience: Millis(500),
+            release_time_limit: Millis(10_000),
+            unfenced_grace: Millis(0),
+        }
+    }
+}
+
+/// What a node has to know before it starts.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct NodeSettings {
+    /// The cell to join.
+    pub cell: CellId,
+    /// Where this host process listens.
+    pub addr: HostAddr,
+    /// This run of the host process.
+    pub incarnation: Incarnation,
+    /// The availability zone of this host.
+    pub zone: ZoneName,
+    /// The partitions of the cell: from the first to before the second.
+    pub partitions: (Partition, Partition),
+    /// The time limits.
+    pub timing: Timing,
+}
--- /dev/null
+++ b/crates/ownership/src/store.rs
@@ -0,0 +1,126 @@
+//! One operation on the cell's row at a time.
+
+use model::{Millis, RowVersion, WriterTag};
+
+use crate::cx::Cx;
+use crate::{CellRow, Command, VersionedRow};
+
+/// Failed reads and writes are repeated this many times per renew interval.
+const RETRIES_PER_INTERVAL: u64 = 2;
+
+/// Spreads the tags of one process over the whole range.
+const TAG_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Idle,
+    Reading,
+    Writing(CellRow),
+}
+
+/// The state of this host process's dealings with the table service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Store {
+    phase: Phase,
+    /// A read is needed as soon as nothing else is under way.
+    stale: bool,
+    failed_at: Option<Millis>,
+    read_at: Option<Millis>,
+    tags: u32,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self { phase: Phase::Idle, stale: true, failed_at: None, read_at: None, tags: 0 }
+    }
+}
+
+/// Commands.
+impl Store {
+    /// Says that the row should be read again.
+    pub(crate) fn want_read(&mut self) {
+        self.stale = true;
+    }
+
+    /// Starts a read if one is needed.
+    pub(crate) fn run(&mut self, cx: &mut Cx<'_>) {
+        if self.stale && self.is_free(cx) {
+            self.phase = Phase::Reading;
+            self.stale = false;
+            self.read_at = Some(cx.now);
+            cx.push(Command::ReadRow);
+        }
+    }
+
+    /// Starts a write. The caller has checked `is_free`.
+    pub(crate) fn write(
+        &mut self,
+        expected: Option<RowVersion>,
+        mut row: CellRow,
+        cx: &mut Cx<'_>,
+    ) {
+        self.tags += 1;
+        let step = TAG_STEP.wrapping_mul(u64::from(self.tags));
+        row.writer = WriterTag(cx.settings.incarnation.0.wrapping_add(step));
+        self.phase = Phase::Writing(row.clone());
+        cx.push(Command::WriteRow { expected, row });
+    }
+
+    /// Ends a write that took effect and returns what was written.
+    pub(crate) fn on_written(&mut self, version: RowVersion) -> Option<VersionedRow> {
+        self.failed_at = None;
+        match std::mem::replace(&mut self.phase, Phase::Idle) {
+            Phase::Writing(row) => Some(VersionedRow { version, row }),
+            Phase::Idle | Phase::Reading => None,
+        }
+    }
+
+    /// Ends an operation that the table service answered.
+    pub(crate) fn on_answered(&mut self) {
+        self.phase = Phase::Idle;
+        self.failed_at = None;
+    }
+
+    /// Ends a write that lost a race; the row has to be read.
+    pub(crate) fn on_conflict(&mut self) {
+        self.on_answered();
+        self.stale = true;
+    }
+
+    /// Ends an operation that failed.
+    pub(crate) fn on_failed(&mut self, cx: &Cx<'_>) {
+        self.stale |= self.phase == Phase::Reading;
+        self.phase = Phase::Idle;
+        self.failed_at = Some(cx.now);
+    }
+
+    /// Ends a write whose effect is unknown; only reading the row can tell.
+    pub(crate) fn on_unknown(&mut self) {
+        self.phase = Phase::Idle;
+        self.stale = true;
+    }
+}
+
+/// Queries.
+impl Store {
+    /// Returns whether an operation can start now.
+    pub(crate) fn is_free(&self, cx: &Cx<'_>) -> bool {
+        let pause = Millis(cx.timing().renew_interval.0 / RETRIES_PER_INTERVAL);
+        self.phase == Phase::Idle && cx.is_due(self.failed_at, pause)
+    }
+
+    /// Returns whether a write can start now.
+    pub(crate) fn can_write(&self, cx: &Cx<'_>) -> bool {
+        self.is_free(cx) && !self.stale
+    }
+
+    /// Returns when the latest read was started.
+    pub(crate) fn read_at(&self) -> Option<Millis> {
+        self.read_at
+    }
+
+    /// Returns whether the latest operation failed.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failed_at.is_some()
+    }
+}
--- /dev/null
+++ b/crates/ownership/src/succession.rs
@@ -0,0 +1,109 @@
+//! The next row: what becomes of claims that ended, of new members and of sealed sets.
+//!
+//! Everything here computes one row from another. Whether a claim has ended is the only question
+//! that decides about safety, and it is asked in one place, `may_change`.
+
+use model::Session;
+
+use crate::cx::Cx;
+use crate::view::View;
+use crate::{Assignment, CellRow, Join, MemberEntry};
+
+/// The most members that a cell takes.
+const MAX_MEMBERS: usize = 32;
+
+/// Returns the row with all changes that need no plan.
+pub(crate) fn next_row(view: &View<'_>, joins: &[Join], cx: &Cx<'_>) -> CellRow {
+    let mut next = view.row.clone();
+    for join in joins {
+        admit(&mut next, join, view);
+    }
+    for assignment in &mut next.assignments {
+        *assignment = succeed(assignment, view, cx);
+    }
+    let over = |s: Session| view.is_over(s, cx);
+    let has_claims: Vec<bool> = next.members.iter().map(|m| next.has_claims(m.session)).collect();
+    let mut claims = has_claims.into_iter();
+    next.members.retain(|m| claims.next() == Some(true) || !over(m.session));
+    drop_sealed(&mut next, view, cx);
+    next
+}
+
+/// Returns whether an assignment may get another owner and standby.
+///
+/// Its claimants are its owner and its standby. The claim of each that is not the new owner must
+/// have ended, because either may be told to serve without another write of the row.
+pub(crate) fn may_change(
+    assignment: &Assignment,
+    owner: Session,
+    view: &View<'_>,
+    cx: &Cx<'_>,
+) -> bool {
+    let ended = |s: Session| s == owner || view.is_claim_ended(s, assignment, cx);
+    let owner_ended = !cx.rules.owner_claim.is_kept() || ended(assignment.owner);
+    let standby_ended = !cx.rules.standby_claim.is_kept() || assignment.standby.is_none_or(ended);
+    owner_ended && standby_ended
+}
+
+/// Returns an assignment with another owner and standby, under the next fence.
+pub(crate) fn changed(
+    assignment: &Assignment,
+    owner: Session,
+    standby: Option<Session>,
+) -> Assignment {
+    let fence = assignment.fence.next_stored();
+    Assignment { partition: assignment.partition, fence, owner, standby }
+}
+
+fn admit(next: &mut CellRow, join: &Join, view: &View<'_>) {
+    let Err(index) = next.members.binary_search_by_key(&join.session, |m| m.session) else {
+        return;
+    };
+    if view.is_lost(join.session) || next.members.len() >= MAX_MEMBERS {
+        return;
+    }
+    let Join { session, addr, zone, .. } = join.clone();
+    next.members.insert(index, MemberEntry { session, addr, zone });
+}
+
+fn succeed(assignment: &Assignment, view: &View<'_>, cx: &Cx<'_>) -> Assignment {
+    let Some((owner, standby)) = successor(assignment, view, cx) else {
+        return *assignment;
+    };
+    if !may_change(assignment, owner, view, cx) {
+        return *assignment;
+    }
+    changed(assignment, owner, standby)
+}
+
+/// Returns who should own and who should stand by, if that is to change now.
+fn successor(
+    assignment: &Assignment,
+    view: &View<'_>,
+    cx: &Cx<'_>,
+) -> Option<(Session, Option<Session>)> {
+    let gone = |s: Session| view.is_claim_ended(s, assignment, cx);
+    let owner_gone = gone(assignment.owner);
+    let planned = view.moves.get(assignment.partition).filter(|m| !view.is_lost(m.owner));
+    if let Some(m) = planned {
+        let ready = may_change(assignment, m.owner, view, cx);
+        return ready.then_some((m.owner, m.standby.filter(|s| !view.is_lost(*s))));
+    }
+    if owner_gone {
+        let standby = assignment.standby.filter(|s| !view.is_lost(*s) && !gone(*s));
+        return standby.map(|s| (s, None));
+    }
+    let standby_gone = assignment.standby.is_some_and(gone);
+    (standby_gone && !view.is_lost(assignment.owner)).then_some((assignment.owner, None))
+}
+
+/// Drops the older grantor sets that can do no more harm.
+///
+/// A set stays until the row names none of the sessions that it ended. A later coordinator that
+/// no longer sees the set would not know of them, and might order such a session to serve.
+fn drop_sealed(next: &mut CellRow, view: &View<'_>, cx: &Cx<'_>) {
+    if view.grantor.lapsed().iter().any(|s| next.names(*s)) {
+        return;
+    }
+    next.unsealed.retain(|set| !view.seals.is_waited_out(set.epoch, cx));
+}
