--- /dev/null
+++ b/crates/ownership/tests/cell.rs
@@ -0,0 +1,139 @@
+//! Whole cells of nodes: start, loss, takeover, moves, drain and repair.
+
+mod world;
+
+use model::{Millis, Partition};
+use ownership::{Event, Rules, Timing};
+use world::{State, StoreState, World};
+
+const LIMIT: Millis = Millis(3_000);
+
+fn timing() -> Timing {
+    Timing { release_time_limit: Millis(1_000), ..Timing::default() }
+}
+
+fn cell(hosts: usize, partitions: u32) -> World {
+    let mut world = World::new(hosts, partitions, timing(), Rules::default());
+    let served = world.run_until(Millis(10_000), |w| w.all_served());
+    assert!(served.is_some(), "{:#?}", world.log);
+    world.run_until(Millis(3_000), |_| false);
+    assert_eq!(world.violation, None);
+    world
+}
+
+/// Waits until all partitions are served by living hosts, and returns how long that took.
+fn recovery(world: &mut World) -> Millis {
+    let took = world.run_until(Millis(20_000), |w| w.all_served());
+    assert_eq!(world.violation, None, "{:#?}", world.log);
+    took.unwrap_or_else(|| panic!("not served again: {:#?}\n{:#?}", world.log, world.row))
+}
+
+fn owner_of(world: &World, partition: u32) -> usize {
+    world.serving(Partition(partition))[0]
+}
+
+#[test]
+fn cells_of_any_size_start() {
+    let check = |hosts: usize, grantors: usize| {
+        let world = cell(hosts, 6);
+        assert_eq!(world.stored().grantors.len(), grantors, "{hosts} hosts");
+        assert_eq!(world.stored().members.len(), hosts);
+        assert!(world.stored().unsealed.is_empty());
+        assert_eq!(world.coordinators().len(), 1);
+        for host in &world.hosts {
+            assert_eq!(host.node.routes().routes.len(), 6);
+            assert_eq!(host.node.routes().members.len(), hosts);
+        }
+    };
+    check(1, 1);
+    check(2, 1);
+    check(3, 3);
+    check(6, 3);
+}
+
+#[test]
+fn a_lost_owner_is_replaced_in_time() {
+    let check = |name: &str, fault: fn(&mut World)| {
+        let mut world = cell(6, 12);
+        fault(&mut world);
+        let took = recovery(&mut world);
+        println!("{name}: {} ms, {} writes", took.0, world.writes);
+        assert!(took <= LIMIT, "{name} took {} ms\n{:#?}", took.0, world.log);
+    };
+    check("owner lost", |w| w.crash(5));
+    check("coordinator lost", |w| w.crash(w.coordinators()[0]));
+    check("owner and coordinator lost", |w| {
+        w.crash(w.coordinators()[0]);
+        w.crash(5);
+    });
+    check("owner frozen", |w| w.pause(5));
+    check("owner cut off", |w| w.cut(5, 1));
+    check("owner restarted", |w| {
+        w.crash(5);
+        w.restart(5);
+    });
+    check("clock jumped", |w| w.feed(5, Event::ClockJumped));
+    check("answers of the store lost, owner lost", |w| {
+        w.store = StoreState::AnswersLost;
+        w.crash(5);
+    });
+    check("backend server down", |w| w.report(owner_of(w, 0), 0));
+}
+
+#[test]
+fn all_hosts_restarted_at_once_start_again() {
+    for hosts in [1, 2, 3, 6] {
+        let mut world = cell(hosts, 6);
+        (0..hosts).for_each(|i| world.crash(i));
+        (0..hosts).for_each(|i| world.restart(i));
+        let took = recovery(&mut world);
+        println!("{hosts} hosts restarted: {} ms", took.0);
+        world.run_until(Millis(5_000), |_| false);
+        assert_eq!(world.stored().members.len(), hosts, "dead sessions are cleaned up");
+    }
+}
+
+#[test]
+fn a_frozen_owner_that_goes_on_serves_nothing_old() {
+    let mut world = cell(4, 4);
+    let frozen = owner_of(&world, 0);
+    world.pause(frozen);
+    recovery(&mut world);
+    world.resume(frozen);
+    world.run_until(Millis(5_000), |_| false);
+    assert_eq!(world.violation, None);
+    assert!(world.all_served());
+}
+
+#[test]
+fn a_draining_host_gives_up_all() {
+    for index in 0..4 {
+        let mut world = cell(4, 8);
+        world.feed(index, Event::Drain);
+        world.settle();
+        let gap = (0..200).filter(|_| {
+            world.step(Millis(50));
+            !world.all_served()
+        });
+        assert_eq!(gap.count(), 0, "host {index} leaves a gap");
+        assert!(world.hosts[index].drained, "{:#?}\n{:#?}", world.log, world.row);
+        assert_eq!(world.violation, None);
+    }
+}
+
+#[test]
+fn hosts_can_be_replaced_one_after_another() {
+    let mut world = cell(6, 12);
+    for index in 0..6 {
+        world.feed(index, Event::Drain);
+        let drained = world.run_until(Millis(10_000), |w| w.hosts[index].drained);
+        assert!(drained.is_some(), "host {index}: {:#?}\n{:#?}", world.log, world.row);
+        world.crash(index);
+        assert!(world.all_served());
+        world.restart(index);
+        world.run_until(Millis(3_000), |_| false);
+        assert!(world.all_served());
+    }
+    assert_eq!(world.violation, None);
+    assert!(world.hosts.iter().all(|h| h.state == State::Running));
+}
--- /dev/null
+++ b/crates/ownership/tests/world/mod.rs
@@ -0,0 +1,478 @@
+//! A few nodes, the messages between them, the row, and the faults that the tests cause.
+
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use std::collections::VecDeque;
+
+use model::{
+    CellId, Epoch, Fence, HostAddr, Incarnation, Millis, Partition, RowVersion, ServiceName,
+    Session, WriterTag, ZoneName,
+};
+use ownership::{
+    Assignment, CellRow, Command, Event, Grantor, MemberEntry, Message, Node, NodeSettings, Report,
+    Rules, Timing, VersionedRow,
+};
+
+/// Bounds the messages that one step may cause, so that a loop fails instead of hanging.
+const MAX_DELIVERIES: usize = 20_000;
+
+/// What a host process does at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum State {
+    Running,
+    /// Nothing is handled; what comes in waits. Work goes on until the lease's end.
+    Paused,
+    Down,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Host {
+    pub node: Node,
+    pub state: State,
+    /// Hosts in different groups cannot reach each other.
+    pub group: u8,
+    /// How far this host's clock is ahead.
+    pub offset: Millis,
+    pub drained: bool,
+    inbox: Vec<Packet>,
+    runs: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Packet {
+    pub from: HostAddr,
+    pub to: HostAddr,
+    pub event: Event,
+}
+
+/// How the table service behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StoreState {
+    Up,
+    Down,
+    /// Writes take effect and the answer is lost.
+    AnswersLost,
+}
+
+/// What a fault on messages catches: the next message of a kind to a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Trap {
+    pub kind: &'static str,
+    pub to: usize,
+    pub action: TrapAction,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum TrapAction {
+    Lose,
+    /// Kept back until `World::deliver_held`.
+    Hold,
+    /// Delivered now and kept for once more.
+    Double,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct World {
+    pub now: Millis,
+    pub hosts: Vec<Host>,
+    pub row: Option<VersionedRow>,
+    pub store: StoreState,
+    pub held: Vec<Packet>,
+    pub trap: Option<Trap>,
+    pub partitions: u32,
+    /// The highest fence that anyone began to serve under, per partition.
+    pub served: Vec<Fence>,
+    pub violation: Option<String>,
+    pub writes: u32,
+    pub log: Log,
+    rules: Rules,
+    timing: Timing,
+    queue: VecDeque<Packet>,
+}
+
+/// Decisions in order. It is no part of the state that a search compares.
+#[derive(Clone, Debug, Default)]
+pub struct Log(pub Vec<(Millis, usize, String)>);
+
+impl PartialEq for Log {
+    fn eq(&self, _other: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for Log {}
+
+impl std::hash::Hash for Log {
+    fn hash<H: std::hash::Hasher>(&self, _state: &mut H) {}
+}
+
+pub fn addr(index: usize) -> HostAddr {
+    HostAddr(format!("10.0.0.{}:7000", index + 1).parse().unwrap())
+}
+
+pub fn incarnation(index: usize, run: u64) -> Incarnation {
+    Incarnation((index as u64 + 1) * 100 + run)
+}
+
+pub fn session(index: usize) -> Session {
+    Session { incarnation: incarnation(index, 0), number: 1 }
+}
+
+pub fn zone(index: usize) -> ZoneName {
+    ZoneName::new(&format!("zone-{index}")).unwrap()
+}
+
+pub fn grantor(index: usize) -> Grantor {
+    Grantor { addr: addr(index), incarnation: incarnation(index, 0), zone: zone(index) }
+}
+
+pub fn member(index: usize) -> MemberEntry {
+    MemberEntry { session: session(index), addr: addr(index), zone: zone(index) }
+}
+
+/// A row at version 1 and epoch 1 with one assignment per partition: (owner, standby).
+pub fn first_row(hosts: usize, grantors: &[usize], owners: &[(usize, usize)]) -> VersionedRow {
+    let assignment = |(p, (owner, standby)): (usize, &(usize, usize))| Assignment {
+        partition: Partition(p as u32),
+        fence: Fence(2),
+        owner: session(*owner),
+        standby: (owner != standby).then(|| session(*standby)),
+    };
+    let row = CellRow {
+        writer: WriterTag(0),
+        epoch: Epoch(1),
+        grantors: grantors.iter().map(|g| grantor(*g)).collect(),
+        unsealed: Vec::new(),
+        members: (0..hosts).map(member).collect(),
+        assignments: owners.iter().enumerate().map(assignment).collect(),
+    };
+    VersionedRow { version: RowVersion(1), row }
+}
+
+fn settings(index: usize, run: u64, partitions: u32, timing: Timing) -> NodeSettings {
+    NodeSettings {
+        cell: CellId { service: ServiceName::new("index-board").unwrap(), index: 0 },
+        addr: addr(index),
+        incarnation: incarnation(index, run),
+        zone: zone(index),
+        partitions: (Partition(0), Partition(partitions)),
+        timing,
+    }
+}
+
+pub fn report(slots: u32) -> Report {
+    Report { slots, slots_in_use: 0, draining: false, partitions: Vec::new() }
+}
+
+/// Commands.
+impl World {
+    pub fn new(hosts: usize, partitions: u32, timing: Timing, rules: Rules) -> Self {
+        let mut world = Self {
+            now: Millis(100_000),
+            hosts: Vec::new(),
+            row: None,
+            store: StoreState::Up,
+            held: Vec::new(),
+            trap: None,
+            partitions,
+            served: vec![Fence(0); partitions as usize],
+            violation: None,
+            writes: 0,
+            log: Log::default(),
+            rules,
+            timing,
+            queue: VecDeque::new(),
+        };
+        for index in 0..hosts {
+            let node = world.fresh_node(index, 0);
+            world.hosts.push(Host {
+                node,
+                state: State::Running,
+                group: 0,
+                offset: Millis::ZERO,
+                drained: false,
+                inbox: Vec::new(),
+                runs: 0,
+            });
+        }
+        for index in 0..hosts {
+            world.report(index, 4);
+        }
+        world
+    }
+
+    pub fn report(&mut self, index: usize, slots: u32) {
+        self.feed(index, Event::Reported(report(slots)));
+        self.settle();
+    }
+
+    /// Lets `span` pass and gives each running host a tick.
+    pub fn step(&mut self, span: Millis) {
+        self.now += span;
+        for index in 0..self.hosts.len() {
+            if self.hosts[index].state == State::Running {
+                self.feed(index, Event::Tick);
+            }
+        }
+        self.settle();
+    }
+
+    /// Steps in ticks of 50 ms until `done`; returns how long that took, or `None` after `limit`.
+    pub fn run_until(&mut self, limit: Millis, done: impl Fn(&Self) -> bool) -> Option<Millis> {
+        let start = self.now;
+        while self.now.since(start) < limit {
+            if done(self) {
+                return Some(self.now.since(start));
+            }
+            self.step(Millis(50));
+        }
+        done(self).then(|| self.now.since(start))
+    }
+
+    pub fn feed(&mut self, index: usize, event: Event) {
+        let now = self.now + self.hosts[index].offset;
+        let commands = self.hosts[index].node.handle(event, now);
+        for command in commands {
+            self.carry_out(index, command);
+        }
+        self.check();
+    }
+
+    /// Delivers what is under way until nothing is.
+    pub fn settle(&mut self) {
+        for _ in 0..MAX_DELIVERIES {
+            let Some(packet) = self.queue.pop_front() else {
+                return;
+            };
+            self.deliver(packet);
+        }
+        self.fail("messages never cease".to_owned());
+    }
+
+    pub fn pause(&mut self, index: usize) {
+        self.hosts[index].state = State::Paused;
+    }
+
+    pub fn resume(&mut self, index: usize) {
+        self.hosts[index].state = State::Running;
+        let inbox = std::mem::take(&mut self.hosts[index].inbox);
+        self.queue.extend(inbox);
+        self.settle();
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.hosts[index].state = State::Down;
+        self.hosts[index].inbox.clear();
+    }
+
+    /// Starts a new run of the host process at the same address.
+    pub fn restart(&mut self, index: usize) {
+        self.hosts[index].runs += 1;
+        self.hosts[index].inbox.clear();
+        self.hosts[index].node = self.fresh_node(index, self.hosts[index].runs);
+        self.hosts[index].state = State::Running;
+        self.hosts[index].drained = false;
+        self.report(index, 4);
+    }
+
+    pub fn cut(&mut self, index: usize, group: u8) {
+        self.hosts[index].group = group;
+    }
+
+    pub fn deliver_held(&mut self, index: usize) {
+        let packet = self.held.remove(index);
+        self.queue.push_back(packet);
+        self.settle();
+    }
+
+    fn fresh_node(&self, index: usize, run: u64) -> Node {
+        let settings = settings(index, run, self.partitions, self.timing);
+        Node::with_rules(settings, self.rules)
+    }
+
+    fn deliver(&mut self, packet: Packet) {
+        let Some(index) = (0..self.hosts.len()).find(|i| addr(*i) == packet.to) else {
+            return;
+        };
+        match self.hosts[index].state {
+            State::Running => self.feed(index, packet.event),
+            State::Paused => self.hosts[index].inbox.push(packet),
+            State::Down => {}
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, command: Command) {
+        let from = addr(index);
+        match command {
+            Command::Send { to, message } => self.send(index, to, message),
+            Command::ReadRow => {
+                let up = self.store != StoreState::Down;
+                let event =
+                    if up { Event::RowRead(self.row.clone()) } else { Event::RowReadFailed };
+                self.queue.push_back(Packet { from, to: from, event });
+            }
+            Command::WriteRow { expected, row } => {
+                let event = self.write(expected, row);
+                self.queue.push_back(Packet { from, to: from, event });
+            }
+            Command::Serve { partition, fence, .. } => self.note_served(partition, fence),
+            Command::Quiesce { partition, fence, .. } => {
+                let event = Event::Quiesced { partition, fence, handed_over: true };
+                self.queue.push_back(Packet { from, to: from, event });
+            }
+            Command::Drained => self.hosts[index].drained = true,
+            Command::Record(decision) => {
+                let text = format!("{}: {}", decision.kind, decision.reason);
+                self.log.0.push((self.now, index, text));
+            }
+            Command::Resume { .. } | Command::StopAll | Command::ConfigKnown { .. } => {}
+        }
+    }
+
+    fn send(&mut self, index: usize, to: HostAddr, message: Message) {
+        let Some(target) = (0..self.hosts.len()).find(|i| addr(*i) == to) else {
+            return;
+        };
+        if self.hosts[target].group != self.hosts[index].group {
+            return;
+        }
+        let kind = kind_of(&message);
+        let packet = Packet { from: addr(index), to, event: received(addr(index), message) };
+        let trap = self.trap.filter(|t| t.kind == kind && t.to == target);
+        let Some(trap) = trap else {
+            self.queue.push_back(packet);
+            return;
+        };
+        self.trap = None;
+        match trap.action {
+            TrapAction::Lose => {}
+            TrapAction::Hold => self.held.push(packet),
+            TrapAction::Double => {
+                self.held.push(packet.clone());
+                self.queue.push_back(packet);
+            }
+        }
+    }
+
+    fn write(&mut self, expected: Option<RowVersion>, row: CellRow) -> Event {
+        if self.store == StoreState::Down {
+            return Event::RowWriteFailed;
+        }
+        let version = self.row.as_ref().map(|r| r.version);
+        if version != expected {
+            return Event::RowConflict;
+        }
+        self.check_write(&row);
+        let version = RowVersion(version.map_or(1, |v| v.0 + 1));
+        self.row = Some(VersionedRow { version, row });
+        self.writes += 1;
+        if self.store == StoreState::AnswersLost {
+            return Event::RowWriteUnknown;
+        }
+        Event::RowWritten(version)
+    }
+}
+
+/// Checks.
+impl World {
+    /// At most one host may serve a partition at any time. A paused host counts: the work that
+    /// it let start goes on.
+    fn check(&mut self) {
+        for p in 0..self.partitions {
+            let serving = self.serving(Partition(p));
+            if serving.len() > 1 {
+                self.fail(format!("partition {p} is served by hosts {serving:?}"));
+            }
+        }
+    }
+
+    /// A fence that was served or acknowledged never goes back.
+    fn note_served(&mut self, partition: Partition, fence: Fence) {
+        let highest = self.served[partition.0 as usize];
+        if fence <= highest {
+            self.fail(format!("partition {partition} goes from fence {highest} to {fence}"));
+        }
+        self.served[partition.0 as usize] = fence;
+        let stored = self.row.as_ref().and_then(|r| r.row.assignment(partition));
+        if stored.is_none_or(|a| a.fence.takeover() < fence) {
+            self.fail(format!("partition {partition} at fence {fence} is not in the row"));
+        }
+    }
+
+    fn check_write(&mut self, next: &CellRow) {
+        let Some(stored) = self.row.clone() else {
+            return;
+        };
+        for former in &stored.row.assignments {
+            let new = next.assignment(former.partition);
+            let keeps = new == Some(former) || new.is_some_and(|n| n.fence > former.fence);
+            if !keeps {
+                self.fail(format!("an acknowledged assignment is lost: {former:?}"));
+            }
+        }
+        if next.epoch < stored.row.epoch {
+            self.fail("the epoch goes back".to_owned());
+        }
+    }
+
+    fn fail(&mut self, text: String) {
+        self.violation.get_or_insert(text);
+    }
+}
+
+/// Queries.
+impl World {
+    pub fn serving(&self, partition: Partition) -> Vec<usize> {
+        let serves = |i: &usize| {
+            let host = &self.hosts[*i];
+            let now = self.now + host.offset;
+            host.state != State::Down && host.node.serves(partition, now).is_some()
+        };
+        (0..self.hosts.len()).filter(serves).collect()
+    }
+
+    pub fn all_served(&self) -> bool {
+        (0..self.partitions).all(|p| !self.serving(Partition(p)).is_empty())
+    }
+
+    pub fn stored(&self) -> &CellRow {
+        &self.row.as_ref().expect("a row").row
+    }
+
+    pub fn coordinators(&self) -> Vec<usize> {
+        let coordinates = |i: &usize| {
+            self.hosts[*i].state == State::Running && self.hosts[*i].node.is_coordinator()
+        };
+        (0..self.hosts.len()).filter(coordinates).collect()
+    }
+
+    pub fn logged(&self, kind: &str) -> usize {
+        let prefix = format!("{kind}: ");
+        self.log.0.iter().filter(|(_, _, text)| text.starts_with(&prefix)).count()
+    }
+}
+
+fn received(from: HostAddr, message: Message) -> Event {
+    Event::Received { from, message }
+}
+
+pub fn kind_of(message: &Message) -> &'static str {
+    match message {
+        Message::Join(_) => "Join",
+        Message::Renew(_) => "Renew",
+        Message::Renewed { .. } => "Renewed",
+        Message::RenewRefused { .. } => "RenewRefused",
+        Message::Assign { .. } => "Assign",
+        Message::TakeOver(_) => "TakeOver",
+        Message::Serving(_) => "Serving",
+        Message::Release(_) => "Release",
+        Message::Released { .. } => "Released",
+        Message::Lapse { .. } => "Lapse",
+        Message::Lapsed { .. } => "Lapsed",
+        Message::Seal { .. } => "Seal",
+        Message::Sealed { .. } => "Sealed",
+        Message::RowNotice(_) => "RowNotice",
+        Message::AskRoutes(_) => "AskRoutes",
+        Message::Routes(_) => "Routes",
+    }
+}
