--- /dev/null
+++ b/crates/routing/src/answer.rs
@@ -0,0 +1,140 @@
+//! What a caller sees of an outcome: the status and the headers.
+
+use model::{Millis, NotRunReason, Outcome, UnknownReason};
+
+use crate::records::Begin;
+
+/// The header that says whether the request ran.
+pub const OUTCOME_HEADER: &str = "papayarill-outcome";
+
+/// The header that says why.
+pub const REASON_HEADER: &str = "papayarill-reason";
+
+/// The header with the status of an answer that was not kept.
+pub const RAN_STATUS_HEADER: &str = "papayarill-ran-status";
+
+/// The header with the time in whole seconds after which sending again makes sense.
+pub const RETRY_AFTER_HEADER: &str = "retry-after";
+
+/// The pause that is asked for while nothing better is known.
+pub const DEFAULT_RETRY_AFTER: Millis = Millis(1_000);
+
+/// What the caller is told about its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It ran.
+    Ran,
+    /// It did not run and will not.
+    NotRun,
+    /// It may have run, or still runs.
+    Unknown,
+}
+
+impl Told {
+    /// Returns the value of [`OUTCOME_HEADER`].
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// An answer of the system itself, without a body of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// What became of the request.
+    pub told: Told,
+    /// The value of [`REASON_HEADER`].
+    pub reason: String,
+    /// How long the caller should wait before it sends the request again.
+    pub retry_after: Option<Millis>,
+    /// The status of an answer that was not kept.
+    pub ran_status: Option<u16>,
+}
+
+impl CallerAnswer {
+    fn new(status: u16, told: Told, reason: impl ToString) -> Self {
+        Self { status, told, reason: reason.to_string(), retry_after: None, ran_status: None }
+    }
+
+    fn retry_after(mut self, span: Millis) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    /// Returns the headers, in lower case.
+    pub fn headers(&self) -> Vec<(&'static str, String)> {
+        let mut headers = vec![
+            (OUTCOME_HEADER, self.told.as_str().to_owned()),
+            (REASON_HEADER, self.reason.clone()),
+        ];
+        if let Some(span) = self.retry_after {
+            headers.push((RETRY_AFTER_HEADER, whole_seconds(span).to_string()));
+        }
+        if let Some(status) = self.ran_status {
+            headers.push((RAN_STATUS_HEADER, status.to_string()));
+        }
+        headers
+    }
+}
+
+fn whole_seconds(span: Millis) -> u64 {
+    span.0.div_ceil(1_000).max(1)
+}
+
+/// Returns what the caller is told of a request without an answer; `None` if it ran.
+pub fn for_outcome<T>(outcome: &Outcome<T>, retry_after: Millis) -> Option<CallerAnswer> {
+    match outcome {
+        Outcome::Ran(_) => None,
+        Outcome::NotRun(reason) => Some(not_run(*reason, retry_after)),
+        Outcome::Unknown(reason) => Some(unknown(*reason)),
+    }
+}
+
+/// Returns what the caller is told of a request that was not run.
+pub fn not_run(reason: NotRunReason, retry_after: Millis) -> CallerAnswer {
+    match reason {
+        NotRunReason::Quarantined => CallerAnswer::new(422, Told::NotRun, reason),
+        _ => CallerAnswer::new(503, Told::NotRun, reason).retry_after(retry_after),
+    }
+}
+
+/// Returns what the caller is told of a request that may have run.
+pub fn unknown(reason: UnknownReason) -> CallerAnswer {
+    CallerAnswer::new(504, Told::Unknown, reason)
+}
+
+/// Returns what the caller is told of a request that is malformed, so that it was not run.
+pub fn malformed(reason: &str) -> CallerAnswer {
+    CallerAnswer::new(400, Told::NotRun, reason)
+}
+
+/// Returns what the caller is told when the records do not let the request run; `None` if it
+/// runs, or if the kept answer is to be sent.
+pub fn for_begin(begin: &Begin) -> Option<CallerAnswer> {
+    let answer = match begin {
+        Begin::Run(_) | Begin::Replay(_) => return None,
+        Begin::Running => {
+            CallerAnswer::new(409, Told::Unknown, "running").retry_after(DEFAULT_RETRY_AFTER)
+        }
+        Begin::RanNotKept { status } => ran_not_kept(*status),
+        Begin::Unknown => unknown(UnknownReason::NotVouched),
+        Begin::TooOld => CallerAnswer::new(504, Told::Unknown, "id-too-old"),
+        Begin::OtherRequest => CallerAnswer::new(422, Told::NotRun, "id-of-other-request"),
+        Begin::FromFuture => CallerAnswer::new(400, Told::NotRun, "id-from-future"),
+        Begin::Full => not_run(NotRunReason::Overloaded, DEFAULT_RETRY_AFTER),
+        Begin::NotServed => not_run(NotRunReason::NotOwner, DEFAULT_RETRY_AFTER),
+    };
+    Some(answer)
+}
+
+fn ran_not_kept(status: u16) -> CallerAnswer {
+    // The status of the first run would make the empty body look like the whole answer.
+    let mut answer = CallerAnswer::new(410, Told::Ran, "answer-not-kept");
+    answer.ran_status = Some(status);
+    answer
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,12 @@
-//! Pure decisions about requests: rules, retries, request records and routes.
+//! Pure decisions about requests: rules, retries, request records, routes and balancing.
+//!
+//! Nothing here does I/O, reads a clock or draws a random number: the time and the random
+//! numbers are handed in, so the same code runs in the host process, in tests and in measurements.
+
+pub mod answer;
+pub mod balance;
+pub mod records;
+pub mod retry;
+pub mod routes;
+pub mod rules;
+pub mod target;
--- /dev/null
+++ b/crates/routing/src/records.rs
@@ -0,0 +1,395 @@
+//! Request records at the owner of a partition: what makes a request id run at most once.
+//!
+//! An owner lets an id run only if it can tell that no other run of the id exists. It can tell
+//! for ids in its records, and for ids that were minted after the point from which it vouches.
+//! Everything else is answered as unknown.
+//!
+//! Ids sort by the time at which they were minted, so a sorted vector is in order of expiry too.
+//! A record goes when its id is older than the retention time, and the point from which the owner
+//! vouches moves on with it; a clock that is set back opens no hole.
+
+mod partition;
+
+use std::collections::VecDeque;
+
+use model::derive_common;
+use model::{Fence, HandedRecord, KeptAnswer, Millis, Partition, RecordEnd, RequestId};
+use ownership::Origin;
+
+use partition::{PartitionRecords, Record, State};
+
+derive_common! {
+    value
+    /// Bounds on time and memory.
+    pub struct RecordSettings {
+        /// How long an id may be re-sent after it was minted.
+        pub retention: Millis,
+        /// How far the clocks of callers may be ahead of a host's clock.
+        pub caller_skew: Millis,
+        /// How far the clocks of two hosts may be apart.
+        pub host_skew: Millis,
+        /// The most records; further ids are refused as not run.
+        pub max_records: usize,
+        /// The most bytes of kept answers; the oldest answers give way, their records stay.
+        pub max_answer_bytes: usize,
+        /// The largest answer that is kept, in bytes.
+        pub max_one_answer_bytes: usize,
+        /// How long records wait for the assignment of their partition.
+        pub handover_wait: Millis,
+    }
+}
+
+impl Default for RecordSettings {
+    fn default() -> Self {
+        Self {
+            retention: Millis(600_000),
+            caller_skew: Millis(1_000),
+            host_skew: Millis(250),
+            max_records: 150_000,
+            max_answer_bytes: 8 << 20,
+            max_one_answer_bytes: 64 << 10,
+            handover_wait: Millis(60_000),
+        }
+    }
+}
+
+derive_common! {
+    value
+    /// Names one run of a request. A run that ends late cannot touch the record of another run.
+    pub struct Ticket {
+        /// The partition.
+        pub partition: Partition,
+        /// The request id.
+        pub id: RequestId,
+        serial: u64,
+    }
+}
+
+/// Whether a request may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// Run it, and call [`Records::finish`] with the ticket.
+    Run(Ticket),
+    /// It is running already.
+    Running,
+    /// It ran; this is its answer.
+    Replay(KeptAnswer),
+    /// It ran; its answer is not kept any more.
+    RanNotKept {
+        /// The HTTP status of the answer.
+        status: u16,
+    },
+    /// It may have run.
+    Unknown,
+    /// The id belongs to another request. This request was not run.
+    OtherRequest,
+    /// The id is older than the retention time, so that it may have run.
+    TooOld,
+    /// The id is minted in the future, so that no host let it run.
+    FromFuture,
+    /// There is no room for another record. The request was not run here.
+    Full,
+    /// The partition is not served here, or is being handed over.
+    NotServed,
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The backend server ran it, or may have.
+    Recorded(RecordEnd),
+    /// It was not run and will not be, so the id may run later.
+    NotRun,
+}
+
+/// The records of one partition on their way to the next owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handed {
+    /// The fence under which the sender served.
+    pub fence: Fence,
+    /// Ids minted before this wall-clock time are not vouched for.
+    pub vouched_from: Millis,
+    /// The records, sorted by id.
+    pub records: Vec<HandedRecord>,
+}
+
+/// How much an owner knows when it starts to serve a partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Started {
+    /// Nothing ran before.
+    Fresh,
+    /// The records of the former owner are here.
+    Adopted {
+        /// How many there are.
+        records: usize,
+    },
+    /// What ran before is unknown: ids minted before this wall-clock time are not vouched for.
+    Unvouched {
+        /// The wall-clock time.
+        until: Millis,
+    },
+}
+
+/// All request records of one host process.
+#[derive(Clone, Debug)]
+pub struct Records {
+    settings: RecordSettings,
+    partitions: Vec<PartitionRecords>,
+    waiting: Vec<Waiting>,
+    /// Where answers are kept, in the order in which they give way.
+    kept: VecDeque<(Partition, RequestId)>,
+    answer_bytes: usize,
+    next_serial: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    partition: Partition,
+    since: Millis,
+    handed: Handed,
+}
+
+/// Queries.
+impl Records {
+    /// Makes an empty set of records.
+    pub fn new(settings: RecordSettings) -> Self {
+        Self {
+            settings,
+            partitions: Vec::new(),
+            waiting: Vec::new(),
+            kept: VecDeque::new(),
+            answer_bytes: 0,
+            next_serial: 0,
+        }
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.partitions.iter().map(|p| p.records.len()).sum()
+    }
+
+    /// Returns whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the bytes of the answers that are kept.
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Returns how many requests of the partition are running.
+    pub fn running(&self, partition: Partition) -> usize {
+        self.partition(partition).map_or(0, PartitionRecords::running)
+    }
+
+    fn partition(&self, partition: Partition) -> Option<&PartitionRecords> {
+        self.find(partition).ok().map(|i| &self.partitions[i])
+    }
+
+    fn find(&self, partition: Partition) -> Result<usize, usize> {
+        self.partitions.binary_search_by_key(&partition, |p| p.partition)
+    }
+}
+
+/// Commands about partitions.
+impl Records {
+    /// Starts to serve a partition.
+    pub fn start(&mut self, partition: Partition, origin: Origin, wall_now: Millis) -> Started {
+        self.drop_partition(partition);
+        let adopted = self.take_waiting(partition, origin);
+        let unvouched_until = wall_now + self.unvouched_span();
+        let (vouched_from, handed, started) = match (origin, adopted) {
+            (Origin::First, _) => (Millis::ZERO, Vec::new(), Started::Fresh),
+            (Origin::Planned { .. }, Some(handed)) => {
+                let records = handed.records.len();
+                (handed.vouched_from, handed.records, Started::Adopted { records })
+            }
+            _ => {
+                let until = unvouched_until;
+                (until, Vec::new(), Started::Unvouched { until })
+            }
+        };
+        let records = handed.into_iter().map(|r| Record::from_handed(r, wall_now)).collect();
+        let fresh = PartitionRecords { partition, vouched_from, frozen: false, records };
+        self.insert_partition(fresh);
+        started
+    }
+
+    /// Stops letting requests of a partition run and returns its records for the next owner.
+    ///
+    /// Requests that still run are handed over as unknown, so finish those that were queued and
+    /// not started first.
+    pub fn hand_over(
+        &mut self,
+        partition: Partition,
+        wall_now: Millis,
+    ) -> Option<(Millis, Vec<HandedRecord>)> {
+        let retention = self.settings.retention;
+        let index = self.find(partition).ok()?;
+        let records = &mut self.partitions[index];
+        records.frozen = true;
+        self.answer_bytes -= records.raise(wall_now.since(retention));
+        Some((records.vouched_from, records.handed(wall_now)))
+    }
+
+    /// Goes on with a partition whose hand-over was called off.
+    pub fn resume(&mut self, partition: Partition) {
+        if let Ok(index) = self.find(partition) {
+            self.partitions[index].frozen = false;
+        }
+    }
+
+    /// Takes the records of a partition that is about to be assigned to this host.
+    ///
+    /// Hand-overs under one fence may come twice and out of order, so they are merged.
+    pub fn adopt(&mut self, partition: Partition, handed: Handed, wall_now: Millis) {
+        let found = self.waiting.binary_search_by_key(&partition, |w| w.partition);
+        let index = match found {
+            Ok(index) => index,
+            Err(index) => {
+                let waiting = Waiting { partition, since: wall_now, handed };
+                self.waiting.insert(index, waiting);
+                return;
+            }
+        };
+        let waiting = &mut self.waiting[index];
+        waiting.since = wall_now;
+        if waiting.handed.fence == handed.fence {
+            partition::merge(&mut waiting.handed, handed);
+        } else if waiting.handed.fence < handed.fence {
+            waiting.handed = handed;
+        }
+    }
+
+    /// Forgets a partition that this host no longer owns.
+    pub fn drop_partition(&mut self, partition: Partition) {
+        let Ok(index) = self.find(partition) else {
+            return;
+        };
+        let dropped = self.partitions.remove(index);
+        self.answer_bytes -= dropped.answer_bytes();
+        self.kept.retain(|(p, _)| *p != partition);
+    }
+
+    /// Forgets everything, as after the loss of the lease.
+    pub fn drop_all(&mut self) {
+        self.partitions.clear();
+        self.waiting.clear();
+        self.kept.clear();
+        self.answer_bytes = 0;
+    }
+
+    /// Forgets ids that are older than the retention time. To be called about once a second.
+    pub fn expire(&mut self, wall_now: Millis) {
+        let wait = self.settings.handover_wait;
+        self.waiting.retain(|w| wall_now.since(w.since) < wait);
+        let oldest = wall_now.since(self.settings.retention);
+        for records in &mut self.partitions {
+            self.answer_bytes -= records.raise(oldest);
+        }
+        while self.kept.front().is_some_and(|(_, id)| id.minted_at() < oldest) {
+            self.kept.pop_front();
+        }
+    }
+
+    fn take_waiting(&mut self, partition: Partition, origin: Origin) -> Option<Handed> {
+        let index = self.waiting.binary_search_by_key(&partition, |w| w.partition).ok()?;
+        let handed = self.waiting.remove(index).handed;
+        (origin == Origin::Planned { from: handed.fence }).then_some(handed)
+    }
+
+    /// An id that the former owner let run was minted at most this long after the takeover, by
+    /// the clock of this host: callers ahead of the former owner were refused by it.
+    fn unvouched_span(&self) -> Millis {
+        self.settings.caller_skew + self.settings.host_skew + Millis(1)
+    }
+
+    fn insert_partition(&mut self, fresh: PartitionRecords) {
+        let partition = fresh.partition;
+        let answered: Vec<RequestId> = fresh.answered().collect();
+        self.answer_bytes += fresh.answer_bytes();
+        if let Err(index) = self.find(partition) {
+            self.partitions.insert(index, fresh);
+        }
+        self.kept.extend(answered.into_iter().map(|id| (partition, id)));
+        self.make_room(0);
+    }
+}
+
+/// Commands about requests.
+impl Records {
+    /// Decides whether a request may run, and records it if so.
+    pub fn begin(
+        &mut self,
+        partition: Partition,
+        id: RequestId,
+        digest: u64,
+        wall_now: Millis,
+    ) -> Begin {
+        let full = self.len() >= self.settings.max_records;
+        let Ok(index) = self.find(partition) else {
+            return Begin::NotServed;
+        };
+        let settings = self.settings;
+        let records = &mut self.partitions[index];
+        let position = match records.find(id) {
+            Ok(position) => return records.records[position].repeat(digest),
+            Err(position) => position,
+        };
+        if let Some(refusal) = records.refuse(id, &settings, wall_now) {
+            return refusal;
+        }
+        if full {
+            return Begin::Full;
+        }
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        records.records.insert(position, Record::running(id, digest, serial, wall_now));
+        Begin::Run(Ticket { partition, id, serial })
+    }
+
+    /// Records how a run ended. The end of a run that is not on record changes nothing.
+    pub fn finish(&mut self, ticket: Ticket, ended: Ended) {
+        let Ok(index) = self.find(ticket.partition) else {
+            return;
+        };
+        let Some(position) = self.partitions[index].find_running(ticket.id, ticket.serial) else {
+            return;
+        };
+        let end = match ended {
+            Ended::NotRun => {
+                self.partitions[index].records.remove(position);
+                return;
+            }
+            Ended::Recorded(end) => self.fit(end),
+        };
+        if let RecordEnd::Answered(answer) = &end {
+            self.make_room(partition::bytes_of(answer));
+            self.answer_bytes += partition::bytes_of(answer);
+            self.kept.push_back((ticket.partition, ticket.id));
+        }
+        self.partitions[index].records[position].state = State::from(end);
+    }
+
+    fn fit(&self, end: RecordEnd) -> RecordEnd {
+        let limit = self.settings.max_one_answer_bytes.min(self.settings.max_answer_bytes);
+        match end {
+            RecordEnd::Answered(answer) if partition::bytes_of(&answer) > limit => {
+                RecordEnd::NotKept { status: answer.status }
+            }
+            end => end,
+        }
+    }
+
+    fn make_room(&mut self, bytes: usize) {
+        while self.answer_bytes + bytes > self.settings.max_answer_bytes {
+            let Some((partition, id)) = self.kept.pop_front() else {
+                return;
+            };
+            if let Ok(index) = self.find(partition) {
+                self.answer_bytes -= self.partitions[index].strip(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/retry.rs
@@ -0,0 +1,292 @@
+//! Decides whether a request is sent again, and when.
+//!
+//! Two questions are kept apart. Whether sending again is safe depends on the outcome: after
+//! `NotRun` always, after `Unknown` only for an idempotent request. Whether it is wise depends on
+//! the load that it adds: re-sends that hit a backend server a second time are paid from a
+//! budget, re-sends that follow a moved owner are not, because the first send ran nowhere and a
+//! request waits for a newer route before it follows.
+
+use model::{Millis, NotRunReason, UnknownReason, derive_common};
+use papayarill_config::Repeat;
+
+/// The most sends of one request to backend servers, moves not counted.
+pub const MAX_SENDS: u32 = 4;
+
+/// The most times that one request follows a moved owner without payment.
+pub const MAX_FREE_MOVES: u32 = 8;
+
+/// The most re-sends that the budget saves up while all is well.
+pub const MAX_SAVED_RETRIES: u64 = 10;
+
+/// The mean pause before the first re-send; it doubles with each further one.
+const FIRST_BACKOFF: Millis = Millis(20);
+
+/// The longest mean pause.
+const MAX_BACKOFF: Millis = Millis(500);
+
+/// The longest wait for a newer route before the request asks for more of it.
+const MAX_ROUTE_WAIT: Millis = Millis(1_000);
+
+/// The cost of one re-send, in hundredths.
+const RETRY_COST: u64 = 100;
+
+/// How many re-sends one service may make: a share of its first attempts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Budget {
+    retry_percent: u32,
+    hundredths: u64,
+}
+
+impl Budget {
+    /// Makes an empty budget that gains `retry_percent` re-sends per 100 first attempts.
+    pub fn new(retry_percent: u32) -> Self {
+        Self { retry_percent, hundredths: 0 }
+    }
+
+    /// Returns how many whole re-sends are left.
+    pub fn left(&self) -> u64 {
+        self.hundredths / RETRY_COST
+    }
+}
+
+/// Commands.
+impl Budget {
+    /// Takes over the share of a new configuration and keeps what was saved.
+    pub fn set_retry_percent(&mut self, retry_percent: u32) {
+        self.retry_percent = retry_percent;
+    }
+
+    /// Counts a first attempt.
+    pub fn first_attempt(&mut self) {
+        let gained = self.hundredths + u64::from(self.retry_percent);
+        self.hundredths = gained.min(MAX_SAVED_RETRIES * RETRY_COST);
+    }
+
+    /// Pays for one re-send and returns whether there was enough for it.
+    pub fn take(&mut self) -> bool {
+        let Some(rest) = self.hundredths.checked_sub(RETRY_COST) else {
+            return false;
+        };
+        self.hundredths = rest;
+        true
+    }
+}
+
+derive_common! {
+    value
+    /// Why an attempt gave no answer.
+    pub enum Failure {
+        /// No backend server ran it.
+        NotRun(NotRunReason),
+        /// A backend server may have run it.
+        Unknown(UnknownReason),
+    }
+}
+
+derive_common! {
+    value
+    /// Who may serve a request.
+    pub enum Servers {
+        /// Only the owner of its partition.
+        Owner,
+        /// Any backend server of the service.
+        Any,
+    }
+}
+
+derive_common! {
+    value
+    /// What came of the wait for a newer route.
+    pub enum Route {
+        /// Another owner or a higher fence is known.
+        Newer,
+        /// Nothing newer is known.
+        Same,
+    }
+}
+
+derive_common! {
+    value
+    /// Why a request is not sent again.
+    pub enum Stop {
+        /// Sending again would be unsafe or pointless.
+        Final,
+        /// The time left does not reach.
+        NoTime,
+        /// The service's budget is used up.
+        NoBudget,
+        /// The request was sent often enough.
+        TooManySends,
+    }
+}
+
+derive_common! {
+    value
+    /// What to do after an attempt without an answer.
+    pub enum Step {
+        /// Wait and send again; if any backend server may serve, choose anew.
+        SendAgain {
+            /// The pause.
+            after: Millis,
+        },
+        /// Mark the route as moved and wait until a newer one is known, but not for longer than
+        /// this. Then ask [`Attempts::after_wait`].
+        AwaitRoute {
+            /// The longest wait.
+            at_most: Millis,
+        },
+        /// Answer the caller with the outcome at hand.
+        Answer(Stop),
+    }
+}
+
+/// What a decision depends on besides the failure.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryContext {
+    /// Whether the request is idempotent.
+    pub repeat: Repeat,
+    /// Who may serve it.
+    pub servers: Servers,
+    /// The time left until the deadline.
+    pub time_left: Millis,
+    /// A random number for the jitter.
+    pub random: u64,
+}
+
+/// How often one request was sent so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Attempts {
+    resends: u32,
+    moves: u32,
+    waits: u32,
+}
+
+impl Attempts {
+    /// Decides what to do after an attempt without an answer.
+    pub fn next_step(&mut self, failure: Failure, cx: &RetryContext, budget: &mut Budget) -> Step {
+        match advice(failure, cx) {
+            Advice::Stop => Step::Answer(Stop::Final),
+            Advice::Follow => self.await_route(cx),
+            Advice::Elsewhere => self.move_on(cx, budget),
+            Advice::Again => self.send_again(cx, budget),
+        }
+    }
+
+    /// Decides what to do after the wait for a newer route.
+    pub fn after_wait(&mut self, route: Route, cx: &RetryContext, budget: &mut Budget) -> Step {
+        if cx.time_left == Millis::ZERO {
+            return Step::Answer(Stop::NoTime);
+        }
+        if route == Route::Newer && self.moves < MAX_FREE_MOVES {
+            self.moves += 1;
+            self.waits = 0;
+            return Step::SendAgain { after: Millis::ZERO };
+        }
+        // The move may have been called off, so the same owner is tried, but only within the
+        // budget: it may just as well be dead.
+        if budget.take() {
+            return Step::SendAgain { after: Millis::ZERO };
+        }
+        self.await_route(cx)
+    }
+
+    fn await_route(&mut self, cx: &RetryContext) -> Step {
+        if cx.time_left == Millis::ZERO {
+            return Step::Answer(Stop::NoTime);
+        }
+        let wait = jittered(MAX_ROUTE_WAIT, cx.random);
+        self.waits += 1;
+        Step::AwaitRoute { at_most: wait.min(cx.time_left) }
+    }
+
+    fn move_on(&mut self, cx: &RetryContext, budget: &mut Budget) -> Step {
+        if self.moves >= MAX_FREE_MOVES {
+            return self.send_again(cx, budget);
+        }
+        let after = backoff(self.moves, cx.random);
+        if after >= cx.time_left {
+            return Step::Answer(Stop::NoTime);
+        }
+        self.moves += 1;
+        Step::SendAgain { after }
+    }
+
+    fn send_again(&mut self, cx: &RetryContext, budget: &mut Budget) -> Step {
+        if self.resends + 1 >= MAX_SENDS {
+            return Step::Answer(Stop::TooManySends);
+        }
+        let after = backoff(self.resends, cx.random);
+        if after >= cx.time_left {
+            return Step::Answer(Stop::NoTime);
+        }
+        if !budget.take() {
+            return Step::Answer(Stop::NoBudget);
+        }
+        self.resends += 1;
+        Step::SendAgain { after }
+    }
+}
+
+enum Advice {
+    /// Sending again is unsafe or pointless.
+    Stop,
+    /// The owner has moved or is lost.
+    Follow,
+    /// Another backend server can serve, and this one was right to refuse.
+    Elsewhere,
+    /// The same request may go to a backend server again.
+    Again,
+}
+
+fn advice(failure: Failure, cx: &RetryContext) -> Advice {
+    match failure {
+        Failure::NotRun(reason) => after_not_run(reason, cx.servers),
+        Failure::Unknown(UnknownReason::NotVouched) => Advice::Stop,
+        Failure::Unknown(_) if cx.repeat == Repeat::Repeatable => Advice::Again,
+        Failure::Unknown(_) => Advice::Stop,
+    }
+}
+
+fn after_not_run(reason: NotRunReason, servers: Servers) -> Advice {
+    match (reason, servers) {
+        (
+            NotRunReason::NotOwner
+            | NotRunReason::NoLease
+            | NotRunReason::NoOwner
+            | NotRunReason::Draining
+            | NotRunReason::NotConnected
+            | NotRunReason::StaleConfig,
+            Servers::Owner,
+        ) => Advice::Follow,
+        (NotRunReason::Draining, Servers::Any) => Advice::Elsewhere,
+        (
+            NotRunReason::NotOwner
+            | NotRunReason::NoLease
+            | NotRunReason::NoOwner
+            | NotRunReason::NotConnected
+            | NotRunReason::StaleConfig
+            | NotRunReason::Overloaded,
+            Servers::Any,
+        ) => Advice::Again,
+        (NotRunReason::BackendRefused, _) => Advice::Again,
+        // The one owner sheds because it has too much work; sending again adds to it.
+        (NotRunReason::Overloaded, Servers::Owner) => Advice::Stop,
+        (
+            NotRunReason::Deadline
+            | NotRunReason::Quarantined
+            | NotRunReason::RetryBudget
+            | NotRunReason::Abandoned,
+            _,
+        ) => Advice::Stop,
+    }
+}
+
+fn backoff(earlier: u32, random: u64) -> Millis {
+    let mean = FIRST_BACKOFF.0 << earlier.min(16);
+    jittered(Millis(mean.min(MAX_BACKOFF.0)), random)
+}
+
+/// Spreads a pause evenly over half to one and a half of its mean.
+fn jittered(mean: Millis, random: u64) -> Millis {
+    Millis(mean.0 / 2 + random % mean.0.max(1))
+}
--- /dev/null
+++ b/crates/routing/src/rules.rs
@@ -0,0 +1,221 @@
+//! Finds the rule of a request and reads its key.
+
+use std::sync::Arc;
+
+use model::{Millis, Priority, derive_common};
+use papayarill_config::{KeySource, Method, PathPattern, Repeat, Rule, Service};
+use snafu::{OptionExt, Snafu, ensure};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::target::{Target, percent_decode};
+
+pub use crate::target::partition_of_id;
+
+/// The longest key that is accepted, in bytes.
+pub const MAX_KEY_BYTES: usize = 512;
+
+/// The time limit of requests that no rule matches.
+pub const DEFAULT_TIME_LIMIT: Millis = Millis(10_000);
+
+/// A key: the part of a request that decides which backend server owns it.
+pub type Key = Arc<str>;
+
+derive_common! {
+    value
+    /// How one request is treated.
+    pub struct Matched {
+        /// The index of the rule in the service's list; `None` if no rule matched.
+        pub index: Option<u32>,
+        /// Whether the request is idempotent.
+        pub repeat: Repeat,
+        /// The class.
+        pub priority: Priority,
+        /// How long the request may take in all.
+        pub time_limit: Millis,
+    }
+}
+
+/// Why no key could be read.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum KeyError {
+    /// The request carries no key.
+    #[snafu(display("expected the key in {place}, found none"))]
+    Missing {
+        /// Where the service's key is read from.
+        place: String,
+    },
+    /// The key is given more than once.
+    #[snafu(display("expected one key in {place}, found several"))]
+    Repeated {
+        /// Where the service's key is read from.
+        place: String,
+    },
+    /// The key is not readable text.
+    #[snafu(display("expected UTF-8 text without control characters in {place}"))]
+    Malformed {
+        /// Where the service's key is read from.
+        place: String,
+    },
+    /// The key is too long.
+    #[snafu(display("found a key of {found} bytes, expected at most {MAX_KEY_BYTES}"))]
+    TooLong {
+        /// Length of the key in bytes.
+        found: usize,
+    },
+}
+
+/// Returns the method with this name, or `None` if rules cannot name it.
+pub fn parse_method(name: &str) -> Option<Method> {
+    match name {
+        "GET" => Some(Method::Get),
+        "HEAD" => Some(Method::Head),
+        "POST" => Some(Method::Post),
+        "PUT" => Some(Method::Put),
+        "PATCH" => Some(Method::Patch),
+        "DELETE" => Some(Method::Delete),
+        _ => None,
+    }
+}
+
+/// Returns how a request with this target is treated: by the first rule that matches it.
+///
+/// A path that cannot be read in one way only matches no rule, so that it runs at most once.
+pub fn match_rule(service: &Service, method: Method, target: &str) -> Matched {
+    let Some(segments) = Target::new(target).segments() else {
+        return unmatched();
+    };
+    let position = service.rules.iter().position(|r| rule_matches(r, method, &segments));
+    match position {
+        Some(index) => matched(index, &service.rules[index]),
+        None => unmatched(),
+    }
+}
+
+/// Returns how a request is treated that no rule matches.
+pub fn unmatched() -> Matched {
+    Matched {
+        index: None,
+        repeat: Repeat::AtMostOnce,
+        priority: Priority::Interactive,
+        time_limit: DEFAULT_TIME_LIMIT,
+    }
+}
+
+fn matched(index: usize, rule: &Rule) -> Matched {
+    Matched {
+        index: u32::try_from(index).ok(),
+        repeat: rule.repeat,
+        priority: rule.priority,
+        time_limit: rule.time_limit,
+    }
+}
+
+fn rule_matches(rule: &Rule, method: Method, segments: &[String]) -> bool {
+    let method_fits = rule.methods.is_empty() || rule.methods.contains(&method);
+    method_fits && path_matches(&rule.path, segments)
+}
+
+/// Returns whether the segments match a pattern such as `/orders/*/lines` or `/files/**`.
+pub fn path_matches(pattern: &PathPattern, segments: &[String]) -> bool {
+    let text = pattern.0.strip_prefix('/').unwrap_or(&pattern.0);
+    let mut rest = segments.iter();
+    for part in text.split('/').filter(|_| !text.is_empty()) {
+        if part == "**" {
+            return true;
+        }
+        let Some(segment) = rest.next() else {
+            return false;
+        };
+        let fits = if part == "*" { !segment.is_empty() } else { part == segment };
+        if !fits {
+            return false;
+        }
+    }
+    rest.next().is_none()
+}
+
+/// Reads the key of a request, or `None` if the service is not divided by key.
+///
+/// `header` returns the value of a header whose name is given in lower case.
+pub fn read_key<'a>(
+    service: &Service,
+    target: &'a str,
+    header: impl Fn(&str) -> Option<&'a [u8]>,
+) -> Result<Option<Key>, KeyError> {
+    let target = Target::new(target);
+    let place = || describe(&service.keys);
+    let text = match &service.keys {
+        KeySource::None => return Ok(None),
+        KeySource::Header(name) => header(name).map(header_text),
+        KeySource::PathSegment(index) => path_key(&target, *index, &place)?,
+        KeySource::Query(name) => query_key(&target, name, &place)?,
+    };
+    let text = text.context(MissingSnafu { place: place() })?;
+    let text = text.context(MalformedSnafu { place: place() })?;
+    check_key(text, &place).map(Some)
+}
+
+fn describe(source: &KeySource) -> String {
+    match source {
+        KeySource::None => "nothing".to_owned(),
+        KeySource::Header(name) => format!("header '{name}'"),
+        KeySource::PathSegment(index) => format!("path segment {index} behind the service name"),
+        KeySource::Query(name) => format!("query parameter '{name}'"),
+    }
+}
+
+fn header_text(value: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(value).ok()?;
+    Some(text.trim().to_owned())
+}
+
+/// The outer option says whether the key is there, the inner one whether it is readable.
+type Found = Option<Option<String>>;
+
+fn path_key(
+    target: &Target<'_>,
+    index: u32,
+    place: &dyn Fn() -> String,
+) -> Result<Found, KeyError> {
+    let segments = target.segments().context(MalformedSnafu { place: place() })?;
+    let index = usize::try_from(index).unwrap_or(usize::MAX);
+    Ok(segments.into_iter().nth(index).map(Some))
+}
+
+fn query_key(
+    target: &Target<'_>,
+    name: &str,
+    place: &dyn Fn() -> String,
+) -> Result<Found, KeyError> {
+    let pairs = target.query.split('&').map(|p| p.split_once('=').unwrap_or((p, "")));
+    let mut values = pairs.filter(|(n, _)| form_decode(n).as_deref() == Some(name));
+    let value = values.next().map(|(_, v)| form_decode(v));
+    ensure!(values.next().is_none(), RepeatedSnafu { place: place() });
+    Ok(value)
+}
+
+fn form_decode(raw: &str) -> Option<String> {
+    percent_decode(&raw.replace('+', " "))
+}
+
+fn check_key(text: String, place: &dyn Fn() -> String) -> Result<Key, KeyError> {
+    ensure!(!text.is_empty(), MissingSnafu { place: place() });
+    ensure!(text.len() <= MAX_KEY_BYTES, TooLongSnafu { found: text.len() });
+    ensure!(!text.contains(char::is_control), MalformedSnafu { place: place() });
+    Ok(text.into())
+}
+
+/// Returns a digest of everything that makes two requests the same request.
+///
+/// It notices that a request id is used for another request by mistake; it is no protection
+/// against a caller that searches for collisions.
+pub fn digest(method: &str, target: &str, key: Option<&str>, body: &[u8]) -> u64 {
+    let mut hasher = Xxh3::new();
+    let parts = [method.as_bytes(), target.as_bytes(), key.unwrap_or("").as_bytes(), body];
+    for part in parts {
+        // The length keeps apart requests whose parts only join to the same bytes.
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
