--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod balance;
+pub mod outcome;
 pub mod records;
 pub mod retry;
 pub mod routes;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -109,7 +109,8 @@
     value
     /// Why a request is not sent again.
     pub enum Stop {
-        /// Sending again would be unsafe or pointless.
+        /// Sending again would be unsafe or pointless. If a part of an answer was sent to the
+        /// caller, break the connection.
         Final,
         /// The time left does not reach.
         NoTime,
@@ -140,6 +141,17 @@
     }
 }
 
+derive_common! {
+    value
+    /// How much of an answer the caller has.
+    pub enum ToCaller {
+        /// Nothing was sent to the caller yet.
+        Nothing,
+        /// The head of an answer was sent, so that the connection can only be broken.
+        Begun,
+    }
+}
+
 /// What a decision depends on besides the failure.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryContext {
@@ -147,6 +159,8 @@
     pub repeat: Repeat,
     /// Who may serve it.
     pub servers: Servers,
+    /// How much of an answer the caller has.
+    pub to_caller: ToCaller,
     /// The time left until the deadline.
     pub time_left: Millis,
     /// A random number for the jitter.
@@ -158,7 +172,6 @@
 pub struct Attempts {
     resends: u32,
     moves: u32,
-    waits: u32,
 }
 
 impl Attempts {
@@ -179,7 +192,6 @@
         }
         if route == Route::Newer && self.moves < MAX_FREE_MOVES {
             self.moves += 1;
-            self.waits = 0;
             return Step::SendAgain { after: Millis::ZERO };
         }
         // The move may have been called off, so the same owner is tried, but only within the
@@ -190,12 +202,11 @@
         self.await_route(cx)
     }
 
-    fn await_route(&mut self, cx: &RetryContext) -> Step {
+    fn await_route(&self, cx: &RetryContext) -> Step {
         if cx.time_left == Millis::ZERO {
             return Step::Answer(Stop::NoTime);
         }
         let wait = jittered(MAX_ROUTE_WAIT, cx.random);
-        self.waits += 1;
         Step::AwaitRoute { at_most: wait.min(cx.time_left) }
     }
 
@@ -239,6 +250,9 @@
 }
 
 fn advice(failure: Failure, cx: &RetryContext) -> Advice {
+    if cx.to_caller == ToCaller::Begun {
+        return Advice::Stop;
+    }
     match failure {
         Failure::NotRun(reason) => after_not_run(reason, cx.servers),
         Failure::Unknown(UnknownReason::NotVouched) => Advice::Stop,
