--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,7 +1,12 @@
-//! The planner.
+//! What the planner sees and returns, and the order in which it looks for changes.
+
+use std::fmt;
 
 use model::{Millis, Partition, Session, ZoneName, derive_common};
 
+use crate::board::Board;
+use crate::{moves, standbys, unserved};
+
 derive_common! {
     value
     /// How much of a fair share a member can take.
@@ -91,18 +96,28 @@
     }
 }
 
-/// Returns the changes to make now, most urgent first.
-pub fn plan(input: &Input, _limits: &Limits) -> Vec<Change> {
-    let ready: Vec<&MemberLoad> =
-        input.members.iter().filter(|m| m.slots > 0 && m.stage != Stage::Draining).collect();
-    if ready.is_empty() {
-        return Vec::new();
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Own { partition, owner } => write!(f, "partition {partition} to {owner}"),
+            Self::StandBy { partition, standby } => {
+                write!(f, "standby of partition {partition} is {standby}")
+            }
+        }
     }
-    let unowned = input.partitions.iter().filter(|p| p.owner.is_none());
-    unowned
-        .map(|p| {
-            let member = ready[p.partition.0 as usize % ready.len()];
-            Change::Own { partition: p.partition, owner: member.session }
-        })
-        .collect()
+}
+
+/// Returns the changes to make now, most urgent first.
+///
+/// Partitions that nobody serves come first, then those of draining members, then standbys, then
+/// planned moves. An `Own` that names the standby leaves the partition without one, and a
+/// `StandBy` for it follows if another member can take that part. The same input gives the same
+/// plan.
+pub fn plan(input: &Input, limits: &Limits) -> Vec<Change> {
+    let mut board = Board::new(input);
+    unserved::place(&mut board);
+    unserved::place_draining(&mut board);
+    standbys::fill(&mut board);
+    moves::balance(&mut board, limits);
+    board.into_changes()
 }
