--- /dev/null
+++ b/crates/admission/src/estimates.rs
@@ -0,0 +1,137 @@
+//! How long jobs take, by rule: bounded histograms that forget.
+
+use hdrhistogram::Histogram;
+use model::Millis;
+
+/// The longest span that is told apart.
+const LONGEST_MS: u64 = 600_000;
+
+/// One significant digit keeps a histogram below 1 KB.
+const SIGNIFICANT_DIGITS: u8 = 1;
+
+/// At this many samples all counts are halved, so that old ones fade.
+const HALVE_AT: u64 = 256;
+
+/// Rules beyond this many share the estimates of all jobs.
+const MAX_RULES: usize = 256;
+
+/// A rule is not called long before it has this many samples.
+const MIN_SAMPLES: u64 = 3;
+
+/// A rule is long if more than a tenth of its jobs is.
+const RULE_QUANTILE: f64 = 0.9;
+
+/// Short work is what is not far from this quantile of all work.
+const SHORT_QUANTILE: f64 = 0.25;
+
+/// Work is long above this many times the short quantile. With exponentially distributed times
+/// one job in a hundred is.
+const LONG_FACTOR: u64 = 16;
+
+/// The bound between short and long is never below this.
+const LEAST_BOUND: Millis = Millis(8);
+
+/// A job is expected to take this long while nothing is known.
+const FIRST_GUESS: Millis = Millis(10);
+
+/// The times of one rule, or of all jobs.
+#[derive(Debug)]
+struct Times {
+    histogram: Histogram<u16>,
+    mean: Millis,
+}
+
+impl Times {
+    fn new() -> Option<Self> {
+        let histogram = Histogram::new_with_bounds(1, LONGEST_MS, SIGNIFICANT_DIGITS).ok()?;
+        Some(Self { histogram, mean: FIRST_GUESS })
+    }
+
+    fn record(&mut self, span: Millis) {
+        self.histogram.saturating_record(span.0.max(1));
+        if self.histogram.len() >= HALVE_AT {
+            self.halve();
+        }
+        self.mean = round_up(self.histogram.mean());
+    }
+
+    fn halve(&mut self) {
+        let mut halved = self.histogram.clone();
+        halved.reset();
+        for v in self.histogram.iter_recorded() {
+            halved.saturating_record_n(v.value_iterated_to(), v.count_at_value() / 2);
+        }
+        self.histogram = halved;
+    }
+
+    fn quantile(&self, quantile: f64) -> Millis {
+        Millis(self.histogram.value_at_quantile(quantile))
+    }
+}
+
+/// The times of all jobs and of each rule.
+#[derive(Debug)]
+pub(crate) struct Estimates {
+    all: Option<Times>,
+    rules: Vec<(u32, Times)>, // Sorted by rule.
+    bound: Millis,
+}
+
+impl Estimates {
+    pub(crate) fn new() -> Self {
+        Self { all: Times::new(), rules: Vec::new(), bound: Millis(u64::MAX) }
+    }
+
+    /// Takes in the time that a job took.
+    pub(crate) fn record(&mut self, rule: Option<u32>, span: Millis) {
+        if let Some(all) = &mut self.all {
+            all.record(span);
+            let short = all.quantile(SHORT_QUANTILE).0;
+            self.bound = LEAST_BOUND.max(Millis(short * LONG_FACTOR));
+        }
+        if let Some(times) = rule.and_then(|r| self.rule_mut(r)) {
+            times.record(span);
+        }
+    }
+
+    fn rule_mut(&mut self, rule: u32) -> Option<&mut Times> {
+        let i = match self.rules.binary_search_by_key(&rule, |r| r.0) {
+            Ok(i) => i,
+            Err(_) if self.rules.len() == MAX_RULES => return None,
+            Err(i) => {
+                self.rules.insert(i, (rule, Times::new()?));
+                i
+            }
+        };
+        Some(&mut self.rules[i].1)
+    }
+}
+
+/// Queries.
+impl Estimates {
+    /// Returns how long a job of this rule is expected to take.
+    pub(crate) fn expected(&self, rule: Option<u32>) -> Millis {
+        let times = rule.and_then(|r| self.rule(r)).or(self.all.as_ref());
+        times.map_or(FIRST_GUESS, |t| t.mean)
+    }
+
+    /// Returns whether jobs of this rule are long. A rule that is not known is short.
+    pub(crate) fn is_long(&self, rule: Option<u32>) -> bool {
+        let known = rule.and_then(|r| self.rule(r)).filter(|t| t.histogram.len() >= MIN_SAMPLES);
+        known.is_some_and(|t| t.quantile(RULE_QUANTILE) > self.bound)
+    }
+
+    /// Returns the time from which on a job counts as long, whatever its rule.
+    pub(crate) fn bound(&self) -> Millis {
+        self.bound
+    }
+
+    fn rule(&self, rule: u32) -> Option<&Times> {
+        let i = self.rules.binary_search_by_key(&rule, |r| r.0).ok()?;
+        Some(&self.rules[i].1)
+    }
+}
+
+fn round_up(span: f64) -> Millis {
+    Millis(span.ceil() as u64)
+}
--- /dev/null
+++ b/crates/admission/src/queue.rs
@@ -0,0 +1,284 @@
+//! The queue in front of one backend server.
+
+use model::{Millis, NotRunReason, Priority};
+
+use crate::demand::Demand;
+use crate::estimates::Estimates;
+use crate::running::{Length, Run, Running};
+use crate::slots::Slots;
+use crate::waiting::{Waiter, Waiting};
+use crate::{Action, Finish, Job, Limits, Verdict};
+
+/// One slot, in thousandths.
+const SLOT: u64 = 1_000;
+
+/// The part of the slots that long jobs leave free, as a divisor.
+const SHORT_RESERVE_DIVISOR: u32 = 3;
+
+/// Predicted waits are taken this much longer than computed, in percent, because a job that is
+/// started too late is wasted work.
+const WAIT_MARGIN_PERCENT: u64 = 125;
+
+/// The shortest and the longest time after which a refused caller is told to try again.
+const RETRY_AFTER: (Millis, Millis) = (Millis(50), Millis(10_000));
+
+/// Decides which request the backend server runs next, and which are refused.
+///
+/// The host process calls [`Queue::tick`] every [`Queue::TICK`] while jobs wait.
+#[derive(Debug)]
+pub struct Queue {
+    limits: Limits,
+    slots: Slots,
+    running: Running,
+    waiting: Waiting,
+    estimates: Estimates,
+    demand: Demand,
+    closed: Option<NotRunReason>,
+    offered: u64,
+}
+
+/// Commands.
+impl Queue {
+    /// Makes an empty queue.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            slots: Slots::new(limits.slots),
+            running: Running::default(),
+            waiting: Waiting::new(),
+            estimates: Estimates::new(),
+            demand: Demand::default(),
+            closed: None,
+            offered: 0,
+        }
+    }
+
+    /// Offers a job. After `Start` and after `Queued` followed by [`Action::Start`], the caller
+    /// must report [`Queue::finish`] once.
+    pub fn offer(&mut self, job: Job, now: Millis) -> Verdict {
+        let length = self.length_of(job.rule);
+        let expected = self.estimates.expected(job.rule);
+        if job.priority == Priority::Interactive && length == Length::Short {
+            self.demand.offer(expected, now);
+        }
+        if let Some(verdict) = self.refusal(&job, length, now) {
+            return verdict;
+        }
+        self.offered += 1;
+        if self.starts_at_once(job.priority, length, now) {
+            self.start(job.id, job.priority, job.rule, length, now);
+            return Verdict::Start;
+        }
+        let deadline = now + job.time_left;
+        let waiter = Waiter { id: job.id, rule: job.rule, deadline, expected, order: self.offered };
+        if let Some(lane) = self.waiting.lane_mut(job.priority, length) {
+            lane.push(waiter);
+        }
+        Verdict::Queued
+    }
+
+    /// Tells how a started job ended. A job that is not known is ignored.
+    pub fn finish(&mut self, id: u64, finish: Finish, now: Millis) -> Vec<Action> {
+        let Some(run) = self.running.remove(id) else { return Vec::new() };
+        match finish {
+            Finish::Ran => {
+                self.estimates.record(run.rule, now.since(run.started_at));
+                self.slots.ran();
+            }
+            Finish::Refused => self.slots.refused(self.running.count(), now),
+            Finish::Failed => self.slots.failed(now),
+        }
+        self.start_waiting(now)
+    }
+
+    /// Lets time pass: refuses jobs that can no longer be answered in time and starts others.
+    pub fn tick(&mut self, now: Millis) -> Vec<Action> {
+        self.slots.raise(now);
+        let in_time = |w: &Waiter| now + w.expected < w.deadline;
+        let expired = self.waiting.retain(in_time);
+        let retry_after = self.retry_after(Millis::ZERO, now);
+        let mut actions: Vec<Action> =
+            expired.into_iter().map(|id| refuse(id, NotRunReason::Deadline, retry_after)).collect();
+        actions.extend(self.start_waiting(now));
+        actions
+    }
+
+    /// Forgets a job whose caller went away, if it still waits. A job that runs keeps its slot
+    /// until [`Queue::finish`], because only the backend server's answer shows that it ended.
+    pub fn abandon(&mut self, id: u64, now: Millis) -> Vec<Action> {
+        self.waiting.retain(|w| w.id != id);
+        self.start_waiting(now)
+    }
+
+    /// Takes in the slots that the backend server announces.
+    pub fn set_slots(&mut self, announced: u32) {
+        self.slots.announce(announced);
+    }
+
+    /// Refuses all that waits, and all that is offered until [`Queue::open`], for this reason.
+    pub fn close(&mut self, reason: NotRunReason, now: Millis) -> Vec<Action> {
+        self.closed = Some(reason);
+        let retry_after = self.retry_after(Millis::ZERO, now);
+        let dropped = self.waiting.retain(|_| false);
+        dropped.into_iter().map(|id| refuse(id, reason, retry_after)).collect()
+    }
+
+    /// Takes jobs again.
+    pub fn open(&mut self) {
+        self.closed = None;
+    }
+
+    fn start_waiting(&mut self, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some((priority, length)) = self.waiting.next(|p, l| self.may_start(p, l, now)) {
+            let lane = self.waiting.lane_mut(priority, length);
+            let Some(waiter) = lane.and_then(|l| l.pop()) else { break };
+            if now + waiter.expected >= waiter.deadline {
+                let retry_after = self.retry_after(Millis::ZERO, now);
+                actions.push(refuse(waiter.id, NotRunReason::Deadline, retry_after));
+                continue;
+            }
+            self.start(waiter.id, priority, waiter.rule, length, now);
+            actions.push(Action::Start(waiter.id));
+        }
+        actions
+    }
+
+    fn start(
+        &mut self,
+        id: u64,
+        priority: Priority,
+        rule: Option<u32>,
+        length: Length,
+        now: Millis,
+    ) {
+        self.running.add(Run { id, priority, rule, length, started_at: now });
+    }
+}
+
+/// Queries.
+impl Queue {
+    /// How often [`Queue::tick`] is to be called.
+    pub const TICK: Millis = Millis(10);
+
+    /// Returns how many jobs run.
+    pub fn running(&self) -> usize {
+        self.running.count() as usize
+    }
+
+    /// Returns how many jobs wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.count()
+    }
+
+    /// Returns the slots in use at most: as announced, less what refusals showed.
+    pub fn usable_slots(&self) -> u32 {
+        self.slots.usable().min(self.limits.connections)
+    }
+
+    fn length_of(&self, rule: Option<u32>) -> Length {
+        if self.estimates.is_long(rule) { Length::Long } else { Length::Short }
+    }
+
+    fn starts_at_once(&self, priority: Priority, length: Length, now: Millis) -> bool {
+        !self.waiting.has_ahead(priority, length) && self.may_start(priority, length, now)
+    }
+
+    fn may_start(&self, priority: Priority, length: Length, now: Millis) -> bool {
+        if self.slots.pause_left(now) > Millis::ZERO {
+            return false;
+        }
+        let usable = self.usable_slots();
+        let is_lower = priority > Priority::Interactive;
+        let fits = self.running.count() < usable;
+        let fits_class = !is_lower || self.running.lower() < self.lower_limit();
+        let fits_length = length == Length::Short || self.long_running(now) < self.long_limit();
+        fits && fits_class && fits_length
+    }
+
+    fn long_running(&self, now: Millis) -> u32 {
+        self.running.long(self.estimates.bound(), now)
+    }
+
+    /// Slots that jobs below the interactive class may hold.
+    fn lower_limit(&self) -> u32 {
+        self.usable_slots().saturating_sub(self.limits.reserved_slots)
+    }
+
+    /// Slots that long jobs may hold.
+    fn long_limit(&self) -> u32 {
+        let usable = self.usable_slots();
+        let reserve = usable.div_ceil(SHORT_RESERVE_DIVISOR);
+        usable.saturating_sub(reserve).max(1)
+    }
+}
+
+/// Refusals.
+impl Queue {
+    fn refusal(&self, job: &Job, length: Length, now: Millis) -> Option<Verdict> {
+        if let Some(reason) = self.closed {
+            return Some(refused(reason, self.retry_after(Millis::ZERO, now)));
+        }
+        if job.time_left == Millis::ZERO {
+            return Some(refused(NotRunReason::Deadline, RETRY_AFTER.0));
+        }
+        if self.starts_at_once(job.priority, length, now) {
+            return None;
+        }
+        let wait = self.predicted_wait(job.priority, length, now);
+        if self.waiting() >= self.places(job.priority) {
+            return Some(refused(NotRunReason::Overloaded, self.retry_after(wait, now)));
+        }
+        let needed = wait + self.estimates.expected(job.rule);
+        if needed > job.time_left {
+            let excess = needed - job.time_left;
+            return Some(refused(NotRunReason::Deadline, self.retry_after(excess, now)));
+        }
+        None
+    }
+
+    /// Places in the queue up to which a class may fill it, so that the lowest is refused first.
+    fn places(&self, priority: Priority) -> usize {
+        let all = self.limits.waiting as usize;
+        match priority {
+            Priority::Interactive => all,
+            Priority::Deferrable => all / 2,
+            Priority::Internal => all / 4,
+        }
+    }
+
+    fn predicted_wait(&self, priority: Priority, length: Length, now: Millis) -> Millis {
+        let ahead = self.waiting.work_ahead(priority, length);
+        let next = self.estimates.expected(None);
+        let work = (ahead + next).0 * SLOT;
+        let wait = work / self.capacity(priority, length, now);
+        Millis(wait * WAIT_MARGIN_PERCENT / 100) + self.slots.pause_left(now)
+    }
+
+    /// Returns the thousandths of slots that serve jobs of this kind.
+    fn capacity(&self, priority: Priority, length: Length, now: Millis) -> u64 {
+        let usable = u64::from(self.usable_slots()) * SLOT;
+        let others = match length {
+            Length::Short => u64::from(self.long_running(now)) * SLOT,
+            Length::Long => usable.saturating_sub(u64::from(self.long_limit()) * SLOT),
+        };
+        let urgent = match priority {
+            Priority::Interactive => 0,
+            _ => self.demand.millislots(now),
+        };
+        usable.saturating_sub(others).saturating_sub(urgent).max(SLOT / 4)
+    }
+
+    fn retry_after(&self, wait: Millis, now: Millis) -> Millis {
+        let backlog = self.predicted_wait(Priority::Interactive, Length::Short, now);
+        wait.max(backlog).clamp(RETRY_AFTER.0, RETRY_AFTER.1)
+    }
+}
+
+fn refused(reason: NotRunReason, retry_after: Millis) -> Verdict {
+    Verdict::Refused { reason, retry_after }
+}
+
+fn refuse(id: u64, reason: NotRunReason, retry_after: Millis) -> Action {
+    Action::Refuse { id, reason, retry_after }
+}
--- /dev/null
+++ b/crates/admission/src/waiting.rs
@@ -0,0 +1,123 @@
+//! The jobs that wait, in one lane per class and length.
+
+use std::collections::VecDeque;
+
+use model::{Millis, Priority};
+
+use crate::running::Length;
+
+const CLASSES: [Priority; 3] = [Priority::Interactive, Priority::Deferrable, Priority::Internal];
+
+/// A job that waits.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiter {
+    pub(crate) id: u64,
+    pub(crate) rule: Option<u32>,
+    pub(crate) deadline: Millis,
+    /// Expected time in its slot.
+    pub(crate) expected: Millis,
+    /// Counts the waiters of the queue.
+    pub(crate) order: u64,
+}
+
+/// The waiters of one class and length, in order of arrival.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    pub(crate) priority: Priority,
+    pub(crate) length: Length,
+    waiters: VecDeque<Waiter>,
+    /// The sum of the expected times.
+    work: Millis,
+}
+
+impl Lane {
+    fn new(priority: Priority, length: Length) -> Self {
+        Self { priority, length, waiters: VecDeque::new(), work: Millis::ZERO }
+    }
+
+    pub(crate) fn first(&self) -> Option<&Waiter> {
+        self.waiters.front()
+    }
+
+    pub(crate) fn push(&mut self, waiter: Waiter) {
+        self.work += waiter.expected;
+        self.waiters.push_back(waiter);
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<Waiter> {
+        let waiter = self.waiters.pop_front()?;
+        self.work = self.work - waiter.expected;
+        Some(waiter)
+    }
+
+    fn retain(&mut self, keep: impl Fn(&Waiter) -> bool, dropped: &mut Vec<u64>) {
+        let work = &mut self.work;
+        self.waiters.retain(|w| {
+            let kept = keep(w);
+            if !kept {
+                *work = *work - w.expected;
+                dropped.push(w.id);
+            }
+            kept
+        });
+    }
+}
+
+/// All lanes, most urgent class first, short before long.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    lanes: Vec<Lane>,
+}
+
+/// Commands.
+impl Waiting {
+    pub(crate) fn new() -> Self {
+        let both = |p| [Lane::new(p, Length::Short), Lane::new(p, Length::Long)];
+        Self { lanes: CLASSES.into_iter().flat_map(both).collect() }
+    }
+
+    pub(crate) fn lane_mut(&mut self, priority: Priority, length: Length) -> Option<&mut Lane> {
+        self.lanes.iter_mut().find(|l| l.priority == priority && l.length == length)
+    }
+
+    /// Drops the waiters that `keep` turns down and returns their ids.
+    pub(crate) fn retain(&mut self, keep: impl Fn(&Waiter) -> bool) -> Vec<u64> {
+        let mut dropped = Vec::new();
+        for lane in &mut self.lanes {
+            lane.retain(&keep, &mut dropped);
+        }
+        dropped
+    }
+}
+
+/// Queries.
+impl Waiting {
+    pub(crate) fn count(&self) -> usize {
+        self.lanes.iter().map(|l| l.waiters.len()).sum()
+    }
+
+    /// Returns the lane of the next job to start: the most urgent class first, and within a
+    /// class the oldest among those that `may_start`.
+    pub(crate) fn next(
+        &self,
+        may_start: impl Fn(Priority, Length) -> bool,
+    ) -> Option<(Priority, Length)> {
+        let filled = self.lanes.iter().filter(|l| may_start(l.priority, l.length));
+        let first = filled.filter_map(|l| Some((l.priority, l.first()?.order, l.length)));
+        first.min_by_key(|f| (f.0, f.1)).map(|f| (f.0, f.2))
+    }
+
+    /// Returns whether jobs of this length wait in this class or a more urgent one.
+    pub(crate) fn has_ahead(&self, priority: Priority, length: Length) -> bool {
+        self.ahead(priority, length).any(|l| l.first().is_some())
+    }
+
+    /// Returns the expected time of the jobs that would start before a new one.
+    pub(crate) fn work_ahead(&self, priority: Priority, length: Length) -> Millis {
+        self.ahead(priority, length).fold(Millis::ZERO, |sum, l| sum + l.work)
+    }
+
+    fn ahead(&self, priority: Priority, length: Length) -> impl Iterator<Item = &Lane> {
+        self.lanes.iter().filter(move |l| l.priority <= priority && l.length == length)
+    }
+}
