--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -109,8 +109,7 @@
     value
     /// Why a request is not sent again.
     pub enum Stop {
-        /// Sending again would be unsafe or pointless. If a part of an answer was sent to the
-        /// caller, break the connection.
+        /// Sending again would be unsafe or pointless.
         Final,
         /// The time left does not reach.
         NoTime,
@@ -141,17 +140,6 @@
     }
 }
 
-derive_common! {
-    value
-    /// How much of an answer the caller has.
-    pub enum ToCaller {
-        /// Nothing was sent to the caller yet.
-        Nothing,
-        /// The head of an answer was sent, so that the connection can only be broken.
-        Begun,
-    }
-}
-
 /// What a decision depends on besides the failure.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryContext {
@@ -159,8 +147,6 @@
     pub repeat: Repeat,
     /// Who may serve it.
     pub servers: Servers,
-    /// How much of an answer the caller has.
-    pub to_caller: ToCaller,
     /// The time left until the deadline.
     pub time_left: Millis,
     /// A random number for the jitter.
@@ -176,6 +162,9 @@
 
 impl Attempts {
     /// Decides what to do after an attempt without an answer.
+    ///
+    /// Not to be asked once a part of an answer went to the caller: then the only truthful step
+    /// is to break the caller's connection.
     pub fn next_step(&mut self, failure: Failure, cx: &RetryContext, budget: &mut Budget) -> Step {
         match advice(failure, cx) {
             Advice::Stop => Step::Answer(Stop::Final),
@@ -250,9 +239,6 @@
 }
 
 fn advice(failure: Failure, cx: &RetryContext) -> Advice {
-    if cx.to_caller == ToCaller::Begun {
-        return Advice::Stop;
-    }
     match failure {
         Failure::NotRun(reason) => after_not_run(reason, cx.servers),
         Failure::Unknown(UnknownReason::NotVouched) => Advice::Stop,
