Add the client and server between host processes

Calls and forwarded requests go over one h2 connection per peer. A request counts as not run until its first byte is handed to a connection; after that only the peer can say so.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,22 @@
 //! Domain types never go over the network as they are. Each has a twin here that is encoded, and
 //! what comes in is checked when it is turned into the domain type.
 
+mod body;
 mod call;
+mod client;
+pub mod codec;
+mod link;
+mod meter;
+mod pool;
+mod pulse;
+mod server;
+mod settings;
+mod twin;
 
+pub use body::{Body, BodyError, whole_body};
 pub use call::{AnswerHead, Call, ForwardHead, Handover, Reply};
+pub use client::{CallError, Client};
+pub use meter::Traffic;
+pub use server::{Handlers, ServeError, Server, serve, serve_with};
+pub use settings::{ClientSettings, Cut, ServerSettings};
+pub use twin::ValueError;
--- /dev/null
+++ b/crates/wire/src/pool.rs
@@ -0,0 +1,98 @@
+//! The connections of a client: at most one in use per peer, and not more than a bound.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use model::HostAddr;
+
+use crate::link::Link;
+use crate::meter::Traffic;
+use crate::settings::{ClientSettings, Cut};
+
+/// Why there is no connection to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoLink {
+    /// The peer cannot be reached.
+    Unreachable,
+    /// All connections are in use.
+    PoolFull,
+}
+
+/// The connections of one client.
+pub(crate) struct Pool {
+    pub(crate) settings: Rc<ClientSettings>,
+    pub(crate) traffic: Rc<Cell<Traffic>>,
+    links: RefCell<Vec<(HostAddr, Rc<Link>)>>,
+    cut: RefCell<Cut>,
+}
+
+impl Drop for Pool {
+    fn drop(&mut self) {
+        for (_, link) in self.links.borrow().iter() {
+            link.close();
+        }
+    }
+}
+
+impl Pool {
+    pub(crate) fn new(settings: ClientSettings) -> Self {
+        Self {
+            settings: Rc::new(settings),
+            traffic: Rc::default(),
+            links: RefCell::default(),
+            cut: RefCell::default(),
+        }
+    }
+
+    /// Returns how many connections are open or being opened.
+    pub(crate) fn size(&self) -> usize {
+        self.links.borrow().iter().filter(|(_, link)| link.is_usable()).count()
+    }
+
+    /// Returns the connection to `to`, which may still be opening.
+    pub(crate) fn link(&self, to: HostAddr) -> Result<Rc<Link>, NoLink> {
+        if self.cut.borrow().covers(to) {
+            return Err(NoLink::Unreachable);
+        }
+        let links = &mut *self.links.borrow_mut();
+        let found = links.binary_search_by_key(&to, |(addr, _)| *addr);
+        if let Ok(index) = found
+            && links[index].1.is_usable()
+        {
+            return Ok(links[index].1.clone());
+        }
+        if found.is_err() && links.len() >= self.settings.max_connections {
+            make_room(links)?;
+        }
+        let link = Link::open(to, self.settings.clone(), self.traffic.clone());
+        match links.binary_search_by_key(&to, |(addr, _)| *addr) {
+            Ok(index) => links[index].1 = link.clone(),
+            Err(index) => links.insert(index, (to, link.clone())),
+        }
+        Ok(link)
+    }
+
+    /// Changes which peers can be reached and breaks the connections to those that cannot.
+    pub(crate) fn cut(&self, cut: Cut) {
+        for (addr, link) in self.links.borrow().iter() {
+            if cut.covers(*addr) {
+                link.close();
+            }
+        }
+        self.cut.replace(cut);
+    }
+}
+
+/// Drops the connections that are over, or else the idle one that was used least recently.
+fn make_room(links: &mut Vec<(HostAddr, Rc<Link>)>) -> Result<(), NoLink> {
+    let before = links.len();
+    links.retain(|(_, link)| link.is_usable());
+    if links.len() < before {
+        return Ok(());
+    }
+    let idle = links.iter().enumerate().filter(|(_, (_, link))| link.is_idle());
+    let oldest = idle.min_by_key(|(_, (_, link))| link.used_at()).map(|(index, _)| index);
+    let (_, link) = links.remove(oldest.ok_or(NoLink::PoolFull)?);
+    link.close();
+    Ok(())
+}
--- /dev/null
+++ b/crates/wire/src/twin/call.rs
@@ -0,0 +1,97 @@
+//! Twins of calls, replies and the heads of forwarded requests and answers.
+
+use std::net::SocketAddr;
+
+use model::{
+    CellId, HandedRecord, KeptAnswer, NotRunReason, Outcome, Priority, RecordEnd, UnknownReason,
+};
+
+use super::ownership::{WireMessage, WireRouteTable, WireRoutesVersion};
+use crate::twin::twin;
+use crate::{AnswerHead, Call, ForwardHead, Handover, Reply};
+
+type WireHeaders = Vec<(String, Vec<u8>)>;
+
+/// The outcome of a forwarded request, as the head of its answer tells it.
+type HeadOutcome = Outcome<AnswerHead>;
+
+twin!(struct WireCellId = CellId { service: String, index: u32 });
+twin!(enum WirePriority = Priority { Interactive, Deferrable, Internal });
+twin!(struct WireKeptAnswer = KeptAnswer { status: u16, headers: WireHeaders, body: Vec<u8> });
+twin!(enum WireRecordEnd = RecordEnd {
+    Answered(answer: WireKeptAnswer),
+    NotKept { status: u16 },
+    Unknown,
+});
+twin!(struct WireHandedRecord = HandedRecord {
+    id: u128,
+    digest: u64,
+    age: u64,
+    end: WireRecordEnd,
+});
+twin!(struct WireHandover = Handover {
+    cell: WireCellId,
+    partition: u32,
+    fence: u64,
+    vouched_from: u64,
+    records: Vec<WireHandedRecord>,
+});
+twin!(enum WireCall = Call {
+    Ownership { from: SocketAddr, cell: WireCellId, message: WireMessage },
+    Routes { cell: WireCellId, have: WireRoutesVersion },
+    Config { at_least: u64 },
+    Handover(handover: WireHandover),
+    Quarantine { service: String, digest: u64, time_left: u64 },
+});
+twin!(enum WireReply = Reply {
+    Messages(messages: Vec<WireMessage>),
+    Routes(table: Option<WireRouteTable>),
+    Config(config: Option<(u64, String)>),
+    Done,
+    Refused(reason: String),
+});
+twin!(struct WireForwardHead = ForwardHead {
+    service: String,
+    partition: Option<u32>,
+    id: Option<u128>,
+    digest: u64,
+    priority: WirePriority,
+    time_left: u64,
+    rule: Option<u32>,
+    method: String,
+    target: String,
+    headers: WireHeaders,
+    body_length: u64,
+});
+twin!(struct WireAnswerHead = AnswerHead {
+    status: u16,
+    headers: WireHeaders,
+    body_length: Option<u64>,
+    owner: SocketAddr,
+});
+twin!(enum WireNotRunReason = NotRunReason {
+    NotConnected,
+    NotOwner,
+    NoLease,
+    NoOwner,
+    Draining,
+    BackendRefused,
+    Deadline,
+    Overloaded,
+    Quarantined,
+    RetryBudget,
+    StaleConfig,
+    Abandoned,
+});
+twin!(enum WireUnknownReason = UnknownReason {
+    ConnectionLost,
+    Timeout,
+    AnswerCut,
+    NotVouched,
+    BackendDied,
+});
+twin!(enum WireOutcome = HeadOutcome {
+    Ran(head: WireAnswerHead),
+    NotRun(reason: WireNotRunReason),
+    Unknown(reason: WireUnknownReason),
+});
--- /dev/null
+++ b/crates/wire/src/twin/ownership.rs
@@ -0,0 +1,98 @@
+//! Twins of the messages of the ownership protocol and of what they hold.
+
+use std::net::SocketAddr;
+
+use model::Session;
+use ownership::{
+    Assignment, CellRow, Grantor, GrantorSet, Join, MemberEntry, Message, PartitionReport,
+    RefusalReason, Release, Renew, Report, RouteEntry, RouteTable, RoutesVersion, Transfer,
+    VersionedRow,
+};
+
+use crate::twin::twin;
+
+twin!(struct WireSession = Session { incarnation: u64, number: u32 });
+twin!(struct WireGrantor = Grantor { addr: SocketAddr, incarnation: u64, zone: String });
+twin!(struct WireGrantorSet = GrantorSet { epoch: u64, grantors: Vec<WireGrantor> });
+twin!(struct WireMemberEntry = MemberEntry { session: WireSession, addr: SocketAddr, zone: String });
+twin!(struct WireAssignment = Assignment {
+    partition: u32,
+    fence: u64,
+    owner: WireSession,
+    standby: Option<WireSession>,
+});
+twin!(struct WireCellRow = CellRow {
+    writer: u64,
+    epoch: u64,
+    grantors: Vec<WireGrantor>,
+    unsealed: Vec<WireGrantorSet>,
+    members: Vec<WireMemberEntry>,
+    assignments: Vec<WireAssignment>,
+});
+twin!(struct WireVersionedRow = VersionedRow { version: u64, row: WireCellRow });
+twin!(struct WireJoin = Join { session: WireSession, addr: SocketAddr, zone: String, slots: u32 });
+twin!(struct WirePartitionReport = PartitionReport {
+    partition: u32,
+    millirequests_per_second: u64,
+});
+twin!(struct WireReport = Report {
+    slots: u32,
+    slots_in_use: u32,
+    draining: bool,
+    partitions: Vec<WirePartitionReport>,
+});
+twin!(struct WireRenew = Renew {
+    epoch: u64,
+    session: WireSession,
+    sent_at: u64,
+    report: WireReport,
+});
+twin!(struct WireRoutesVersion = RoutesVersion { row: u64, takeovers: u32 });
+twin!(struct WireRouteEntry = RouteEntry { partition: u32, fence: u64, owner: SocketAddr });
+twin!(struct WireRouteTable = RouteTable {
+    version: WireRoutesVersion,
+    grantors: Vec<SocketAddr>,
+    members: Vec<(SocketAddr, String)>,
+    routes: Vec<WireRouteEntry>,
+});
+twin!(struct WireTransfer = Transfer {
+    epoch: u64,
+    session: WireSession,
+    partition: u32,
+    fence: u64,
+});
+twin!(struct WireRelease = Release {
+    transfer: WireTransfer,
+    next: Option<SocketAddr>,
+    time_limit: u64,
+});
+twin!(enum WireRefusalReason = RefusalReason {
+    Lapsed,
+    OtherEpoch { epoch: u64, grantors: Vec<WireGrantor> },
+    NotGrantor,
+});
+twin!(enum WireMessage = Message {
+    Join(join: WireJoin),
+    Renew(renew: WireRenew),
+    Renewed {
+        epoch: u64,
+        session: WireSession,
+        sent_at: u64,
+        routes: WireRoutesVersion,
+        config: u64,
+        config_age: u64,
+    },
+    RenewRefused { session: WireSession, sent_at: u64, reason: WireRefusalReason },
+    Assign { transfer: WireTransfer, handed_over_from: Option<u64>, first: bool },
+    TakeOver(transfer: WireTransfer),
+    Serving(transfer: WireTransfer),
+    Release(release: WireRelease),
+    Released { transfer: WireTransfer, handed_over: bool },
+    Lapse { epoch: u64, session: WireSession },
+    Lapsed { epoch: u64, session: WireSession, remaining: u64 },
+    Seal { epoch: u64, sealed: u64, grantors: Vec<WireGrantor>, incarnation: u64 },
+    Sealed { epoch: u64, sealed: u64, incarnation: u64, lapsed: Vec<WireSession> },
+    RowNotice(row: WireVersionedRow),
+    AskRoutes(have: WireRoutesVersion),
+    Routes(table: WireRouteTable),
+});
--- /dev/null
+++ b/crates/wire/tests/common/mod.rs
@@ -0,0 +1,92 @@
+//! Fixtures for tests that need a client and a server on loopback.
+
+#![allow(dead_code, reason = "each test binary uses a part of the fixtures")]
+
+use std::net::{Ipv4Addr, TcpListener};
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::LocalBoxFuture;
+use futures_util::{FutureExt, TryStreamExt};
+use model::{
+    ConfigVersion, HostAddr, Millis, Outcome, Partition, Priority, RequestId, ServiceName,
+};
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use wire::{
+    AnswerHead, Body, BodyError, Call, ForwardHead, Handlers, Reply, Server, ServerSettings,
+    serve_with, whole_body,
+};
+
+/// A time limit that a working exchange never reaches.
+pub const LONG: Millis = Millis(60_000);
+
+/// What a handler of forwarded requests returns.
+pub type Forwarded = LocalBoxFuture<'static, Outcome<(AnswerHead, Body)>>;
+
+/// Runs a test on one thread, as the host process does.
+pub fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test)
+}
+
+pub fn listener() -> TcpListener {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap()
+}
+
+/// Starts a server whose calls are answered with `Done`.
+pub fn server(on_forward: impl Fn(ForwardHead, Bytes) -> Forwarded + 'static) -> Server {
+    server_with(ServerSettings::default(), on_forward)
+}
+
+pub fn server_with(
+    settings: ServerSettings,
+    on_forward: impl Fn(ForwardHead, Bytes) -> Forwarded + 'static,
+) -> Server {
+    let on_call = Rc::new(|_call: Call| async { Reply::Done }.boxed_local());
+    let handlers = Handlers { on_call, on_forward: Rc::new(on_forward) };
+    serve_with(listener(), handlers, settings).unwrap()
+}
+
+/// Starts a server that answers every request with its own body.
+pub fn echo() -> Server {
+    server(|head, body| async move { ran(head.body_length, whole_body(body)) }.boxed_local())
+}
+
+pub fn ran(body_length: impl Into<Option<u64>>, body: Body) -> Outcome<(AnswerHead, Body)> {
+    Outcome::Ran((answer_head(body_length.into()), body))
+}
+
+pub fn answer_head(body_length: Option<u64>) -> AnswerHead {
+    let headers = vec![("content-type".to_owned(), b"text/plain".to_vec())];
+    AnswerHead { status: 200, headers, body_length, owner: HostAddr(([10, 0, 0, 1], 7).into()) }
+}
+
+pub fn head(time_left: Millis) -> ForwardHead {
+    ForwardHead {
+        service: ServiceName::new("alert-dispatch").unwrap(),
+        partition: Some(Partition(7)),
+        id: Some(RequestId::parse("01890a5d-ac96-774b-bcce-b302099a8057").unwrap()),
+        digest: 42,
+        priority: Priority::Interactive,
+        time_left,
+        rule: Some(3),
+        method: "POST".to_owned(),
+        target: "/orders/7?dry=no".to_owned(),
+        headers: vec![("accept".to_owned(), b"*/*".to_vec())],
+        body_length: 0,
+    }
+}
+
+pub fn config_call() -> Call {
+    Call::Config { at_least: ConfigVersion(1) }
+}
+
+/// Receives a body to its end.
+pub async fn collect(body: Body) -> Result<Bytes, BodyError> {
+    let whole = body.try_fold(BytesMut::new(), |mut all, piece| async move {
+        all.extend_from_slice(&piece);
+        Ok(all)
+    });
+    Ok(whole.await?.freeze())
+}
