--- a/crates/ownership/src/agenda.rs
+++ b/crates/ownership/src/agenda.rs
@@ -28,7 +28,7 @@
 
 /// Returns what to do next, given the row that would be written anyway.
 pub(crate) fn next(view: &View<'_>, row: CellRow, cx: &Cx<'_>) -> Agenda {
-    let mut agenda = Agenda { row, moves: evictions(view, cx) };
+    let mut agenda = Agenda { row, moves: closed_standbys(view, cx) };
     let input = input(view, cx);
     for change in placement::plan(&input, &LIMITS) {
         match change {
@@ -42,19 +42,16 @@
     agenda
 }
 
-/// Moves that cannot wait for a plan: away from members that are draining or have no slots.
-fn evictions(view: &View<'_>, cx: &Cx<'_>) -> Vec<(Move, &'static str)> {
-    let is_closed = |s: Session| !view.is_lost(s) && !view.is_usable(s);
-    let eviction = |a: &Assignment| {
-        let standby = a.standby?;
-        if is_closed(a.owner) && view.is_usable(standby) {
-            return Some((new_move(a, standby, None, cx), "the owner takes no work"));
-        }
-        let dropped = is_closed(standby) && !view.is_lost(a.owner);
-        dropped.then(|| (new_move(a, a.owner, None, cx), "the standby takes no work"))
+/// Standbys that are draining or have no slots are dropped even if the planner has nobody else.
+fn closed_standbys(view: &View<'_>, cx: &Cx<'_>) -> Vec<(Move, &'static str)> {
+    let is_closed = |s: &Session| !view.is_lost(*s) && !view.is_usable(*s);
+    let dropped = |a: &Assignment| {
+        a.standby.filter(is_closed)?;
+        let stays = view.is_usable(a.owner);
+        stays.then(|| (new_move(a, a.owner, None, cx), "the standby takes no work"))
     };
     let free = |a: &&Assignment| view.moves.get(a.partition).is_none();
-    view.row.assignments.iter().filter(free).filter_map(eviction).collect()
+    view.row.assignments.iter().filter(free).filter_map(dropped).collect()
 }
 
 fn own(agenda: &mut Agenda, partition: Partition, owner: Session, view: &View<'_>, cx: &Cx<'_>) {
@@ -99,8 +96,12 @@
         row.assignments[index].standby = assignment.standby.or(Some(standby));
         return;
     }
-    let moving = agenda.moves.iter().any(|(m, _)| m.partition == partition);
-    if moving || view.moves.get(partition).is_some() || view.is_lost(assignment.owner) {
+    let moving = agenda.moves.iter_mut().find(|(m, _)| m.partition == partition);
+    if let Some((m, _)) = moving {
+        m.standby = Some(standby);
+        return;
+    }
+    if view.moves.get(partition).is_some() || view.is_lost(assignment.owner) {
         return;
     }
     if may_change(&assignment, assignment.owner, view, cx) {
--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -172,7 +172,7 @@
         if let Some(better) = better {
             cx.record(None, "grantors", format!("epoch {} gets other grantors", better.epoch));
             next = better;
-        } else if settled && cx.is_due(self.planned_at, plan_pause) {
+        } else if settled && (next != *stored || cx.is_due(self.planned_at, plan_pause)) {
             let agenda = agenda::next(&view, next, cx);
             self.planned_at = Some(cx.now);
             next = agenda.row;
--- a/crates/ownership/src/grantor_set.rs
+++ b/crates/ownership/src/grantor_set.rs
@@ -15,7 +15,7 @@
 
 /// Returns the row with a better set of grantors, if there is one now.
 pub(crate) fn next_row(view: &View<'_>, cx: &Cx<'_>) -> Option<CellRow> {
-    if !view.row.unsealed.is_empty() {
+    if !view.row.unsealed.is_empty() || is_too_early(view, cx) {
         return None;
     }
     let chosen = choose(view, cx)?;
@@ -26,6 +26,17 @@
     Some(replace_grantors(view.row, chosen))
 }
 
+/// A change of grantors makes the lapses begin anew and adds the wait for the seal, so what was
+/// lost is replaced first. A new coordinator gives members time to be heard.
+fn is_too_early(view: &View<'_>, cx: &Cx<'_>) -> bool {
+    let is_pending = |m: &crate::MemberEntry| {
+        let session = m.session;
+        view.is_lost(session) && view.row.has_claims(session) && !view.is_over(session, cx)
+    };
+    let is_new = cx.now < view.since + cx.timing().silence_limit;
+    is_new || view.row.members.iter().any(is_pending)
+}
+
 /// Returns the row at the next epoch, with the present set among those to be sealed.
 pub(crate) fn replace_grantors(row: &CellRow, grantors: Vec<Grantor>) -> CellRow {
     let mut next = row.clone();
