--- /dev/null
+++ b/crates/stand-ins/src/backend/state.rs
@@ -0,0 +1,254 @@
+//! The decisions of the backend server stand-in: what it may run, and the log of what it ran.
+
+use std::sync::Arc;
+
+use model::Millis;
+use tokio::sync::Notify;
+
+use super::protocol::{Fences, Grant, Grants, Load, Mode, Phase, Run, RunEnd};
+
+/// Runs that the log holds at most; later ones are run but not logged.
+const MAX_RUNS: usize = 1_000_000;
+
+/// Why a request is refused before anything runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// All slots are in use, or the stand-in was told to shed.
+    Shed,
+    /// The fence is not that of the grant.
+    Fence,
+    /// No new work is taken.
+    Draining,
+    /// No time is left.
+    Deadline,
+    /// No grant in force covers the partition.
+    NotGranted,
+}
+
+impl Refused {
+    /// Returns the value of the header that tells the reason.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Shed => "shed",
+            Self::Fence => "fence",
+            Self::Draining => "draining",
+            Self::Deadline => "deadline",
+            Self::NotGranted => "not-granted",
+        }
+    }
+}
+
+/// What a request says about itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ask {
+    /// The key.
+    pub key: String,
+    /// The partition, unless the service is not divided by key.
+    pub partition: Option<u32>,
+    /// The fence of the host process.
+    pub fence: Option<u64>,
+    /// The request id.
+    pub request_id: Option<String>,
+    /// The number of the attempt.
+    pub call: Option<u64>,
+    /// The time left.
+    pub time_left: Option<Millis>,
+}
+
+/// A run that was started.
+#[derive(Clone, Debug)]
+pub struct Started {
+    /// Its index in the run log.
+    pub run: usize,
+    /// Rings when the run is cancelled.
+    pub cancelled: Arc<Notify>,
+}
+
+struct Running {
+    run: usize,
+    call: Option<u64>,
+    cancelled: Arc<Notify>,
+}
+
+/// The state of a backend server stand-in.
+pub struct State {
+    slots: u32,
+    fences: Fences,
+    cold_until: Millis,
+    draining: bool,
+    grants: Vec<Grant>,
+    grants_end: Millis,
+    highest: Vec<Grant>,
+    running: Vec<Running>,
+    runs: Vec<Run>,
+    started: usize,
+    mode: Mode,
+}
+
+impl State {
+    /// Makes the state of a server that is cold until `cold_until`.
+    pub fn new(slots: u32, fences: Fences, cold_until: Millis) -> Self {
+        Self {
+            slots,
+            fences,
+            cold_until,
+            draining: false,
+            grants: Vec::new(),
+            grants_end: Millis::ZERO,
+            highest: Vec::new(),
+            running: Vec::new(),
+            runs: Vec::new(),
+            started: 0,
+            mode: Mode::default(),
+        }
+    }
+}
+
+/// Queries.
+impl State {
+    /// Returns how far the server is in its life.
+    pub fn phase(&self, now: Millis) -> Phase {
+        match (self.draining, now < self.cold_until) {
+            (true, _) => Phase::Draining,
+            (false, true) => Phase::Cold,
+            (false, false) => Phase::Ready,
+        }
+    }
+
+    /// Returns the faults in force.
+    pub fn mode(&self) -> &Mode {
+        &self.mode
+    }
+
+    /// Returns every run so far.
+    pub fn runs(&self) -> &[Run] {
+        &self.runs
+    }
+
+    /// Returns the number of requests that run.
+    pub fn in_use(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the load that the server claims.
+    pub fn load(&self) -> Load {
+        let in_use = self.mode.claimed_in_use.unwrap_or_else(|| self.in_use());
+        Load { slots: self.slots, in_use }
+    }
+
+    /// Returns the health that the server claims.
+    pub fn is_healthy(&self) -> bool {
+        self.mode.claimed_healthy.unwrap_or(!self.draining)
+    }
+
+    /// Decides whether a request may run. `shed_draw` is a random number below 1,000.
+    fn check(&self, ask: &Ask, now: Millis, shed_draw: u32) -> Result<(), Refused> {
+        if self.draining {
+            return Err(Refused::Draining);
+        }
+        if ask.time_left == Some(Millis::ZERO) {
+            return Err(Refused::Deadline);
+        }
+        self.check_grant(ask, now)?;
+        if shed_draw < self.mode.shed_per_mille || self.in_use() >= self.slots {
+            return Err(Refused::Shed);
+        }
+        Ok(())
+    }
+
+    fn check_grant(&self, ask: &Ask, now: Millis) -> Result<(), Refused> {
+        let (Fences::Checked, Some(partition)) = (self.fences, ask.partition) else {
+            return Ok(());
+        };
+        let found = self.grants.binary_search_by_key(&partition, |g| g.partition);
+        let grant = found.ok().map(|index| self.grants[index]);
+        let grant = grant.filter(|_| now < self.grants_end).ok_or(Refused::NotGranted)?;
+        if ask.fence == Some(grant.fence) { Ok(()) } else { Err(Refused::Fence) }
+    }
+}
+
+/// Commands.
+impl State {
+    /// Starts a run, or says why not.
+    pub fn start(&mut self, ask: Ask, now: Millis, shed_draw: u32) -> Result<Started, Refused> {
+        self.check(&ask, now, shed_draw)?;
+        let run = self.started;
+        self.started += 1;
+        let cancelled = Arc::new(Notify::new());
+        self.running.push(Running { run, call: ask.call, cancelled: cancelled.clone() });
+        if run < MAX_RUNS {
+            self.runs.push(Run {
+                key: ask.key,
+                partition: ask.partition,
+                fence: ask.fence,
+                request_id: ask.request_id,
+                call: ask.call,
+                started_at_ms: now.0,
+                ended_at_ms: None,
+                end: None,
+            });
+        }
+        Ok(Started { run, cancelled })
+    }
+
+    /// Ends a run. Only the first end of a run counts.
+    pub fn end(&mut self, run: usize, end: RunEnd, now: Millis) {
+        self.running.retain(|r| r.run != run);
+        if let Some(entry) = self.runs.get_mut(run)
+            && entry.end.is_none()
+        {
+            entry.end = Some(end);
+            entry.ended_at_ms = Some(now.0);
+        }
+    }
+
+    /// Cancels the running attempts with this number and returns whether there were any.
+    pub fn cancel(&self, call: u64) -> bool {
+        let mut found = false;
+        for running in self.running.iter().filter(|r| r.call == Some(call)) {
+            running.cancelled.notify_one();
+            found = true;
+        }
+        found
+    }
+
+    /// Replaces the grants. Refused whole, with the partition, if a fence went back.
+    pub fn replace_grants(&mut self, grants: Grants, now: Millis) -> Result<(), u32> {
+        let mut list = grants.grants;
+        list.sort_by_key(|g| g.partition);
+        if let Some(twice) = list.windows(2).find(|pair| pair[0].partition == pair[1].partition) {
+            return Err(twice[0].partition);
+        }
+        if let Some(grant) = list.iter().find(|g| g.fence < self.highest_fence(g.partition)) {
+            return Err(grant.partition);
+        }
+        for grant in &list {
+            self.raise_fence(*grant);
+        }
+        self.grants = list;
+        self.grants_end = now + Millis(grants.time_left_ms);
+        Ok(())
+    }
+
+    /// Takes no new work from now on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Changes the faults in force.
+    pub fn set_mode(&mut self, mode: Mode) {
+        self.mode = mode;
+    }
+
+    fn highest_fence(&self, partition: u32) -> u64 {
+        let found = self.highest.binary_search_by_key(&partition, |g| g.partition);
+        found.map_or(0, |index| self.highest[index].fence)
+    }
+
+    fn raise_fence(&mut self, grant: Grant) {
+        match self.highest.binary_search_by_key(&grant.partition, |g| g.partition) {
+            Ok(index) => self.highest[index].fence = grant.fence,
+            Err(index) => self.highest.insert(index, grant),
+        }
+    }
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the platform and for backend servers, with faults on demand.
+
+pub mod backend;
