--- /dev/null
+++ b/crates/host/src/announce.rs
@@ -0,0 +1,62 @@
+//! The listener for the backend server on this host, which announces itself here.
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use model::ServiceName;
+use tokio::sync::mpsc;
+
+use crate::backend::{Announcement, Change};
+use crate::owner;
+use crate::shared::Cx;
+
+/// The longest announcement, in bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 4_096;
+
+/// Announcements that wait to be taken in.
+const WAITING_ANNOUNCEMENTS: usize = 16;
+
+#[derive(Clone)]
+struct AnnounceState {
+    service: ServiceName,
+    tx: mpsc::Sender<Announcement>,
+}
+
+/// Starts the listener and takes in what it hears.
+pub fn listen(listener: std::net::TcpListener, cx: &Cx) -> std::io::Result<actix_web::dev::Server> {
+    let (tx, rx) = mpsc::channel(WAITING_ANNOUNCEMENTS);
+    actix_rt::spawn(take_in(cx.clone(), rx));
+    let state = AnnounceState { service: cx.settings.cell.service.clone(), tx };
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(state.clone()))
+            .app_data(web::JsonConfig::default().limit(MAX_ANNOUNCEMENT_BYTES))
+            .route("/announce", web::post().to(announce))
+    });
+    Ok(server.workers(1).disable_signals().listen(listener)?.run())
+}
+
+async fn announce(body: web::Json<Announcement>, state: web::Data<AnnounceState>) -> HttpResponse {
+    let announcement = body.into_inner();
+    if announcement.service != state.service.as_str() {
+        let reason =
+            format!("found the service {:?}, expected {}", announcement.service, state.service);
+        return HttpResponse::UnprocessableEntity().body(reason);
+    }
+    match state.tx.send(announcement).await {
+        Ok(()) => HttpResponse::NoContent().finish(),
+        Err(_) => HttpResponse::ServiceUnavailable().body("the host process is stopping"),
+    }
+}
+
+async fn take_in(cx: Cx, mut rx: mpsc::Receiver<Announcement>) {
+    while let Some(announcement) = rx.recv().await {
+        let change = cx.backend.announced(&announcement, cx.now());
+        owner::backend_announced(&cx, change);
+    }
+}
+
+/// Notices that the backend server went silent.
+pub fn watch(cx: &Cx) {
+    if cx.backend.expire(cx.now()) == Change::Down {
+        owner::backend_lost(cx);
+    }
+}
--- /dev/null
+++ b/crates/host/src/decisions.rs
@@ -0,0 +1,56 @@
+//! The last decisions of this host process, kept for `explain`, logged and counted.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+
+use model::{Millis, Partition};
+use ownership::Decision;
+use serde::Serialize;
+
+/// How many decisions are kept.
+const KEPT_DECISIONS: usize = 2_000;
+
+/// A decision with the time at which it was made.
+#[derive(Clone, Debug, Serialize)]
+pub struct KeptDecision {
+    /// When, on this host's boot clock.
+    pub at: Millis,
+    /// The partition that it is about.
+    pub partition: Option<Partition>,
+    /// What was decided.
+    pub kind: &'static str,
+    /// Why.
+    pub reason: String,
+}
+
+/// A bounded log of decisions, newest last.
+#[derive(Default)]
+pub struct DecisionLog {
+    kept: RefCell<VecDeque<KeptDecision>>,
+}
+
+impl DecisionLog {
+    /// Logs, counts and keeps one decision.
+    pub fn record(&self, decision: Decision, now: Millis) {
+        let Decision { partition, kind, reason } = decision;
+        match partition {
+            Some(partition) => log::info!("ownership: {kind}, partition {partition}: {reason}"),
+            None => log::info!("ownership: {kind}: {reason}"),
+        }
+        metrics::counter!("papayarill_decisions_total", "kind" => kind).increment(1);
+        let mut kept = self.kept.borrow_mut();
+        if kept.len() == KEPT_DECISIONS {
+            kept.pop_front();
+        }
+        kept.push_back(KeptDecision { at: now, partition, kind, reason });
+    }
+
+    /// Returns the newest decisions about `partition`, oldest first, at most `limit`.
+    pub fn about(&self, partition: Partition, limit: usize) -> Vec<KeptDecision> {
+        let kept = self.kept.borrow();
+        let newest = kept.iter().rev().filter(|d| d.partition == Some(partition)).take(limit);
+        let mut found: Vec<KeptDecision> = newest.cloned().collect();
+        found.reverse();
+        found
+    }
+}
--- /dev/null
+++ b/crates/host/src/ingress.rs
@@ -0,0 +1,295 @@
+//! What a host does as ingress: it finds the owner, passes the request on over at most one hop,
+//! and decides after each attempt whether another one is allowed.
+
+use actix::{Actor, Context, Handler, Message, ResponseFuture};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use model::{CellId, HostAddr, Millis, NotRunReason, Outcome, Partition, RequestId, ServiceName};
+use ownership::RoutesVersion;
+use routing::answer::DEFAULT_RETRY_AFTER;
+use routing::retry::{Attempts, Budget, Failure, RetryContext, Route, Servers, Step};
+use routing::rules::Matched;
+use tokio::sync::{mpsc, oneshot};
+use wire::{AnswerHead, Body, BodyError, ForwardHead};
+
+use crate::owner::{self, OwnerOutcome};
+use crate::routes;
+use crate::shared::Cx;
+
+/// Requests that may wait in the actor's mailbox.
+const MAILBOX_CAPACITY: usize = 4_096;
+
+/// The body of an answer on its way to the HTTP thread.
+pub type Chunks = mpsc::Receiver<Result<Bytes, BodyError>>;
+
+/// Chunks of an answer that wait for a slow caller.
+const ANSWER_CHUNKS: usize = 4;
+
+/// A checked request of a caller.
+pub struct CallerRequest {
+    /// The service.
+    pub service: ServiceName,
+    /// The partition; `None` if any backend server may run the request.
+    pub partition: Option<Partition>,
+    /// The id, if the request runs at most once.
+    pub id: Option<RequestId>,
+    /// The digest of the request.
+    pub digest: u64,
+    /// The rule that matched.
+    pub matched: Matched,
+    /// The time that the caller gives, at most the rule's limit.
+    pub time_limit: Millis,
+    /// The HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// The headers to pass on.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The whole body.
+    pub body: Bytes,
+    /// Held by the caller's connection; dropping it ends the work.
+    pub keep: Option<oneshot::Sender<()>>,
+    /// Resolves when the caller went away.
+    pub gone: oneshot::Receiver<()>,
+}
+
+impl Message for CallerRequest {
+    type Result = Served;
+}
+
+/// What came of a caller's request.
+#[derive(actix::MessageResponse)]
+pub struct Served {
+    /// The outcome; the body of an answer comes in chunks.
+    pub outcome: Outcome<(AnswerHead, Chunks)>,
+    /// When sending again makes sense.
+    pub retry_after: Millis,
+}
+
+/// The actor that takes callers' requests from the HTTP threads.
+pub struct Ingress {
+    cx: Cx,
+}
+
+impl Ingress {
+    /// Makes the actor.
+    pub fn new(cx: Cx) -> Self {
+        Self { cx }
+    }
+}
+
+impl Actor for Ingress {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(MAILBOX_CAPACITY);
+    }
+}
+
+impl Handler<CallerRequest> for Ingress {
+    type Result = ResponseFuture<Served>;
+
+    fn handle(&mut self, mut req: CallerRequest, _: &mut Self::Context) -> Self::Result {
+        let cx = self.cx.clone();
+        Box::pin(async move {
+            let mut gone = std::mem::replace(&mut req.gone, oneshot::channel().1);
+            let outcome = tokio::select! {
+                outcome = Job::new(&cx, req).run() => outcome,
+                _ = &mut gone => Outcome::NotRun(NotRunReason::Abandoned),
+            };
+            count(&outcome);
+            Served { outcome: outcome.map(pipe), retry_after: DEFAULT_RETRY_AFTER }
+        })
+    }
+}
+
+fn count<T>(outcome: &Outcome<T>) {
+    let told = match outcome {
+        Outcome::Ran(_) => "ran",
+        Outcome::NotRun(_) => "not-run",
+        Outcome::Unknown(_) => "unknown",
+    };
+    metrics::counter!("papayarill_requests_total", "outcome" => told).increment(1);
+}
+
+/// Carries the body to the HTTP thread. A slow caller slows the body down; one that goes away
+/// drops it.
+fn pipe((head, mut body): (AnswerHead, Body)) -> (AnswerHead, Chunks) {
+    let (tx, rx) = mpsc::channel(ANSWER_CHUNKS);
+    actix_rt::spawn(async move {
+        loop {
+            let chunk = tokio::select! {
+                chunk = body.next() => chunk,
+                () = tx.closed() => return,
+            };
+            let Some(chunk) = chunk else {
+                return;
+            };
+            if tx.send(chunk).await.is_err() {
+                return;
+            }
+        }
+    });
+    (head, rx)
+}
+
+/// One request on its way, with all its attempts.
+struct Job<'a> {
+    cx: &'a Cx,
+    req: CallerRequest,
+    deadline: Millis,
+    attempts: Attempts,
+}
+
+/// Where an attempt goes.
+#[derive(Clone, Copy)]
+struct Target {
+    addr: HostAddr,
+    /// The version of the table that named the owner; `None` if any server may serve.
+    route: Option<RoutesVersion>,
+}
+
+impl<'a> Job<'a> {
+    fn new(cx: &'a Cx, req: CallerRequest) -> Self {
+        let deadline = cx.now() + req.time_limit;
+        Self { cx, req, deadline, attempts: Attempts::default() }
+    }
+
+    async fn run(mut self) -> OwnerOutcome {
+        self.cx.routes.with_budget(&self.req.service, self.cx, Budget::first_attempt);
+        loop {
+            let target = self.target();
+            let outcome = match target {
+                Some(target) => self.attempt(target).await,
+                None => Outcome::NotRun(NotRunReason::NoOwner),
+            };
+            let failure = match &outcome {
+                Outcome::Ran(_) => return outcome,
+                Outcome::NotRun(reason) => Failure::NotRun(*reason),
+                Outcome::Unknown(reason) => Failure::Unknown(*reason),
+            };
+            if !self.prepare_next(failure, target).await {
+                return outcome;
+            }
+        }
+    }
+
+    /// Waits as the retry policy says. Returns whether another attempt is allowed.
+    async fn prepare_next(&mut self, failure: Failure, target: Option<Target>) -> bool {
+        let mut step = self.step(|a, cx, budget| a.next_step(failure, cx, budget));
+        loop {
+            log::info!("routing: {} got {failure:?}, so {step:?}.", self.name());
+            match step {
+                Step::Answer(_) => return false,
+                Step::SendAgain { after } => {
+                    tokio::time::sleep(after.into()).await;
+                    metrics::counter!("papayarill_resends_total").increment(1);
+                    return true;
+                }
+                Step::AwaitRoute { at_most } => {
+                    let route = self.await_route(target, at_most).await;
+                    step = self.step(|a, cx, budget| a.after_wait(route, cx, budget));
+                }
+            }
+        }
+    }
+
+    fn step(
+        &mut self,
+        decide: impl FnOnce(&mut Attempts, &RetryContext, &mut Budget) -> Step,
+    ) -> Step {
+        let retry_cx = RetryContext {
+            repeat: self.req.matched.repeat,
+            servers: self.servers(),
+            time_left: self.time_left(),
+            random: rand::random(),
+        };
+        let attempts = &mut self.attempts;
+        self.cx
+            .routes
+            .with_budget(&self.req.service, self.cx, |budget| decide(attempts, &retry_cx, budget))
+    }
+
+    async fn await_route(&self, target: Option<Target>, at_most: Millis) -> Route {
+        let Some(cell) = self.cell() else {
+            return Route::Same;
+        };
+        let known = match target {
+            Some(target) => target.route,
+            None => routes::version(self.cx, &cell),
+        };
+        routes::await_newer(self.cx, &cell, known, at_most).await
+    }
+
+    fn servers(&self) -> Servers {
+        if self.req.partition.is_some() { Servers::Owner } else { Servers::Any }
+    }
+
+    fn time_left(&self) -> Millis {
+        self.deadline.since(self.cx.now())
+    }
+
+    fn cell(&self) -> Option<CellId> {
+        let partition = self.req.partition?;
+        Some(self.cx.service(&self.req.service)?.cell_of(partition))
+    }
+
+    fn name(&self) -> String {
+        let service = &self.req.service;
+        match self.req.partition {
+            Some(partition) => format!("A request of {service}, partition {partition},"),
+            None => format!("A request of {service}"),
+        }
+    }
+
+    fn target(&self) -> Option<Target> {
+        let Some(partition) = self.req.partition else {
+            let addr = routes::choose(self.cx, &self.req.service)?;
+            return Some(Target { addr, route: None });
+        };
+        let cell = self.cell()?;
+        let route = routes::known(self.cx, &cell, partition)?;
+        Some(Target { addr: route.owner, route: routes::version(self.cx, &cell) })
+    }
+
+    async fn attempt(&self, target: Target) -> OwnerOutcome {
+        let time_left = self.time_left();
+        if time_left == Millis::ZERO {
+            return Outcome::NotRun(NotRunReason::Deadline);
+        }
+        log::info!("routing: {} goes to {}.", self.name(), target.addr);
+        let head = self.head(time_left);
+        let body = self.req.body.clone();
+        let started_at = self.cx.now();
+        if target.route.is_none() {
+            routes::started(self.cx, &self.req.service, target.addr);
+        }
+        let outcome = if target.addr == self.cx.addr {
+            owner::run(self.cx, head, body).await
+        } else {
+            metrics::counter!("papayarill_hops_total").increment(1);
+            self.cx.client.forward(target.addr, head, body).await
+        };
+        if target.route.is_none() {
+            routes::finished(self.cx, &self.req.service, target.addr, started_at, &outcome);
+        }
+        outcome
+    }
+
+    fn head(&self, time_left: Millis) -> ForwardHead {
+        let req = &self.req;
+        ForwardHead {
+            service: req.service.clone(),
+            partition: req.partition,
+            id: req.id,
+            digest: req.digest,
+            priority: req.matched.priority,
+            time_left,
+            rule: req.matched.index,
+            method: req.method.clone(),
+            target: req.target.clone(),
+            headers: req.headers.clone(),
+            body_length: u64::try_from(req.body.len()).unwrap_or(u64::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/membership.rs
@@ -0,0 +1,212 @@
+//! The actor that drives this host's part in its cell.
+//!
+//! It owns no decision. It feeds events to the [`ownership::Node`] and carries out the commands
+//! that come back.
+
+use std::time::Duration;
+
+use actix::{Actor, AsyncContext, Context, Handler, Message as ActorMessage, StreamHandler};
+use model::{HostAddr, Millis};
+use ownership::{Command, Event, Message};
+use platform::WriteError;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use wire::{Call, Reply};
+
+use crate::shared::Cx;
+use crate::{announce, owner};
+
+/// The pause between two ticks of the protocol.
+const TICK: Duration = Duration::from_millis(20);
+
+/// How long another host process may take to answer a message of the protocol.
+const MESSAGE_TIME_LIMIT: Millis = Millis(700);
+
+/// Drives this host's part in its cell.
+pub struct Membership {
+    cx: Cx,
+    /// Wall time less boot time when it was last looked at.
+    clock_offset: i128,
+}
+
+/// A message of the protocol from another host process. The answers go back on the same stream.
+pub struct Incoming {
+    /// The sender.
+    pub from: HostAddr,
+    /// The message.
+    pub message: Message,
+}
+
+impl ActorMessage for Incoming {
+    type Result = Answers;
+}
+
+/// The answers to an incoming message.
+#[derive(actix::MessageResponse)]
+pub struct Answers(pub Vec<Message>);
+
+impl Membership {
+    /// Makes the actor.
+    pub fn new(cx: Cx) -> Self {
+        let clock_offset = clock_offset(&cx);
+        Self { cx, clock_offset }
+    }
+
+    /// Starts the actor on this thread.
+    pub fn launch(self, events: tokio::sync::mpsc::UnboundedReceiver<Event>) -> actix::Addr<Self> {
+        Self::create(|ctx| {
+            ctx.add_stream(UnboundedReceiverStream::new(events));
+            self
+        })
+    }
+
+    fn handle_event(&self, event: Event) -> Vec<Command> {
+        if !self.cx.joined.get() {
+            return Vec::new();
+        }
+        let now = self.cx.now();
+        self.cx.node.borrow_mut().handle(event, now)
+    }
+
+    fn feed(&self, event: Event) {
+        for command in self.handle_event(event) {
+            self.carry_out(command);
+        }
+    }
+
+    fn carry_out(&self, command: Command) {
+        let cx = &self.cx;
+        match command {
+            Command::Send { to, message } => send(cx, to, message),
+            Command::ReadRow => read_row(cx),
+            Command::WriteRow { expected, row } => write_row(cx, expected, row),
+            Command::Serve { partition, fence, origin } => {
+                owner::serve(cx, partition, fence, origin);
+            }
+            Command::Quiesce { partition, fence, next, time_limit } => {
+                owner::quiesce(cx, partition, fence, next, time_limit);
+            }
+            Command::Resume { partition, fence } => owner::resume(cx, partition, fence),
+            Command::StopAll => owner::stop_all(cx),
+            Command::ConfigKnown { version, as_of } => {
+                crate::config_watch::known(cx, version, as_of);
+            }
+            Command::Drained => cx.drained.notify_one(),
+            Command::Record(decision) => cx.decisions.record(decision, cx.now()),
+        }
+    }
+
+    /// Tells the node if wall time and boot time moved apart: this host was stopped, or its clock
+    /// was set, in a way that the lease must not survive.
+    fn check_clocks(&mut self) {
+        let offset = clock_offset(&self.cx);
+        let moved = offset.abs_diff(self.clock_offset);
+        let margin = u128::from(self.cx.settings.timing.drift_margin.0);
+        self.clock_offset = offset;
+        if moved > margin {
+            log::warn!("membership: The wall clock moved by {moved} ms.");
+            self.feed(Event::ClockJumped);
+        }
+    }
+}
+
+fn clock_offset(cx: &Cx) -> i128 {
+    i128::from(cx.wall.now().0) - i128::from(cx.now().0)
+}
+
+impl Actor for Membership {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.run_interval(TICK, |this, _| {
+            this.check_clocks();
+            this.feed(Event::Tick);
+        });
+        let pause = Duration::from(self.cx.settings.timing.renew_interval);
+        ctx.run_interval(pause, |this, _| {
+            announce::watch(&this.cx);
+            this.feed(Event::Reported(owner::report(&this.cx)));
+            owner::send_grants(&this.cx);
+        });
+    }
+}
+
+impl StreamHandler<Event> for Membership {
+    fn handle(&mut self, event: Event, _ctx: &mut Self::Context) {
+        self.feed(event);
+    }
+}
+
+impl Handler<Incoming> for Membership {
+    type Result = Answers;
+
+    fn handle(&mut self, incoming: Incoming, _ctx: &mut Self::Context) -> Answers {
+        let Incoming { from, message } = incoming;
+        let mut answers = Vec::new();
+        for command in self.handle_event(Event::Received { from, message }) {
+            match command {
+                Command::Send { to, message } if to == from => answers.push(message),
+                other => self.carry_out(other),
+            }
+        }
+        Answers(answers)
+    }
+}
+
+/// Sends a message and feeds back what the receiver answers on the same stream.
+fn send(cx: &Cx, to: HostAddr, message: Message) {
+    if to == cx.addr {
+        cx.feed(Event::Received { from: to, message });
+        return;
+    }
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        let call = Call::Ownership { from: cx.addr, cell: cx.settings.cell.clone(), message };
+        match cx.client.call(to, call, MESSAGE_TIME_LIMIT).await {
+            Ok(Reply::Messages(answers)) => {
+                for message in answers {
+                    cx.feed(Event::Received { from: to, message });
+                }
+            }
+            Ok(other) => log::warn!("membership: {to} answered with {other:?}."),
+            Err(error) => log::debug!("membership: No answer from {to}: {error}."),
+        }
+    });
+}
+
+fn read_row(cx: &Cx) {
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        metrics::counter!("papayarill_store_reads_total").increment(1);
+        let event = match cx.platform.read_row(&cx.settings.cell).await {
+            Ok(row) => Event::RowRead(row),
+            Err(error) => {
+                log::warn!("platform: The row could not be read: {error}.");
+                Event::RowReadFailed
+            }
+        };
+        cx.feed(event);
+    });
+}
+
+fn write_row(cx: &Cx, expected: Option<model::RowVersion>, row: ownership::CellRow) {
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        metrics::counter!("papayarill_store_writes_total").increment(1);
+        let event = match cx.platform.write_row(&cx.settings.cell, expected, &row).await {
+            Ok(version) => Event::RowWritten(version),
+            Err(error) => {
+                log::warn!("platform: The row was not written: {error}.");
+                write_event(&error)
+            }
+        };
+        cx.feed(event);
+    });
+}
+
+fn write_event(error: &WriteError) -> Event {
+    match error {
+        WriteError::Conflict => Event::RowConflict,
+        WriteError::Failed { .. } => Event::RowWriteFailed,
+        WriteError::Unknown { .. } => Event::RowWriteUnknown,
+    }
+}
--- /dev/null
+++ b/crates/host/src/owner/claims.rs
@@ -0,0 +1,134 @@
+//! Carries out what the ownership protocol decides about this host's partitions.
+
+use model::{Fence, HostAddr, Millis, Partition};
+use ownership::{Event, Origin};
+use routing::records::Handed;
+use wire::{Call, Handover, Reply};
+
+use crate::backend::{FenceCheck, Grant, Grants};
+use crate::shared::Cx;
+
+/// How long the next owner may take to take request records over.
+const HANDOVER_TIME_LIMIT: Millis = Millis(1_000);
+
+/// Starts to serve a partition.
+pub fn serve(cx: &Cx, partition: Partition, fence: Fence, origin: Origin) {
+    let started = cx.owner.records.borrow_mut().start(partition, origin, cx.wall.now());
+    log::info!("owner: Serves partition {partition} under fence {fence}: {started:?}.");
+    cx.owner.closing.borrow_mut().retain(|p| *p != partition);
+    send_grants(cx);
+}
+
+/// Takes request records of a partition that is about to be assigned to this host.
+pub fn take_handover(cx: &Cx, handover: Handover) {
+    let Handover { cell, partition, fence, vouched_from, records } = handover;
+    if cell != cx.settings.cell {
+        return;
+    }
+    let handed = Handed { fence, vouched_from, records };
+    cx.owner.records.borrow_mut().adopt(partition, handed, cx.wall.now());
+}
+
+/// Goes on with a partition that was being released.
+pub fn resume(cx: &Cx, partition: Partition, fence: Fence) {
+    log::info!("owner: Resumes partition {partition} under fence {fence}.");
+    cx.owner.records.borrow_mut().resume(partition);
+    cx.owner.closing.borrow_mut().retain(|p| *p != partition);
+    send_grants(cx);
+}
+
+/// Stops everything at once: the lease is lost.
+pub fn stop_all(cx: &Cx) {
+    log::warn!("owner: Stops serving all partitions.");
+    cx.owner.records.borrow_mut().drop_all();
+    cx.owner.closing.borrow_mut().clear();
+    // Dropping an entry cancels its request.
+    let keyed = |i: &super::InFlight| i.partition.is_some();
+    cx.owner.in_flight.borrow_mut().retain(|i| !keyed(i));
+    send_grants(cx);
+}
+
+/// Takes no new work for a partition, waits until what runs has ended, and hands the records on.
+pub fn quiesce(
+    cx: &Cx,
+    partition: Partition,
+    fence: Fence,
+    next: Option<HostAddr>,
+    time_limit: Millis,
+) {
+    let cx = cx.clone();
+    cx.owner.closing.borrow_mut().push(partition);
+    actix_rt::spawn(async move {
+        let quiet = tokio::time::timeout(time_limit.into(), quiet(&cx, partition)).await;
+        if quiet.is_err() {
+            log::warn!("owner: Cancels what still runs for partition {partition}.");
+            cx.owner.in_flight.borrow_mut().retain(|i| i.partition != Some(partition));
+        }
+        if !cx.owner.is_closing(partition) {
+            return;
+        }
+        let handed_over = hand_over(&cx, partition, fence, next).await;
+        cx.feed(Event::Quiesced { partition, fence, handed_over });
+        send_grants(&cx);
+    });
+}
+
+/// Waits until no request of the partition runs at the backend server.
+async fn quiet(cx: &Cx, partition: Partition) {
+    loop {
+        let finished = cx.owner.finished.notified();
+        let busy = cx.owner.in_flight.borrow().iter().any(|i| i.partition == Some(partition));
+        let recorded = cx.owner.records.borrow().running(partition) > 0;
+        if !busy && !recorded {
+            return;
+        }
+        finished.await;
+    }
+}
+
+async fn hand_over(cx: &Cx, partition: Partition, fence: Fence, next: Option<HostAddr>) -> bool {
+    let handed = cx.owner.records.borrow_mut().hand_over(partition, cx.wall.now());
+    let (Some(next), Some((vouched_from, records))) = (next, handed) else {
+        return false;
+    };
+    let cell = cx.settings.cell.clone();
+    let handover = Handover { cell, partition, fence, vouched_from, records };
+    let call = Call::Handover(handover);
+    match cx.client.call(next, call, HANDOVER_TIME_LIMIT).await {
+        Ok(Reply::Done) => true,
+        Ok(other) => {
+            log::warn!("owner: {next} did not take the records of {partition}: {other:?}.");
+            false
+        }
+        Err(error) => {
+            log::warn!("owner: {next} did not take the records of {partition}: {error}.");
+            false
+        }
+    }
+}
+
+/// Tells a backend server that checks fences what it may serve, and until when.
+pub fn send_grants(cx: &Cx) {
+    let Some(view) = cx.backend.view() else {
+        return;
+    };
+    if view.fences == FenceCheck::Unchecked {
+        return;
+    }
+    let grants = current_grants(cx);
+    let cx = cx.clone();
+    actix_rt::spawn(async move { cx.backend.grant(view.addr, &grants).await });
+}
+
+fn current_grants(cx: &Cx) -> Grants {
+    let now = cx.now();
+    let node = cx.node.borrow();
+    let lease = node.lease(now);
+    let time_left_ms = lease.map_or(0, |(_, end)| end.since(now).0);
+    let (first, end) = node.settings().partitions;
+    let grants = (first.0..end.0).filter_map(|index| {
+        let partition = Partition(index);
+        node.serves(partition, now).map(|fence| Grant { partition, fence })
+    });
+    Grants { grants: grants.collect(), time_left_ms }
+}
--- /dev/null
+++ b/crates/host/src/owner/mod.rs
@@ -0,0 +1,244 @@
+//! What a host does as owner: it admits requests, runs them at its backend server and keeps the
+//! records of those that run at most once.
+
+mod claims;
+mod execute;
+mod once;
+mod permit;
+
+use std::cell::{Cell, RefCell};
+
+use admission::{Limits, Quarantine, QuarantineLimits, QuarantineState, Queue};
+use bytes::Bytes;
+use model::{Millis, Outcome, Partition};
+use ownership::{PartitionReport, Report};
+use routing::records::{RecordSettings, Records};
+use tokio::sync::{Notify, oneshot};
+use wire::{AnswerHead, Body, Call, ForwardHead};
+
+use crate::backend::Change;
+use crate::shared::Cx;
+
+pub use claims::{quiesce, resume, send_grants, serve, stop_all, take_handover};
+
+/// The answer of an owner.
+pub type OwnerOutcome = Outcome<(AnswerHead, Body)>;
+
+/// The slots of a backend server that has not announced itself yet.
+const UNKNOWN_SLOTS: u32 = 1;
+
+/// How long another host process may take to note a quarantine.
+const TELL_TIME_LIMIT: Millis = Millis(1_000);
+
+/// The state of a host as owner.
+pub struct Owner {
+    records: RefCell<Records>,
+    queue: RefCell<Queue>,
+    quarantine: RefCell<Quarantine>,
+    waiting: RefCell<Vec<(u64, oneshot::Sender<permit::Go>)>>,
+    in_flight: RefCell<Vec<InFlight>>,
+    closing: RefCell<Vec<Partition>>,
+    demand: RefCell<Vec<PartitionDemand>>,
+    next_call: Cell<u64>,
+    finished: Notify,
+}
+
+/// A request that runs at the backend server right now.
+struct InFlight {
+    call: u64,
+    partition: Option<Partition>,
+    digest: u64,
+    /// Dropping this cancels the request.
+    _keep: oneshot::Sender<()>,
+}
+
+/// How many requests of a partition came since the last report.
+struct PartitionDemand {
+    partition: Partition,
+    requests: u64,
+    millirequests_per_second: u64,
+}
+
+impl Owner {
+    /// Makes an owner that owns nothing.
+    pub fn new() -> Self {
+        Self {
+            records: RefCell::new(Records::new(RecordSettings::default())),
+            queue: RefCell::new(Queue::new(Limits::builder(UNKNOWN_SLOTS).build())),
+            quarantine: RefCell::new(Quarantine::new(QuarantineLimits::default())),
+            waiting: RefCell::new(Vec::new()),
+            in_flight: RefCell::new(Vec::new()),
+            closing: RefCell::new(Vec::new()),
+            demand: RefCell::new(Vec::new()),
+            next_call: Cell::new(1),
+            finished: Notify::new(),
+        }
+    }
+
+    /// Returns how many requests run at the backend server.
+    pub fn running(&self) -> usize {
+        self.in_flight.borrow().len()
+    }
+
+    /// Returns how many requests wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    fn is_closing(&self, partition: Partition) -> bool {
+        self.closing.borrow().contains(&partition)
+    }
+
+    fn next_call(&self) -> u64 {
+        let call = self.next_call.get();
+        self.next_call.set(call + 1);
+        call
+    }
+
+    /// Counts a request of a partition.
+    fn count(&self, partition: Partition) {
+        let mut demand = self.demand.borrow_mut();
+        match demand.binary_search_by_key(&partition, |d| d.partition) {
+            Ok(index) => demand[index].requests += 1,
+            Err(index) => {
+                let fresh = PartitionDemand { partition, requests: 1, millirequests_per_second: 0 };
+                demand.insert(index, fresh);
+            }
+        }
+    }
+}
+
+impl Default for Owner {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Runs a request that came to this host as the owner of its key, or as one of the hosts that may
+/// serve it.
+pub async fn run(cx: &Cx, head: ForwardHead, body: Bytes) -> OwnerOutcome {
+    match head.id {
+        Some(id) => once::run(cx, id, head, body).await,
+        None => execute::run(cx, head, body).await,
+    }
+}
+
+/// Returns what this member reports about itself with its next renewals.
+pub fn report(cx: &Cx) -> Report {
+    let slots = cx.backend.view().map_or(0, |v| v.slots);
+    Report {
+        slots,
+        slots_in_use: u32::try_from(cx.owner.running()).unwrap_or(u32::MAX),
+        draining: cx.draining.get(),
+        partitions: partition_reports(cx),
+    }
+}
+
+/// Halves the old rate and adds half of the new one, so that a rate follows within a second.
+fn partition_reports(cx: &Cx) -> Vec<PartitionReport> {
+    let interval = cx.settings.timing.renew_interval.0.max(1);
+    let mut demand = cx.owner.demand.borrow_mut();
+    for entry in demand.iter_mut() {
+        let newest = entry.requests * 1_000_000 / interval;
+        entry.millirequests_per_second = (entry.millirequests_per_second + newest) / 2;
+        entry.requests = 0;
+    }
+    demand.retain(|d| cx.serves(d.partition).is_some());
+    demand
+        .iter()
+        .map(|d| PartitionReport {
+            partition: d.partition,
+            millirequests_per_second: d.millirequests_per_second,
+        })
+        .collect()
+}
+
+/// Takes in what an announcement of the backend server changed.
+pub fn backend_announced(cx: &Cx, change: Change) {
+    let Some(view) = cx.backend.view() else {
+        return;
+    };
+    if change == Change::Up {
+        log::info!("backend: {} is up with {} slots.", view.addr, view.slots);
+        cx.feed(ownership::Event::Reported(report(cx)));
+        send_grants(cx);
+    }
+    cx.owner.queue.borrow_mut().set_slots(view.slots);
+    tick(cx);
+}
+
+/// Lets time pass for the queue.
+pub fn tick(cx: &Cx) {
+    let actions = cx.owner.queue.borrow_mut().tick(cx.now());
+    permit::carry_out(cx, actions);
+}
+
+/// Forgets request records that are past their retention time.
+pub fn expire_records(cx: &Cx) {
+    cx.owner.records.borrow_mut().expire(cx.wall.now());
+}
+
+/// Takes in that the backend server is down: nobody waits for a lease to end.
+pub fn backend_lost(cx: &Cx) {
+    log::warn!("backend: The backend server is down.");
+    metrics::counter!("papayarill_backend_losses_total").increment(1);
+    let suspects: Vec<u64> = cx.owner.in_flight.borrow().iter().map(|i| i.digest).collect();
+    crash(cx, &suspects);
+    cx.feed(ownership::Event::Reported(report(cx)));
+}
+
+fn crash(cx: &Cx, in_flight: &[u64]) {
+    let report = cx.owner.quarantine.borrow_mut().crashed(in_flight, cx.now());
+    let service = &cx.settings.cell.service;
+    if !report.suspects.is_empty() {
+        log::warn!("quarantine: {} requests are suspects.", report.suspects.len());
+        let digests = report.suspects;
+        tell_cell(cx, &Call::Suspects { service: service.clone(), digests });
+    }
+    for digest in report.quarantined {
+        log::warn!("quarantine: Request {digest:x} crashed backend servers twice.");
+        metrics::counter!("papayarill_quarantines_total").increment(1);
+        let time_left = QuarantineLimits::default().quarantine;
+        tell_cell(cx, &Call::Quarantine { service: service.clone(), digest, time_left });
+    }
+}
+
+/// Tells the other members of the cell about requests that crash backend servers.
+fn tell_cell(cx: &Cx, call: &Call) {
+    let members = cx.node.borrow().routes().members.clone();
+    for (addr, _) in members.into_iter().filter(|(addr, _)| *addr != cx.addr) {
+        let cx = cx.clone();
+        let call = call.clone();
+        actix_rt::spawn(async move {
+            if let Err(error) = cx.client.call(addr, call, TELL_TIME_LIMIT).await {
+                log::warn!("quarantine: {addr} was not told: {error}.");
+            }
+        });
+    }
+}
+
+/// Takes in which requests were in flight when another member's backend server crashed.
+pub fn learn_suspects(cx: &Cx, digests: &[u64]) {
+    cx.owner.quarantine.borrow_mut().suspected(digests, cx.now());
+}
+
+/// Takes in what another member says about a request that crashes backend servers.
+pub fn learn_quarantine(cx: &Cx, digest: u64, time_left: Millis) {
+    log::warn!("quarantine: Heard of request {digest:x}, {time_left} ms left.");
+    cx.owner.quarantine.borrow_mut().learned(digest, time_left, cx.now());
+}
+
+/// Lets a quarantined request run again, on all members of the cell.
+pub fn lift_quarantine(cx: &Cx, digest: u64) {
+    log::info!("quarantine: An operator lifted the quarantine of request {digest:x}.");
+    cx.owner.quarantine.borrow_mut().lift(digest);
+    let service = cx.settings.cell.service.clone();
+    tell_cell(cx, &Call::Quarantine { service, digest, time_left: Millis::ZERO });
+}
+
+/// Returns the digests of the requests that are refused.
+pub fn quarantined(cx: &Cx) -> Vec<u64> {
+    let listed = cx.owner.quarantine.borrow().list(cx.now());
+    let refused = listed.into_iter().filter(|q| q.state == QuarantineState::Quarantined);
+    refused.map(|q| q.digest).collect()
+}
--- /dev/null
+++ b/crates/host/src/owner/permit.rs
@@ -0,0 +1,189 @@
+//! A place at the backend server, from the queue to the end of the answer.
+
+use admission::{Action, Finish, Job, Start, Verdict};
+use model::{Millis, NotRunReason};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use wire::ForwardHead;
+
+use super::InFlight;
+use crate::shared::Cx;
+
+/// The pause before a suspect request asks again whether it may start.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(5);
+
+/// What a queued request is told.
+pub(super) enum Go {
+    /// Start now.
+    Start,
+    /// It was not run.
+    Refuse(NotRunReason),
+}
+
+/// The right to run one request at the backend server. Dropping it gives the slot back.
+pub(super) struct Permit {
+    cx: Cx,
+    /// Identifies the attempt towards the queue and the backend server.
+    pub call: u64,
+    digest: u64,
+    end: Finish,
+    stage: Stage,
+}
+
+/// How far a permit's request has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// It was not sent to the backend server.
+    Admitted,
+    /// The backend server may be working on it.
+    Sent,
+    /// The backend server is done with it.
+    Done,
+}
+
+impl Permit {
+    /// Notes that the request goes to the backend server now. The receiver resolves when the
+    /// request is to be cancelled.
+    pub fn sent(&mut self, head: &ForwardHead) -> oneshot::Receiver<()> {
+        self.stage = Stage::Sent;
+        let (keep, cancelled) = oneshot::channel();
+        let entry = InFlight {
+            call: self.call,
+            partition: head.partition,
+            digest: self.digest,
+            _keep: keep,
+        };
+        self.cx.owner.in_flight.borrow_mut().push(entry);
+        cancelled
+    }
+
+    /// Notes how the request ended. Without this it counts as cut short.
+    pub fn done(&mut self, end: Finish) {
+        self.stage = Stage::Done;
+        self.end = end;
+        if end == Finish::Ran {
+            self.cx.owner.quarantine.borrow_mut().completed(self.digest);
+        }
+    }
+
+    /// Returns whether the request is still on its way or runs.
+    pub fn is_open(&self) -> bool {
+        self.stage == Stage::Sent
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if self.is_open() {
+            cancel(&self.cx, self.call);
+        }
+        self.cx.owner.quarantine.borrow_mut().not_run(self.digest);
+        self.cx.owner.in_flight.borrow_mut().retain(|i| i.call != self.call);
+        let actions = self.cx.owner.queue.borrow_mut().finish(self.call, self.end, self.cx.now());
+        carry_out(&self.cx, actions);
+        self.cx.owner.finished.notify_waiters();
+    }
+}
+
+/// Tells the backend server that nobody waits for this answer.
+fn cancel(cx: &Cx, call: u64) {
+    let Some(view) = cx.backend.view() else {
+        return;
+    };
+    let cx = cx.clone();
+    actix_rt::spawn(async move { cx.backend.cancel(view.addr, call).await });
+}
+
+/// Gives up the place in the queue if its future is dropped.
+struct Place {
+    cx: Cx,
+    call: u64,
+    kept: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.kept {
+            return;
+        }
+        self.cx.owner.waiting.borrow_mut().retain(|(call, _)| *call != self.call);
+        let actions = self.cx.owner.queue.borrow_mut().abandon(self.call, self.cx.now());
+        carry_out(&self.cx, actions);
+    }
+}
+
+/// Waits for a place at the backend server.
+pub(super) async fn admit(
+    cx: &Cx,
+    head: &ForwardHead,
+    deadline: Millis,
+) -> Result<Permit, NotRunReason> {
+    pass_quarantine(cx, head.digest, deadline).await?;
+    let call = cx.owner.next_call();
+    let now = cx.now();
+    let time_left = deadline.since(now);
+    let job = Job { id: call, priority: head.priority, rule: head.rule, time_left };
+    let verdict = cx.owner.queue.borrow_mut().offer(job, now);
+    match verdict {
+        Verdict::Start => {}
+        Verdict::Refused { reason, .. } => {
+            metrics::counter!("papayarill_refused_total", "reason" => reason.to_string())
+                .increment(1);
+            return Err(reason);
+        }
+        Verdict::Queued => wait_for_slot(cx, call).await?,
+    }
+    let digest = head.digest;
+    Ok(Permit { cx: cx.clone(), call, digest, end: Finish::Failed, stage: Stage::Admitted })
+}
+
+async fn wait_for_slot(cx: &Cx, call: u64) -> Result<(), NotRunReason> {
+    let (tx, rx) = oneshot::channel();
+    cx.owner.waiting.borrow_mut().push((call, tx));
+    let mut place = Place { cx: cx.clone(), call, kept: false };
+    let go = rx.await;
+    place.kept = true;
+    match go {
+        Ok(Go::Start) => Ok(()),
+        Ok(Go::Refuse(reason)) => Err(reason),
+        Err(_) => Err(NotRunReason::Overloaded),
+    }
+}
+
+/// Lets a request pass that is not suspected of crashing backend servers. Suspects go one by one.
+async fn pass_quarantine(cx: &Cx, digest: u64, deadline: Millis) -> Result<(), NotRunReason> {
+    loop {
+        let start = cx.owner.quarantine.borrow_mut().may_start(digest, cx.now());
+        match start {
+            Start::Free | Start::Alone => return Ok(()),
+            Start::Refused { .. } => return Err(NotRunReason::Quarantined),
+            Start::Wait => {}
+        }
+        if cx.now() >= deadline {
+            return Err(NotRunReason::Deadline);
+        }
+        tokio::time::sleep(SUSPECT_PAUSE).await;
+    }
+}
+
+/// Carries out what the queue decided about waiting requests.
+pub(super) fn carry_out(cx: &Cx, actions: Vec<Action>) {
+    for action in actions {
+        let (call, go) = match action {
+            Action::Start(call) => (call, Go::Start),
+            Action::Refuse { id, reason, .. } => (id, Go::Refuse(reason)),
+        };
+        let waiting = take_waiting(cx, call);
+        let Some(tx) = waiting else {
+            continue;
+        };
+        // The request was given up a moment ago; its place gives the slot back.
+        let _ = tx.send(go);
+    }
+}
+
+fn take_waiting(cx: &Cx, call: u64) -> Option<oneshot::Sender<Go>> {
+    let mut waiting = cx.owner.waiting.borrow_mut();
+    let index = waiting.iter().position(|(c, _)| *c == call)?;
+    Some(waiting.swap_remove(index).1)
+}
--- /dev/null
+++ b/crates/host/src/routes.rs
@@ -0,0 +1,315 @@
+//! What this host knows of owners in all cells, and how it asks for more.
+//!
+//! The own cell's table comes with the protocol. Tables of other cells are asked for: from the
+//! grantors of that cell, or, while none is known, from this cell's grantors, which look the
+//! cell's row up at the platform. So a change of owners costs the platform one read per cell that
+//! asks and not one per host.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use model::{CellId, HostAddr, Millis, NotRunReason, Outcome, Partition, ServiceName};
+use ownership::{RouteEntry, RouteTable, RoutesVersion};
+use routing::balance::{self, BalanceSettings, Balancer, Distance, Observation};
+use routing::retry::{Budget, Route};
+use routing::routes::{Question, RouteCache};
+use tokio::sync::Notify;
+use wire::{Call, Reply};
+
+use crate::owner::OwnerOutcome;
+use crate::shared::Cx;
+
+/// The age at which a table of another cell is asked for again while it is in use.
+const MAX_TABLE_AGE: Millis = Millis(2_000);
+
+/// The pause between two looks at whether a table has to be asked for.
+const QUESTION_TICK: Duration = Duration::from_millis(20);
+
+/// How long a question for routes may take.
+const QUESTION_TIME_LIMIT: Millis = Millis(300);
+
+/// How long a cell stays of interest after its last request.
+const INTEREST: Millis = Millis(30_000);
+
+/// The routes that this host knows as ingress, with the retry budget of each service.
+pub struct Routes {
+    cache: RefCell<RouteCache>,
+    in_use: RefCell<Vec<(CellId, Millis)>>,
+    balancers: RefCell<Vec<(ServiceName, Balancer)>>,
+    budgets: RefCell<Vec<(ServiceName, Budget)>>,
+    learned: Notify,
+}
+
+impl Routes {
+    /// Makes an empty set of routes.
+    pub fn new() -> Self {
+        Self {
+            cache: RefCell::new(RouteCache::default()),
+            in_use: RefCell::new(Vec::new()),
+            balancers: RefCell::new(Vec::new()),
+            budgets: RefCell::new(Vec::new()),
+            learned: Notify::new(),
+        }
+    }
+
+    /// Runs `f` on the retry budget of a service.
+    pub fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        cx: &Cx,
+        f: impl FnOnce(&mut Budget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let index = match budgets.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(index) => index,
+            Err(index) => {
+                let percent = cx.service(service).map_or(0, |s| s.retry_percent);
+                budgets.insert(index, (service.clone(), Budget::new(percent)));
+                index
+            }
+        };
+        f(&mut budgets[index].1)
+    }
+
+    fn note_use(&self, cell: &CellId, now: Millis) {
+        let mut in_use = self.in_use.borrow_mut();
+        match in_use.binary_search_by(|(known, _)| known.cmp(cell)) {
+            Ok(index) => in_use[index].1 = now,
+            Err(index) => in_use.insert(index, (cell.clone(), now)),
+        }
+    }
+}
+
+impl Default for Routes {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Returns the newest known route of a partition.
+pub fn known(cx: &Cx, cell: &CellId, partition: Partition) -> Option<RouteEntry> {
+    if *cell == cx.settings.cell {
+        let node = cx.node.borrow();
+        let routes = &node.routes().routes;
+        let index = routes.binary_search_by_key(&partition, |r| r.partition).ok()?;
+        return routes.get(index).copied();
+    }
+    cx.routes.note_use(cell, cx.now());
+    cx.routes.cache.borrow().owner(cell, partition)
+}
+
+/// Returns the version of the newest known table of a cell.
+pub fn version(cx: &Cx, cell: &CellId) -> Option<RoutesVersion> {
+    if *cell == cx.settings.cell {
+        return Some(cx.node.borrow().routes().version);
+    }
+    cx.routes.cache.borrow().version(cell)
+}
+
+/// Waits until a table newer than `known` is there, but not longer than `at_most`.
+pub async fn await_newer(
+    cx: &Cx,
+    cell: &CellId,
+    known: Option<RoutesVersion>,
+    at_most: Millis,
+) -> Route {
+    let deadline = cx.now() + at_most;
+    if let Some(known) = known {
+        cx.routes.cache.borrow_mut().mark_moved(cell, known);
+    }
+    cx.routes.note_use(cell, cx.now());
+    loop {
+        if version(cx, cell) > known {
+            return Route::Newer;
+        }
+        if cx.now() >= deadline {
+            return Route::Same;
+        }
+        ask(cx, cell);
+        // The own cell's table changes without a question, so the wait is bounded in any case.
+        let learned = cx.routes.learned.notified();
+        let _ = tokio::time::timeout(QUESTION_TICK, learned).await;
+    }
+}
+
+/// Asks for a newer table if that is due.
+fn ask(cx: &Cx, cell: &CellId) {
+    if *cell == cx.settings.cell {
+        return;
+    }
+    let question = cx.routes.cache.borrow_mut().should_ask(cell, MAX_TABLE_AGE, cx.now());
+    let Some(question) = question else {
+        return;
+    };
+    let cx = cx.clone();
+    let cell = cell.clone();
+    actix_rt::spawn(async move {
+        let answer = put_question(&cx, &cell, &question).await;
+        let now = cx.now();
+        let mut cache = cx.routes.cache.borrow_mut();
+        match answer {
+            Some(Some(table)) => {
+                log::info!("routing: Learned routes {:?} of {cell}.", table.version);
+                cache.learn(&cell, table, now);
+            }
+            Some(None) => cache.confirm(&cell, now),
+            None => cache.question_failed(&cell, now),
+        }
+        cx.routes.learned.notify_waiters();
+    });
+}
+
+/// Returns `None` if nobody answered, and `Some(None)` if nothing newer is known.
+async fn put_question(cx: &Cx, cell: &CellId, question: &Question) -> Option<Option<RouteTable>> {
+    metrics::counter!("papayarill_route_questions_total").increment(1);
+    if let Some(to) = question.to
+        && let Some(answer) = ask_one(cx, to, cell, question.have).await
+    {
+        return Some(answer);
+    }
+    for to in own_grantors(cx) {
+        if let Some(answer) = ask_one(cx, to, cell, question.have).await {
+            return Some(answer);
+        }
+    }
+    look_up(cx, cell, question.have).await
+}
+
+async fn ask_one(
+    cx: &Cx,
+    to: HostAddr,
+    cell: &CellId,
+    have: RoutesVersion,
+) -> Option<Option<RouteTable>> {
+    let call = Call::Routes { cell: cell.clone(), have };
+    match cx.client.call(to, call, QUESTION_TIME_LIMIT).await {
+        Ok(Reply::Routes(table)) => Some(table),
+        _ => None,
+    }
+}
+
+/// The grantors of this cell, unless this host is one of them and has to look itself.
+fn own_grantors(cx: &Cx) -> Vec<HostAddr> {
+    let grantors = cx.node.borrow().routes().grantors.clone();
+    if grantors.contains(&cx.addr) { Vec::new() } else { grantors }
+}
+
+/// Finds the grantors of a cell in its row at the platform and asks them.
+async fn look_up(cx: &Cx, cell: &CellId, have: RoutesVersion) -> Option<Option<RouteTable>> {
+    metrics::counter!("papayarill_store_reads_total").increment(1);
+    let row = match cx.platform.read_row(cell).await {
+        Ok(row) => row?,
+        Err(error) => {
+            log::warn!("platform: The row of {cell} could not be read: {error}.");
+            return None;
+        }
+    };
+    for grantor in &row.row.grantors {
+        if let Some(answer) = ask_one(cx, grantor.addr, cell, have).await {
+            return Some(answer);
+        }
+    }
+    None
+}
+
+/// Answers another host's question for routes.
+pub async fn answer(cx: &Cx, cell: &CellId, have: RoutesVersion) -> Option<RouteTable> {
+    if *cell == cx.settings.cell {
+        let node = cx.node.borrow();
+        let table = node.routes();
+        return (table.version > have).then(|| table.clone());
+    }
+    let question = Question { have, to: None };
+    // Only a grantor is asked about other cells, so this does not go round in circles.
+    look_up(cx, cell, question.have).await.flatten()
+}
+
+/// Keeps the tables of the cells in use fresh, for as long as the process runs.
+pub async fn keep_fresh(cx: Cx) {
+    loop {
+        tokio::time::sleep(QUESTION_TICK * 5).await;
+        let now = cx.now();
+        let cells = {
+            let mut in_use = cx.routes.in_use.borrow_mut();
+            in_use.retain(|(_, used_at)| now.since(*used_at) < INTEREST);
+            in_use.iter().map(|(cell, _)| cell.clone()).collect::<Vec<_>>()
+        };
+        for cell in cells {
+            ask(&cx, &cell);
+        }
+    }
+}
+
+/// Chooses a backend server for a request that is not divided by key.
+pub fn choose(cx: &Cx, service: &ServiceName) -> Option<HostAddr> {
+    refresh_balancer(cx, service);
+    let balancers = cx.routes.balancers.borrow();
+    let index = balancers.binary_search_by(|(name, _)| name.cmp(service)).ok()?;
+    let random = [rand::random(), rand::random()];
+    balancers[index].1.choose(random, cx.now()).map(|choice| choice.server)
+}
+
+/// Hands the members of all cells of the service to its balancer.
+fn refresh_balancer(cx: &Cx, service: &ServiceName) {
+    let Some(found) = cx.service(service) else {
+        return;
+    };
+    let mut members = Vec::new();
+    for index in 0..found.cell_count() {
+        let cell = CellId { service: service.clone(), index };
+        members.extend(cell_members(cx, &cell));
+    }
+    let config = cx.config.current();
+    let own_zone = &cx.settings.zone;
+    let members: Vec<(HostAddr, Distance)> = members
+        .iter()
+        .map(|(addr, zone)| (*addr, balance::distance(&config, own_zone, zone)))
+        .collect();
+    with_balancer(cx, service, |b| b.set_members(&members));
+}
+
+fn cell_members(cx: &Cx, cell: &CellId) -> Vec<(HostAddr, model::ZoneName)> {
+    if *cell == cx.settings.cell {
+        return cx.node.borrow().routes().members.clone();
+    }
+    cx.routes.note_use(cell, cx.now());
+    ask(cx, cell);
+    cx.routes.cache.borrow().members(cell).to_vec()
+}
+
+fn with_balancer(cx: &Cx, service: &ServiceName, f: impl FnOnce(&mut Balancer)) {
+    let mut balancers = cx.routes.balancers.borrow_mut();
+    let index = match balancers.binary_search_by(|(name, _)| name.cmp(service)) {
+        Ok(index) => index,
+        Err(index) => {
+            let balancer = Balancer::new(cx.addr, BalanceSettings::default());
+            balancers.insert(index, (service.clone(), balancer));
+            index
+        }
+    };
+    f(&mut balancers[index].1);
+}
+
+/// Notes that a request goes to a server that was chosen.
+pub fn started(cx: &Cx, service: &ServiceName, server: HostAddr) {
+    with_balancer(cx, service, |b| b.started(server));
+}
+
+/// Notes what came of a request to a server that was chosen.
+pub fn finished(
+    cx: &Cx,
+    service: &ServiceName,
+    server: HostAddr,
+    started_at: Millis,
+    outcome: &OwnerOutcome,
+) {
+    let now = cx.now();
+    let observation = match outcome {
+        Outcome::Ran((head, _)) if head.status < 500 => {
+            Observation::Answered { latency: now.since(started_at) }
+        }
+        Outcome::NotRun(NotRunReason::Abandoned) => Observation::Abandoned,
+        _ => Observation::Refused,
+    };
+    with_balancer(cx, service, |b| b.finished(server, observation, now));
+}
--- /dev/null
+++ b/crates/host/src/settings.rs
@@ -0,0 +1,262 @@
+//! The settings of one host process: YAML in, checked values out.
+//!
+//! The file is checked as a whole before anything starts, and every fault in it is reported at
+//! once.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use model::{CellId, Millis, Name, ServiceName, ZoneName};
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu, ensure};
+
+/// The longest settings document, in bytes.
+const MAX_SETTINGS_BYTES: usize = 64 * 1024;
+
+/// The address of a listener that takes any free port on loopback.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The availability zone of this host.
+    pub zone: ZoneName,
+    /// The cell of the backend server on this host.
+    pub cell: CellId,
+    /// The platform's address.
+    pub platform: SocketAddr,
+    /// How long the platform may take to answer.
+    pub platform_time_limit: Millis,
+    /// Where this host process listens.
+    pub listen: Listen,
+    /// The time limits of the ownership protocol.
+    pub timing: ownership::Timing,
+    /// How long other hosts have to notice that this one is leaving.
+    pub drain_notice: Millis,
+}
+
+/// The four listeners of a host process. Each has its own peers, so each can be fenced off by a
+/// packet filter.
+#[derive(Clone, Copy, Debug)]
+pub struct Listen {
+    /// For callers: HTTP.
+    pub callers: SocketAddr,
+    /// For other host processes: h2.
+    pub hosts: SocketAddr,
+    /// For the backend server on this host: HTTP.
+    pub backend: SocketAddr,
+    /// For operators: HTTP.
+    pub operators: SocketAddr,
+}
+
+/// Why settings were refused.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The document is too long.
+    #[snafu(display("found {found} bytes, expected at most {MAX_SETTINGS_BYTES}"))]
+    TooLong {
+        /// Length in bytes.
+        found: usize,
+    },
+    /// The document is not YAML of the expected shape.
+    #[snafu(display("{source}"))]
+    Syntax {
+        /// What the parser found, with line and column.
+        source: serde_yaml_ng::Error,
+    },
+    /// Values are out of range.
+    #[snafu(display("{faults}"))]
+    Values {
+        /// All faults.
+        faults: Faults,
+    },
+}
+
+/// All faults that were found in one document.
+#[derive(Debug, Default)]
+pub struct Faults(Vec<Fault>);
+
+#[derive(Debug)]
+struct Fault {
+    path: &'static str,
+    found: String,
+    expected: String,
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "\n" };
+            let Fault { path, found, expected } = fault;
+            write!(f, "{separator}{path}: found {found}, expected {expected}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Faults {
+    fn push(&mut self, path: &'static str, found: impl fmt::Display, expected: impl fmt::Display) {
+        let fault = Fault { path, found: found.to_string(), expected: expected.to_string() };
+        self.0.push(fault);
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Document {
+    zone: String,
+    service: String,
+    #[serde(default)]
+    cell: u32,
+    platform: String,
+    #[serde(default = "default_platform_time_limit_ms")]
+    platform_time_limit_ms: u64,
+    #[serde(default)]
+    listen: ListenDocument,
+    #[serde(default)]
+    timing: TimingDocument,
+    #[serde(default = "default_drain_notice_ms")]
+    drain_notice_ms: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct ListenDocument {
+    callers: String,
+    hosts: String,
+    backend: String,
+    operators: String,
+}
+
+impl Default for ListenDocument {
+    fn default() -> Self {
+        Self {
+            callers: ANY_PORT.to_owned(),
+            hosts: ANY_PORT.to_owned(),
+            backend: ANY_PORT.to_owned(),
+            operators: ANY_PORT.to_owned(),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct TimingDocument {
+    term_ms: u64,
+    drift_margin_ms: u64,
+    renew_interval_ms: u64,
+    silence_limit_ms: u64,
+    store_patience_ms: u64,
+    release_time_limit_ms: u64,
+    unfenced_grace_ms: u64,
+}
+
+impl Default for TimingDocument {
+    fn default() -> Self {
+        ownership::Timing::default().into()
+    }
+}
+
+impl From<ownership::Timing> for TimingDocument {
+    fn from(timing: ownership::Timing) -> Self {
+        Self {
+            term_ms: timing.term.0,
+            drift_margin_ms: timing.drift_margin.0,
+            renew_interval_ms: timing.renew_interval.0,
+            silence_limit_ms: timing.silence_limit.0,
+            store_patience_ms: timing.store_patience.0,
+            release_time_limit_ms: timing.release_time_limit.0,
+            unfenced_grace_ms: timing.unfenced_grace.0,
+        }
+    }
+}
+
+impl From<TimingDocument> for ownership::Timing {
+    fn from(document: TimingDocument) -> Self {
+        Self {
+            term: Millis(document.term_ms),
+            drift_margin: Millis(document.drift_margin_ms),
+            renew_interval: Millis(document.renew_interval_ms),
+            silence_limit: Millis(document.silence_limit_ms),
+            store_patience: Millis(document.store_patience_ms),
+            release_time_limit: Millis(document.release_time_limit_ms),
+            unfenced_grace: Millis(document.unfenced_grace_ms),
+        }
+    }
+}
+
+fn default_platform_time_limit_ms() -> u64 {
+    1_000
+}
+
+fn default_drain_notice_ms() -> u64 {
+    500
+}
+
+impl Settings {
+    /// Parses and checks a settings document.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        ensure!(text.len() <= MAX_SETTINGS_BYTES, TooLongSnafu { found: text.len() });
+        let document: Document = serde_yaml_ng::from_str(text).context(SyntaxSnafu)?;
+        Self::check(document)
+    }
+
+    fn check(document: Document) -> Result<Self, SettingsError> {
+        let mut faults = Faults::default();
+        let zone = check_name("zone", &document.zone, &mut faults);
+        let service = check_name("service", &document.service, &mut faults);
+        let platform = check_address("platform", &document.platform, &mut faults);
+        let listen = check_listen(&document.listen, &mut faults);
+        let timing = check_timing(document.timing.into(), &mut faults);
+        ensure!(faults.0.is_empty(), ValuesSnafu { faults });
+        Ok(Self {
+            zone: ZoneName::from(zone),
+            cell: CellId { service: ServiceName::from(service), index: document.cell },
+            platform,
+            platform_time_limit: Millis(document.platform_time_limit_ms),
+            listen,
+            timing,
+            drain_notice: Millis(document.drain_notice_ms),
+        })
+    }
+}
+
+fn check_name(path: &'static str, text: &str, faults: &mut Faults) -> Name {
+    Name::new(text).unwrap_or_else(|error| {
+        faults.push(path, format_args!("{text:?}"), format_args!("a name; {error}"));
+        Name::unnamed()
+    })
+}
+
+fn check_address(path: &'static str, text: &str, faults: &mut Faults) -> SocketAddr {
+    text.parse().unwrap_or_else(|_| {
+        faults.push(path, format_args!("{text:?}"), "an IP number and a port, such as 10.0.0.7:80");
+        SocketAddr::from(([0, 0, 0, 0], 0))
+    })
+}
+
+fn check_listen(document: &ListenDocument, faults: &mut Faults) -> Listen {
+    Listen {
+        callers: check_address("listen.callers", &document.callers, faults),
+        hosts: check_address("listen.hosts", &document.hosts, faults),
+        backend: check_address("listen.backend", &document.backend, faults),
+        operators: check_address("listen.operators", &document.operators, faults),
+    }
+}
+
+/// Refuses time limits with which a lease could not be kept up.
+fn check_timing(timing: ownership::Timing, faults: &mut Faults) -> ownership::Timing {
+    let least_term = timing.renew_interval + timing.renew_interval + timing.drift_margin;
+    if timing.renew_interval == Millis::ZERO {
+        faults.push("timing.renew_interval_ms", 0, "at least 1");
+    }
+    if timing.term <= least_term {
+        let expected =
+            format_args!("more than two renew intervals and the margin ({least_term})").to_string();
+        faults.push("timing.term_ms", timing.term, expected);
+    }
+    if timing.silence_limit <= timing.renew_interval {
+        faults.push("timing.silence_limit_ms", timing.silence_limit, "more than renew_interval_ms");
+    }
+    timing
+}
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Returns the name of something whose real name is not known.
+    pub fn unnamed() -> Self {
+        Self("unnamed".into())
+    }
+
     /// Returns the name as text.
     pub fn as_str(&self) -> &str {
         &self.0
@@ -92,6 +97,12 @@
             }
         }
 
+        impl From<Name> for $name {
+            fn from(name: Name) -> Self {
+                Self(name)
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 self.0.fmt(f)
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -74,6 +74,8 @@
         NotVouched,
         /// The backend server died while it ran the request.
         BackendDied,
+        /// The owner lost its lease while the request ran.
+        LeaseLost,
     }
 }
 
@@ -104,6 +106,7 @@
             Self::AnswerCut => "answer-cut",
             Self::NotVouched => "not-vouched",
             Self::BackendDied => "backend-died",
+            Self::LeaseLost => "lease-lost",
         })
     }
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -42,6 +42,14 @@
             /// How long the quarantine runs; zero ends it.
             time_left: Millis,
         },
+        /// Tells which requests were in flight when a backend server crashed; answered with
+        /// `Done`.
+        Suspects {
+            /// The service.
+            service: ServiceName,
+            /// The digests of the requests, sorted.
+            digests: Vec<u64>,
+        },
     }
 }
 
--- a/crates/wire/src/twin/call.rs
+++ b/crates/wire/src/twin/call.rs
@@ -42,6 +42,7 @@
     Config { at_least: u64 },
     Handover(handover: WireHandover),
     Quarantine { service: String, digest: u64, time_left: u64 },
+    Suspects { service: String, digests: Vec<u64> },
 });
 twin!(enum WireReply = Reply {
     Messages(messages: Vec<WireMessage>),
@@ -89,6 +90,7 @@
     AnswerCut,
     NotVouched,
     BackendDied,
+    LeaseLost,
 });
 twin!(enum WireOutcome = HeadOutcome {
     Ran(head: WireAnswerHead),
