Tell callers when the send that is not vouched for did not run itself

Cause: after an unplanned takeover every id minted before it, plus the clock skew, is answered as unknown. Change: the answer says that this send was not run. A caller whose earlier sends all were not run may then mint a new id.

--- a/crates/routing/src/answer.rs
+++ b/crates/routing/src/answer.rs
@@ -10,6 +10,10 @@
 /// The header that says why.
 pub const REASON_HEADER: &str = "papayarill-reason";
 
+/// The header that says that this very send was not run, though an earlier send of the same id may
+/// have been. A caller that knows its earlier sends not to have run may mint a new id.
+pub const THIS_SEND_HEADER: &str = "papayarill-this-send";
+
 /// The header with the status of an answer that was not kept.
 pub const RAN_STATUS_HEADER: &str = "papayarill-ran-status";
 
@@ -54,11 +58,20 @@
     pub retry_after: Option<Millis>,
     /// The status of an answer that was not kept.
     pub ran_status: Option<u16>,
+    /// What became of this send, where that is known better than what became of the id.
+    pub this_send: Option<Told>,
 }
 
 impl CallerAnswer {
     fn new(status: u16, told: Told, reason: impl ToString) -> Self {
-        Self { status, told, reason: reason.to_string(), retry_after: None, ran_status: None }
+        Self {
+            status,
+            told,
+            reason: reason.to_string(),
+            retry_after: None,
+            ran_status: None,
+            this_send: None,
+        }
     }
 
     fn retry_after(mut self, span: Millis) -> Self {
@@ -75,6 +88,9 @@
         if let Some(span) = self.retry_after {
             headers.push((RETRY_AFTER_HEADER, whole_seconds(span).to_string()));
         }
+        if let Some(told) = self.this_send {
+            headers.push((THIS_SEND_HEADER, told.as_str().to_owned()));
+        }
         if let Some(status) = self.ran_status {
             headers.push((RAN_STATUS_HEADER, status.to_string()));
         }
@@ -105,7 +121,17 @@
 
 /// Returns what the caller is told of a request that may have run.
 pub fn unknown(reason: UnknownReason) -> CallerAnswer {
-    CallerAnswer::new(504, Told::Unknown, reason)
+    match reason {
+        UnknownReason::NotVouched => not_vouched(reason),
+        _ => CallerAnswer::new(504, Told::Unknown, reason),
+    }
+}
+
+/// The records refused this send before anything ran.
+fn not_vouched(reason: impl ToString) -> CallerAnswer {
+    let mut answer = CallerAnswer::new(504, Told::Unknown, reason).retry_after(DEFAULT_RETRY_AFTER);
+    answer.this_send = Some(Told::NotRun);
+    answer
 }
 
 /// Returns what the caller is told of a request that is malformed, so that it was not run.
@@ -123,7 +149,7 @@
         }
         Begin::RanNotKept { status } => ran_not_kept(*status),
         Begin::Unknown => unknown(UnknownReason::NotVouched),
-        Begin::TooOld => CallerAnswer::new(504, Told::Unknown, "id-too-old"),
+        Begin::TooOld => not_vouched("id-too-old"),
         Begin::OtherRequest => CallerAnswer::new(422, Told::NotRun, "id-of-other-request"),
         Begin::FromFuture => CallerAnswer::new(400, Told::NotRun, "id-from-future"),
         Begin::Full => not_run(NotRunReason::Overloaded, DEFAULT_RETRY_AFTER),
--- a/crates/routing/tests/answer.rs
+++ b/crates/routing/tests/answer.rs
@@ -31,8 +31,8 @@
     check(Begin::Running, "409 outcome=unknown reason=running retry-after=1");
     let not_kept = "410 outcome=ran reason=answer-not-kept ran-status=200";
     check(Begin::RanNotKept { status: 200 }, not_kept);
-    check(Begin::Unknown, "504 outcome=unknown reason=not-vouched");
-    check(Begin::TooOld, "504 outcome=unknown reason=id-too-old");
+    check(Begin::Unknown, "504 outcome=unknown reason=not-vouched retry-after=1 this-send=not-run");
+    check(Begin::TooOld, "504 outcome=unknown reason=id-too-old retry-after=1 this-send=not-run");
     check(Begin::OtherRequest, "422 outcome=not-run reason=id-of-other-request");
     check(Begin::FromFuture, "400 outcome=not-run reason=id-from-future");
     check(Begin::Full, "503 outcome=not-run reason=overloaded retry-after=1");
--- /dev/null
+++ b/xtask/src/requests.rs
@@ -0,0 +1,19 @@
+//! Measures what the decisions about requests are worth: doubled and lost actions, attempts in an
+//! outage, and the balance of work that is not divided by key.
+//!
+//! Each table compares the shipped decisions with plain alternatives within one run. The runs are
+//! small simulations over plain data with fixed seeds; they say nothing about the speed of the
+//! host process.
+
+mod actions;
+mod balancing;
+mod events;
+
+use snafu::Whatever;
+
+/// Prints all tables.
+pub fn run() -> Result<(), Whatever> {
+    actions::print_doubled_and_lost();
+    actions::print_outage();
+    balancing::print()
+}
--- /dev/null
+++ b/xtask/src/requests/actions/owner.rs
@@ -0,0 +1,161 @@
+//! The owners with their request records, and the backend servers.
+
+use model::{Fence, KeptAnswer, Millis, NotRunReason, Partition, RecordEnd, RequestId};
+use ownership::Origin;
+use rand::Rng;
+use routing::outcome::{Break, Progress, after_break};
+use routing::records::{Begin, Ended, Handed, RecordSettings, Records, Ticket};
+use routing::retry::Failure;
+
+use super::world::{DURATION, Event, Known, PARTITIONS, START, World};
+
+/// How long a partition has no owner after its host was lost.
+const TAKEOVER_TIME: Millis = Millis(1_700);
+
+/// How long a planned move takes.
+const MOVE_TIME: Millis = Millis(200);
+
+const RUN_TIME: Millis = Millis(5);
+
+/// Longer than the time limit of a request.
+const LONG_RUN_TIME: Millis = Millis(4_000);
+
+/// The host that owns one partition.
+pub(super) struct Owner {
+    pub records: Records,
+    /// When the current owner began, or will begin.
+    pub since: Millis,
+    pub serving: bool,
+    pub fence: u64,
+}
+
+impl World {
+    pub(super) fn arrive(&mut self, request: usize, partition: usize) {
+        self.backend_attempts += 1;
+        if self.chance(self.faults.refused) {
+            return self.fail(request, Failure::NotRun(NotRunReason::BackendRefused));
+        }
+        let ticket = match self.requests[request].id {
+            None => None,
+            Some(id) => match self.begin(partition, id) {
+                Begin::Run(ticket) => Some(ticket),
+                begin => return self.answer_from_records(request, &begin),
+            },
+        };
+        let action = self.requests[request].action;
+        self.actions[action].runs += 1;
+        self.requests[request].at_deadline = Known::Unknown;
+        let long = self.chance(self.faults.long_runs);
+        let time = if long { LONG_RUN_TIME } else { RUN_TIME };
+        self.events.push(self.now + time, Event::RunEnds { request, ticket });
+    }
+
+    fn begin(&mut self, partition: usize, id: RequestId) -> Begin {
+        self.owners[partition].records.begin(as_partition(partition), id, 0, self.now)
+    }
+
+    fn answer_from_records(&mut self, request: usize, begin: &Begin) {
+        if self.chance(self.faults.answer_lost) {
+            return self.fail(request, after_break(Progress::Sent, Break::Connection));
+        }
+        match begin {
+            Begin::Replay(_) | Begin::RanNotKept { .. } => self.tell(request, Known::Ran),
+            Begin::NotServed => self.fail(request, Failure::NotRun(NotRunReason::NotOwner)),
+            Begin::Full => self.fail(request, Failure::NotRun(NotRunReason::Overloaded)),
+            Begin::Unknown | Begin::TooOld => self.tell(request, Known::NotVouched),
+            _ => self.tell(request, Known::Unknown),
+        }
+    }
+
+    pub(super) fn run_ends(&mut self, request: usize, ticket: Option<Ticket>) {
+        if let Some(ticket) = ticket {
+            let answer = KeptAnswer { status: 201, headers: Vec::new(), body: Vec::new() };
+            let ended = Ended::Recorded(RecordEnd::Answered(answer));
+            let index = usize::try_from(ticket.partition.0).expect("a small number");
+            self.owners[index].records.finish(ticket, ended);
+        }
+        if self.requests[request].done {
+            return;
+        }
+        if self.chance(self.faults.answer_lost) {
+            return self.fail(request, after_break(Progress::Sent, Break::Connection));
+        }
+        self.tell(request, Known::Ran);
+    }
+
+    pub(super) fn lose_owner(&mut self) {
+        let partition = self.rng.random_range(0..PARTITIONS);
+        self.schedule(Event::LoseOwner);
+        let owner = &mut self.owners[partition];
+        if !owner.serving {
+            return;
+        }
+        owner.stop(self.now + TAKEOVER_TIME);
+        owner.records.drop_all();
+        let served = Event::Served { partition, origin: Origin::Unplanned };
+        self.events.push(self.now + TAKEOVER_TIME, served);
+    }
+
+    pub(super) fn move_owner(&mut self) {
+        let partition = self.rng.random_range(0..PARTITIONS);
+        self.schedule(Event::MoveOwner);
+        let now = self.now;
+        let owner = &mut self.owners[partition];
+        if !owner.serving {
+            return;
+        }
+        owner.stop(now + MOVE_TIME);
+        let origin = owner.hand_over(as_partition(partition), now);
+        self.events.push(now + MOVE_TIME, Event::Served { partition, origin });
+    }
+
+    fn schedule(&mut self, event: Event) {
+        let next = self.faults.loss_interval.map(|i| self.now + i);
+        if let Some(at) = next.filter(|at| *at < START + DURATION) {
+            self.events.push(at, event);
+        }
+    }
+
+    pub(super) fn served(&mut self, partition: usize, origin: Origin) {
+        let owner = &mut self.owners[partition];
+        owner.fence += 2;
+        owner.serving = true;
+        owner.records.start(as_partition(partition), origin, self.now);
+    }
+
+    pub(super) fn expire(&mut self) {
+        for owner in &mut self.owners {
+            owner.records.expire(self.now);
+        }
+        if self.now < START + DURATION {
+            self.events.push(self.now + Millis(1_000), Event::Expire);
+        }
+    }
+}
+
+impl Owner {
+    pub(super) fn new(partition: usize) -> Self {
+        let mut records = Records::new(RecordSettings::default());
+        records.start(as_partition(partition), Origin::First, START);
+        Self { records, since: Millis::ZERO, serving: true, fence: 2 }
+    }
+
+    fn stop(&mut self, next_at: Millis) {
+        self.serving = false;
+        self.since = next_at;
+    }
+
+    /// Passes the records to a new owner.
+    fn hand_over(&mut self, partition: Partition, now: Millis) -> Origin {
+        let fence = Fence(self.fence);
+        let handed = self.records.hand_over(partition, now);
+        let (vouched_from, records) = handed.expect("the partition is served");
+        self.records = Records::new(RecordSettings::default());
+        self.records.adopt(partition, Handed { fence, vouched_from, records }, now);
+        Origin::Planned { from: fence }
+    }
+}
+
+fn as_partition(index: usize) -> Partition {
+    Partition(u32::try_from(index).expect("a small number"))
+}
