Average latencies over more observations when balancing

Cause: run times spread, so an average over 16 observations moved work about at even load. Ruled out: a dead band above the base, and a base shared by all servers; in trials both were better at even load only and let more bytes through between regions or more imbalance elsewhere. Change: the average spans 64 observations. Members that did not change cost nothing to take over now.

--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -98,7 +98,9 @@
 pub struct Balancer {
     settings: BalanceSettings,
     own_addr: HostAddr,
-    /// Sorted by distance and address.
+    /// All members, as they were handed in.
+    members: Vec<(HostAddr, Distance)>,
+    /// The members that this ingress sends to, sorted by distance and address.
     servers: Vec<Server>,
 }
 
@@ -109,6 +111,9 @@
     Held,
 }
 
+/// How many observations the moving average of the latency spans.
+const AVERAGED: u64 = 64; // With 16 the spread of run times moved work about at even load.
+
 /// What a run is taken to cost at least, so that requests in flight always count.
 const MIN_RUN_US: u64 = 500;
 
@@ -164,7 +169,10 @@
     fn answered(&mut self, latency: Millis, now: Millis) {
         let latency_us = latency.0 * 1_000;
         let first = self.latency_us == 0;
-        self.latency_us = if first { latency_us } else { (self.latency_us * 15 + latency_us) / 16 };
+        self.latency_us = match first {
+            true => latency_us,
+            false => (self.latency_us * (AVERAGED - 1) + latency_us) / AVERAGED,
+        };
         let risen = self.base_us + self.base_us / 512 + 1;
         self.base_us = if first { latency_us } else { risen.min(self.latency_us) };
         self.observed_at = now;
@@ -183,7 +191,7 @@
 impl Balancer {
     /// Makes a balancer for the ingress with this address.
     pub fn new(own_addr: HostAddr, settings: BalanceSettings) -> Self {
-        Self { settings, own_addr, servers: Vec::new() }
+        Self { settings, own_addr, members: Vec::new(), servers: Vec::new() }
     }
 
     /// Chooses a server with two random numbers, or none if there are no servers.
@@ -228,8 +236,12 @@
 /// Commands.
 impl Balancer {
     /// Takes over the members of the service's cells. What was observed of members that stay is
-    /// kept.
+    /// kept. Costs little if nothing changed.
     pub fn set_members(&mut self, members: &[(HostAddr, Distance)]) {
+        if members == self.members {
+            return;
+        }
+        members.clone_into(&mut self.members);
         let mut servers = Vec::new();
         for distance in DISTANCES {
             let chosen = self.subset(members, distance);
