--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -35,7 +35,7 @@
 
 /// A connection as its users see it.
 pub(crate) struct Link {
-    state: watch::Receiver<State>,
+    state: watch::Sender<State>,
     streams: std::sync::Arc<Semaphore>,
     max_streams: usize,
     suspect: Notify,
@@ -58,8 +58,15 @@
 }
 
 impl Slot {
-    /// Has the peer checked, because it did not answer in time.
+    /// Has the peer checked, because it did not answer in time. New streams wait for the result.
     pub(crate) fn suspect(&self) {
+        self.link.state.send_if_modified(|state| {
+            let was_up = matches!(state, State::Up(_));
+            if was_up {
+                *state = State::Checking;
+            }
+            was_up
+        });
         self.link.suspect.notify_one();
     }
 
@@ -95,10 +102,9 @@
         settings: Rc<ClientSettings>,
         traffic: Rc<Cell<Traffic>>,
     ) -> Rc<Self> {
-        let (tx, rx) = watch::channel(State::Checking);
         let max_streams = settings.max_streams as usize;
         let link = Rc::new(Self {
-            state: rx,
+            state: watch::Sender::new(State::Checking),
             streams: std::sync::Arc::new(Semaphore::new(max_streams)),
             max_streams,
             suspect: Notify::new(),
@@ -106,7 +112,7 @@
             retired: Cell::new(false),
             used_at: Cell::new(settings.clock.now()),
         });
-        tokio::task::spawn_local(run(link.clone(), to, settings, traffic, tx));
+        tokio::task::spawn_local(run(link.clone(), to, settings, traffic));
         link
     }
 
@@ -137,7 +143,7 @@
     }
 
     async fn wait_until_up(&self) -> Option<SendRequest<Bytes>> {
-        let mut state = self.state.clone();
+        let mut state = self.state.subscribe();
         loop {
             match &*state.borrow_and_update() {
                 State::Up(send) => return Some(send.clone()),
@@ -155,7 +161,6 @@
     to: HostAddr,
     settings: Rc<ClientSettings>,
     traffic: Rc<Cell<Traffic>>,
-    tx: watch::Sender<State>,
 ) {
     let opening = connect(to.0, &settings, traffic);
     let opened = tokio::select! {
@@ -168,7 +173,7 @@
         Some(Ok(Err(e))) => info!("wire: cannot connect to {to}: {e}"),
         Some(Ok(Ok((send, mut conn)))) => {
             let pings = conn.ping_pong();
-            let watching = watch_over(&link, &settings, &tx, send, pings);
+            let watching = watch_over(&link, &settings, send, pings);
             let end = tokio::select! {
                 end = conn => end.map_or_else(|e| e.to_string(), |()| "closed by the peer".into()),
                 reason = watching => reason.to_owned(),
@@ -176,7 +181,7 @@
             debug!("wire: connection to {to} ended: {end}");
         }
     }
-    tx.send_replace(State::Down);
+    link.state.send_replace(State::Down);
 }
 
 /// Why a connection was not opened.
@@ -221,7 +226,6 @@
 async fn watch_over(
     link: &Link,
     settings: &ClientSettings,
-    tx: &watch::Sender<State>,
     send: SendRequest<Bytes>,
     pings: Option<PingPong>,
 ) -> &'static str {
@@ -229,13 +233,11 @@
     if !pulse::answers(&mut pings, settings.connect_limit).await {
         return "the peer never answered";
     }
-    tx.send_replace(State::Up(send.clone()));
+    link.state.send_replace(State::Up(send.clone()));
     loop {
         tokio::select! {
             () = link.closing.notified() => return "closed on demand",
-            () = link.suspect.notified() => {
-                tx.send_replace(State::Checking);
-            }
+            () = link.suspect.notified() => {}
             () = sleep(settings.ping_interval.into()) => {
                 if link.is_idle() {
                     let idle = settings.clock.now().since(link.used_at());
@@ -250,6 +252,6 @@
         if !pulse::answers(&mut pings, settings.ping_limit).await {
             return "the peer stopped answering";
         }
-        tx.send_replace(State::Up(send.clone()));
+        link.state.send_replace(State::Up(send.clone()));
     }
 }
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of the fixtures")]
 
+pub mod proxy;
+
 use std::net::{Ipv4Addr, TcpListener};
 use std::rc::Rc;
 
