--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -171,14 +171,17 @@
         limit: usize,
         mut on_piece: impl FnMut(usize) -> Result<(), ReadError>,
     ) -> Result<Bytes, ReadError> {
-        on_piece(self.buf.len())?;
-        while let Some(size) = self.more().await? {
+        let mut size = self.buf.len();
+        loop {
             if self.buf.len() > limit {
                 return Err(ReadError::TooLarge);
             }
             on_piece(size)?;
+            match self.more().await? {
+                Some(more) => size = more,
+                None => return Ok(self.buf.freeze()),
+            }
         }
-        Ok(self.buf.freeze())
     }
 
     /// Turns the rest of the stream into a body; `guard` lives as long as the body.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -72,7 +72,7 @@
 
     /// Takes the connection out of use for new streams.
     pub(crate) fn retire(&self) {
-        self.link.retired.set(true);
+        self.link.retire();
     }
 }
 
@@ -116,6 +116,11 @@
         link
     }
 
+    /// Takes the connection out of use; it is closed once its streams have ended.
+    pub(crate) fn retire(&self) {
+        self.retired.set(true);
+    }
+
     /// Closes the connection at once; its streams break.
     pub(crate) fn close(&self) {
         self.retired.set(true);
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -29,7 +29,7 @@
 impl Drop for Pool {
     fn drop(&mut self) {
         for (_, link) in self.links.borrow().iter() {
-            link.close();
+            link.retire();
         }
     }
 }
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -45,14 +45,26 @@
     settings: ServerSettings,
     on_forward: impl Fn(ForwardHead, Bytes) -> Forwarded + 'static,
 ) -> Server {
+    serve_with(listener(), handlers(on_forward), settings).unwrap()
+}
+
+/// Starts an echo server on a listener.
+pub fn serve_echo(listener: TcpListener) -> Server {
+    serve_with(listener, handlers(echo_body), ServerSettings::default()).unwrap()
+}
+
+fn handlers(on_forward: impl Fn(ForwardHead, Bytes) -> Forwarded + 'static) -> Handlers {
     let on_call = Rc::new(|_call: Call| async { Reply::Done }.boxed_local());
-    let handlers = Handlers { on_call, on_forward: Rc::new(on_forward) };
-    serve_with(listener(), handlers, settings).unwrap()
+    Handlers { on_call, on_forward: Rc::new(on_forward) }
+}
+
+fn echo_body(head: ForwardHead, body: Bytes) -> Forwarded {
+    async move { ran(head.body_length, whole_body(body)) }.boxed_local()
 }
 
 /// Starts a server that answers every request with its own body.
 pub fn echo() -> Server {
-    server(|head, body| async move { ran(head.body_length, whole_body(body)) }.boxed_local())
+    server(echo_body)
 }
 
 pub fn ran(body_length: impl Into<Option<u64>>, body: Body) -> Outcome<(AnswerHead, Body)> {
--- /dev/null
+++ b/crates/wire/tests/limits.rs
@@ -0,0 +1,224 @@
+//! Limits on what a peer may send and on what a client keeps open.
+
+mod common;
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use common::{LONG, collect, config_call, echo, head, ran, run, server_with};
+use futures_util::FutureExt;
+use futures_util::future::join_all;
+use h2::client::SendRequest;
+use http::{Request, StatusCode};
+use model::{HostAddr, NotRunReason, Outcome};
+use tokio::net::TcpStream;
+use wire::codec::{MAX_CALL_BYTES, MAX_HEAD_BYTES, encode_call, encode_forward_head};
+use wire::{CallError, Client, ClientSettings, Server, ServerSettings, whole_body};
+
+/// Starts an echo server that counts its runs.
+fn counting(settings: ServerSettings) -> (Server, Rc<Cell<u32>>) {
+    let runs = Rc::new(Cell::new(0));
+    let count = runs.clone();
+    let server = server_with(settings, move |head, body| {
+        count.set(count.get() + 1);
+        async move { ran(head.body_length, whole_body(body)) }.boxed_local()
+    });
+    (server, runs)
+}
+
+/// Opens a connection without the client's own limits.
+async fn raw(to: HostAddr) -> SendRequest<Bytes> {
+    let io = TcpStream::connect(to.0).await.unwrap();
+    let (send, conn) = h2::client::handshake(io).await.unwrap();
+    tokio::task::spawn_local(conn);
+    send
+}
+
+/// Sends raw bytes and returns the status, or `None` if the stream broke.
+async fn post(to: HostAddr, path: &str, data: Vec<u8>) -> Option<StatusCode> {
+    let req = Request::post(format!("http://peer{path}")).body(()).unwrap();
+    let (answer, mut tx) = raw(to).await.ready().await.unwrap().send_request(req, false).unwrap();
+    tx.send_data(data.into(), true).unwrap();
+    answer.await.ok().map(|answer| answer.status())
+}
+
+fn framed(body_length: u64, body: &[u8]) -> Vec<u8> {
+    let frame = encode_forward_head(wire::ForwardHead { body_length, ..head(LONG) }).unwrap();
+    [&u32::try_from(frame.len()).unwrap().to_be_bytes()[..], &frame, body].concat()
+}
+
+#[test]
+fn input_that_is_too_large_or_malformed_runs_nothing() {
+    let check = |path, data: Vec<u8>, expected: StatusCode| {
+        run(async {
+            let (server, runs) = counting(ServerSettings::default().max_body(10));
+            let size = data.len();
+            let status = post(server.addr(), path, data).await;
+            assert_eq!(status, Some(expected), "{size} bytes to {path}");
+            assert_eq!(runs.get(), 0);
+        });
+    };
+    let oversized_head = u32::try_from(MAX_HEAD_BYTES + 1).unwrap().to_be_bytes();
+
+    check("/elsewhere", vec![], StatusCode::NOT_FOUND);
+    check("/call", vec![], StatusCode::BAD_REQUEST);
+    check("/call", vec![9, 9], StatusCode::BAD_REQUEST);
+    check("/call", vec![1; MAX_CALL_BYTES + 1], StatusCode::PAYLOAD_TOO_LARGE);
+    check("/forward", vec![0, 0], StatusCode::BAD_REQUEST);
+    check("/forward", vec![0, 0, 0, 1, 9], StatusCode::BAD_REQUEST);
+    check("/forward", oversized_head.to_vec(), StatusCode::PAYLOAD_TOO_LARGE);
+    check("/forward", framed(11, &[0; 11]), StatusCode::PAYLOAD_TOO_LARGE);
+    check("/forward", framed(3, b"1234"), StatusCode::PAYLOAD_TOO_LARGE);
+    check("/forward", framed(5, b"1234"), StatusCode::BAD_REQUEST);
+}
+
+#[test]
+fn a_whole_request_at_the_limit_is_run() {
+    run(async {
+        let (server, runs) = counting(ServerSettings::default().max_body(4));
+
+        let status = post(server.addr(), "/forward", framed(4, b"1234")).await;
+
+        assert_eq!((status, runs.get()), (Some(StatusCode::OK), 1));
+    });
+}
+
+#[test]
+fn requests_beyond_the_memory_for_them_are_not_run() {
+    run(async {
+        let (server, runs) = counting(ServerSettings::default().max_buffered(1_000));
+        let client = Client::new(ClientSettings::default());
+        let body = Bytes::from(vec![0; 1_001]);
+
+        let outcome = client.forward(server.addr(), head(LONG), body).await;
+        let small = client.forward(server.addr(), head(LONG), Bytes::new()).await;
+
+        assert!(matches!(outcome, Outcome::NotRun(NotRunReason::Overloaded)));
+        assert!(matches!(small, Outcome::Ran(_)), "the memory is given back");
+        assert_eq!(runs.get(), 1);
+    });
+}
+
+#[test]
+fn headers_beyond_the_limit_are_refused() {
+    run(async {
+        let (server, runs) = counting(ServerSettings::default());
+        let mut send = raw(server.addr()).await.ready().await.unwrap();
+        let req = Request::post("http://peer/forward").header("x", "y".repeat(64 * 1024));
+
+        let (answer, mut tx) = send.send_request(req.body(()).unwrap(), false).unwrap();
+        let sent = tx.send_data(framed(0, b"").into(), true);
+
+        let status = answer.await.map(|answer| answer.status());
+        assert!(sent.is_err() || status.is_err() || status.is_ok_and(|s| !s.is_success()));
+        assert_eq!(runs.get(), 0);
+    });
+}
+
+#[test]
+fn streams_beyond_the_peers_limit_are_refused_as_not_run() {
+    run(async {
+        let (server, runs) = counting(ServerSettings::default().max_streams(2));
+        // Both limits are the same by default; this client ignores the peer's.
+        let client = Client::new(ClientSettings::default());
+        let sends = (0..50).map(|_| client.forward(server.addr(), head(LONG), Bytes::new()));
+
+        let outcomes = join_all(sends).await;
+
+        let ran = outcomes.iter().filter(|o| matches!(o, Outcome::Ran(_))).count();
+        let not_run = outcomes.iter().filter(|o| matches!(o, Outcome::NotRun(_))).count();
+        assert_eq!((ran + not_run, ran), (50, runs.get() as usize));
+    });
+}
+
+#[test]
+fn a_client_keeps_a_bounded_number_of_connections() {
+    run(async {
+        let servers = [echo(), echo(), echo()];
+        let addrs = servers.each_ref().map(Server::addr);
+        let client = Client::new(ClientSettings::default().max_connections(2));
+        let forward = async |to| client.forward(to, head(LONG), Bytes::from_static(b"x")).await;
+
+        let Outcome::Ran((_, first)) = forward(addrs[0]).await else { panic!("not run") };
+        let Outcome::Ran((_, second)) = forward(addrs[1]).await else { panic!("not run") };
+        let third = forward(addrs[2]).await;
+        let called = client.call(addrs[2], config_call(), LONG).await;
+        collect(first).await.unwrap();
+        let after = forward(addrs[2]).await;
+
+        assert!(matches!(third, Outcome::NotRun(NotRunReason::Overloaded)));
+        assert!(matches!(called, Err(CallError::TooManyConnections { .. })));
+        assert!(matches!(after, Outcome::Ran(_)), "an idle connection makes room");
+        assert_eq!(client.connections(), 2);
+        assert_eq!(collect(second).await, Ok(Bytes::from_static(b"x")));
+    });
+}
+
+#[test]
+fn a_server_keeps_a_bounded_number_of_connections() {
+    run(async {
+        let (server, _) = counting(ServerSettings::default().max_connections(1));
+        let (first, second) =
+            (Client::new(ClientSettings::default()), Client::new(ClientSettings::default()));
+
+        let reply = first.call(server.addr(), config_call(), LONG).await;
+        let refused = second.call(server.addr(), config_call(), LONG).await;
+
+        assert!(reply.is_ok());
+        assert!(matches!(refused, Err(CallError::NotConnected { .. })));
+        assert_eq!(server.connections(), 1);
+    });
+}
+
+#[test]
+fn one_connection_carries_thousands_of_requests() {
+    run(async {
+        let server = echo();
+        let client = Client::new(ClientSettings::default());
+        let send = async || {
+            let outcome = client.forward(server.addr(), head(LONG), Bytes::from_static(b"x")).await;
+            let Outcome::Ran((_, body)) = outcome else { panic!("not run") };
+            collect(body).await.unwrap()
+        };
+
+        let answers = join_all((0..3_000).map(|_| send())).await;
+
+        assert!(answers.iter().all(|answer| answer == "x"));
+        assert_eq!((client.connections(), server.connections()), (1, 1));
+    });
+}
+
+#[test]
+fn an_oversized_call_is_not_sent() {
+    run(async {
+        let server = echo();
+        let client = Client::new(ClientSettings::default());
+        let record = |body: usize| model::HandedRecord {
+            id: model::RequestId::parse("01890a5d-ac96-774b-bcce-b302099a8057").unwrap(),
+            digest: 1,
+            age: LONG,
+            end: model::RecordEnd::Answered(model::KeptAnswer {
+                status: 200,
+                headers: vec![],
+                body: vec![0; body],
+            }),
+        };
+        let handover = |body| {
+            wire::Call::Handover(wire::Handover {
+                cell: model::CellId { service: head(LONG).service, index: 0 },
+                partition: model::Partition(1),
+                fence: model::Fence(2),
+                vouched_from: LONG,
+                records: vec![record(body)],
+            })
+        };
+
+        let small = client.call(server.addr(), handover(MAX_CALL_BYTES / 2), LONG).await;
+        let large = client.call(server.addr(), handover(MAX_CALL_BYTES), LONG).await;
+
+        assert!(encode_call(handover(MAX_CALL_BYTES)).is_err());
+        assert!(small.is_ok());
+        assert!(matches!(large, Err(CallError::Codec { .. })));
+    });
+}
