--- a/crates/stand-ins/src/backend/work.rs
+++ b/crates/stand-ins/src/backend/work.rs
@@ -190,6 +190,8 @@
         sleep(pieces.pause.into()).await;
     }
     if pieces.break_at.is_some_and(|at| pieces.at >= at) {
+        // Lets the server send what it has, so that the answer breaks off in its body.
+        tokio::task::yield_now().await;
         return Some((Err(std::io::ErrorKind::BrokenPipe.into()), pieces));
     }
     let end = pieces.break_at.unwrap_or(pieces.size).min(pieces.at + PIECE_BYTES);
--- /dev/null
+++ b/crates/stand-ins/src/load.rs
@@ -0,0 +1,147 @@
+//! Keyed load for measurements: closed loops or a fixed rate, with latencies and outcomes.
+
+mod keys;
+mod report;
+mod send;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use model::Millis;
+use tokio::time::{Instant, sleep_until};
+
+pub use self::keys::Keys;
+pub use self::report::{Ending, LoadReport};
+
+/// What to send, where and how fast, with chained setters.
+#[derive(Clone)]
+pub struct LoadPlan {
+    targets: Vec<SocketAddr>,
+    method: String,
+    path: String,
+    headers: Vec<(String, String)>,
+    requests: u64,
+    connections: usize,
+    rate: Option<f64>,
+    keys: Keys,
+    seed: u64,
+    time_limit: Millis,
+    request_ids: RequestIds,
+}
+
+/// Whether requests carry an id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestIds {
+    /// They carry none.
+    None,
+    /// Each carries a new UUIDv7.
+    Fresh,
+}
+
+macro_rules! setters {
+    ($($(#[$meta:meta])* $name:ident: $kind:ty),* $(,)?) => {$(
+        $(#[$meta])*
+        #[must_use]
+        pub fn $name(mut self, value: $kind) -> Self {
+            self.$name = value;
+            self
+        }
+    )*};
+}
+
+impl LoadPlan {
+    /// Makes a plan of 1,000 requests in one closed loop over 100 keys.
+    pub fn new(targets: Vec<SocketAddr>) -> Self {
+        Self {
+            targets,
+            method: "GET".to_owned(),
+            path: "/{key}".to_owned(),
+            headers: Vec::new(),
+            requests: 1_000,
+            connections: 1,
+            rate: None,
+            keys: Keys::uniform(100),
+            seed: 1,
+            time_limit: Millis(30_000),
+            request_ids: RequestIds::None,
+        }
+    }
+
+    setters! {
+        /// The HTTP method.
+        method: String,
+        /// The path; `{key}` stands for the key.
+        path: String,
+        /// Headers of each request; `{key}` stands for the key.
+        headers: Vec<(String, String)>,
+        /// The number of requests.
+        requests: u64,
+        /// Requests that are under way at the same time, each on a connection of its own.
+        connections: usize,
+        /// Requests per second; without it each answer is followed by the next request. Latency
+        /// then runs from the time at which a request was due, also when it had to wait.
+        rate: Option<f64>,
+        /// The keys and how often each is drawn.
+        keys: Keys,
+        /// The seed of keys and targets.
+        seed: u64,
+        /// The time limit of one request.
+        time_limit: Millis,
+        /// Whether requests carry an id.
+        request_ids: RequestIds,
+    }
+}
+
+/// What the connections of one run share.
+struct Run {
+    plan: LoadPlan,
+    next: Cell<u64>,
+    started: Instant,
+    report: RefCell<LoadReport>,
+}
+
+impl Run {
+    /// Takes the number of the next request.
+    fn take(&self) -> Option<u64> {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        (number < self.plan.requests).then_some(number)
+    }
+
+    /// Returns when a request is due, or now in a closed loop.
+    fn due(&self, number: u64) -> Instant {
+        match self.plan.rate {
+            Some(rate) => self.started + Duration::from_secs_f64(number as f64 / rate),
+            None => Instant::now(),
+        }
+    }
+}
+
+/// Sends the load and reports what came of it. Must be called inside an actix system.
+pub async fn run(plan: LoadPlan) -> LoadReport {
+    let connections = plan.connections.max(1);
+    let run = Rc::new(Run {
+        plan,
+        next: Cell::new(0),
+        started: Instant::now(),
+        report: RefCell::new(LoadReport::new()),
+    });
+    join_all((0..connections).map(|index| drive(run.clone(), index as u64))).await;
+    let mut report = run.report.take();
+    report.elapsed = run.started.elapsed().into();
+    report
+}
+
+/// Sends requests over one connection, one after another.
+async fn drive(run: Rc<Run>, index: u64) {
+    let mut sender = send::Sender::new(&run.plan, index);
+    while let Some(number) = run.take() {
+        let due = run.due(number);
+        sleep_until(due).await;
+        let ending = sender.send(&run.plan).await;
+        run.report.borrow_mut().record(ending, due.elapsed());
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/load/send.rs
@@ -0,0 +1,86 @@
+//! Sends one request and judges its answer.
+
+use actix_web::http::StatusCode;
+use actix_web::http::header::{CONTENT_LENGTH, HeaderMap};
+use awc::error::SendRequestError;
+use awc::{Client, Connector};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use uuid::Uuid;
+
+use super::report::Ending;
+use super::{LoadPlan, RequestIds};
+use crate::backend::protocol::KEY;
+
+/// The header in which a host process tells the outcome.
+const OUTCOME: &str = "papayarill-outcome";
+
+/// The header that carries a request id.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024 * 1024;
+
+/// Sends the requests of one connection.
+pub(super) struct Sender {
+    client: Client,
+    rng: StdRng,
+}
+
+impl Sender {
+    pub(super) fn new(plan: &LoadPlan, index: u64) -> Self {
+        let connector = Connector::new().limit(1).timeout(plan.time_limit.into());
+        let client = Client::builder().connector(connector).timeout(plan.time_limit.into());
+        let seed = plan.seed.wrapping_mul(1 << 32).wrapping_add(index);
+        Self { client: client.finish(), rng: StdRng::seed_from_u64(seed) }
+    }
+
+    /// Sends one request and waits for its whole answer.
+    pub(super) async fn send(&mut self, plan: &LoadPlan) -> Ending {
+        let key = plan.keys.draw(&mut self.rng);
+        let to = plan.targets[self.rng.random_range(0..plan.targets.len())];
+        let url = format!("http://{to}{}", plan.path.replace("{key}", &key));
+        let Ok(method) = plan.method.parse() else { return Ending::Rejected };
+        let mut req = self.client.request(method, url).insert_header((KEY, key.as_str()));
+        for (name, value) in &plan.headers {
+            req = req.append_header((name.as_str(), value.replace("{key}", &key)));
+        }
+        if plan.request_ids == RequestIds::Fresh {
+            req = req.insert_header((IDEMPOTENCY_KEY, Uuid::now_v7().to_string()));
+        }
+        let mut answer = match req.send().await {
+            Ok(answer) => answer,
+            Err(SendRequestError::Timeout) => return Ending::Timeout,
+            Err(_) => return Ending::Disconnected,
+        };
+        let Ok(body) = answer.body().limit(MAX_ANSWER_BYTES).await else { return Ending::Short };
+        judge(answer.status(), answer.headers(), &body, &key)
+    }
+}
+
+fn judge(status: StatusCode, headers: &HeaderMap, body: &[u8], key: &str) -> Ending {
+    // The HTTP client ends a body that broke off without an error.
+    let announced = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    if announced.is_some_and(|length: usize| length != body.len()) {
+        return Ending::Short;
+    }
+    let outcome = headers.get(OUTCOME).map(|value| value.as_bytes());
+    match (status, outcome) {
+        (status, _) if status.is_success() => judge_key(body, key),
+        (_, Some(b"not-run")) => Ending::NotRun,
+        (_, Some(b"unknown")) => Ending::Unknown,
+        (status, _) if status.is_client_error() => Ending::Rejected,
+        _ => Ending::Failed,
+    }
+}
+
+/// Checks that the first line of the stand-in's answer names the key.
+fn judge_key(body: &[u8], key: &str) -> Ending {
+    let line = body.split(|byte| *byte == b'\n').next().unwrap_or_default();
+    let answer: Option<serde_json::Value> = serde_json::from_slice(line).ok();
+    if answer.is_some_and(|answer| answer["key"] == key) {
+        Ending::Answered
+    } else {
+        Ending::Foreign
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/tests/load.rs
@@ -0,0 +1,82 @@
+//! The load command counts what happened and notices answers that are wrong.
+
+use std::sync::Arc;
+
+use actix_web::{App, HttpServer, web};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use stand_ins::backend::{Backend, BackendSettings, Fences, start};
+use stand_ins::load::{Ending, Keys, LoadPlan, LoadReport, run};
+
+fn measure(headers: &[(&str, &str)], make: impl Fn(LoadPlan) -> LoadPlan) -> (LoadReport, Backend) {
+    let headers = headers.iter().map(|(n, v)| ((*n).to_owned(), (*v).to_owned())).collect();
+    actix_rt::System::new().block_on(async {
+        let settings = BackendSettings::new("playlists").fences(Fences::Unchecked).slots(1_000);
+        let backend = start(&settings.on_crash(Arc::new(|| {}))).unwrap();
+        let plan = LoadPlan::new(vec![backend.addr()]).requests(200).headers(headers);
+        let report = run(make(plan)).await;
+        (report, backend)
+    })
+}
+
+#[test]
+fn each_ending_is_counted_as_what_it_is() {
+    let check = |headers: &[(&str, &str)], expected: Ending| {
+        let (report, _) = measure(headers, |plan| plan.connections(8));
+        assert_eq!(report.endings, [(expected, 200)], "{headers:?}");
+    };
+
+    check(&[], Ending::Answered);
+    check(&[("stand-in-answer-bytes", "100000")], Ending::Answered);
+    check(&[("stand-in-fault", "refuse")], Ending::Failed);
+    check(&[("stand-in-fault", "sulk")], Ending::Rejected);
+    check(&[("stand-in-fault", "lose-answer")], Ending::Disconnected);
+    check(&[("stand-in-fault", "break-answer")], Ending::Short);
+    check(&[("stand-in-fault", "break-answer"), ("stand-in-answer-bytes", "99999")], Ending::Short);
+}
+
+#[test]
+fn an_answer_to_another_request_is_foreign() {
+    let check = |answer: &'static str, expected: Ending| {
+        let report = actix_rt::System::new().block_on(async {
+            let app = move || App::new().default_service(web::to(move || async move { answer }));
+            let server = HttpServer::new(app).workers(1).bind(("127.0.0.1", 0)).unwrap();
+            let addr = server.addrs()[0];
+            actix_rt::spawn(server.run());
+            run(LoadPlan::new(vec![addr]).requests(1).keys(Keys::uniform(1))).await
+        });
+        assert_eq!(report.endings, [(expected, 1)], "{answer:?}");
+    };
+
+    check(r#"{"key":"key-0"}"#, Ending::Answered);
+    check(r#"{"key":"key-1"}"#, Ending::Foreign);
+    check("no JSON", Ending::Foreign);
+}
+
+#[test]
+fn an_open_loop_sends_all_requests() {
+    let (report, backend) = measure(&[], |plan| plan.rate(Some(10_000.0)).connections(4));
+
+    assert_eq!(report.count(Ending::Answered), 200);
+    assert_eq!(backend.runs().len(), 200);
+    assert!(report.latency_us(0.5) <= report.latency_us(0.99));
+}
+
+#[test]
+fn keys_follow_their_weights() {
+    let check = |keys: Keys, count: usize, top_share: std::ops::Range<f64>| {
+        let mut rng = StdRng::seed_from_u64(3);
+        let drawn: Vec<_> = (0..10_000).map(|_| keys.draw(&mut rng)).collect();
+        let top = drawn.iter().filter(|key| *key == "key-0").count() as f64 / 10_000.0;
+        let mut distinct = drawn;
+        distinct.sort();
+        distinct.dedup();
+        assert!(distinct.len() <= count);
+        assert!(top_share.contains(&top), "{top}");
+    };
+
+    check(Keys::uniform(1), 1, 1.0..1.1);
+    check(Keys::uniform(10), 10, 0.08..0.12);
+    // The first of 10 keys has 1 / (1 + 1/2 + ... + 1/10) of the weight.
+    check(Keys::zipf(10, 1.0), 10, 0.32..0.36);
+}
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of the fixtures")]
 
 pub mod proxy;
+pub mod values;
 
 use std::net::{Ipv4Addr, TcpListener};
 use std::rc::Rc;
