Search the space of failing hosts breadth-first

The search found that two coordinators answered each other's routing tables without end, because each compared its own table with what the other had sent. A lost link was ruled out: the loop needs only a host that was cut off and comes back. A coordinator now compares with the table that it worked out before.

--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -13,8 +13,8 @@
 use crate::store::Store;
 use crate::view::View;
 use crate::{
-    Assignment, CellRow, Join, Message, Report, Transfer, VersionedRow, agenda, grantor_set,
-    succession,
+    Assignment, CellRow, Join, Message, Report, RouteTable, Transfer, VersionedRow, agenda,
+    grantor_set, succession,
 };
 
 /// Plans are made this many times per renew interval.
@@ -61,6 +61,8 @@
     /// Since when a change of the row has been waiting to be written.
     waiting_since: Option<Millis>,
     planned_at: Option<Millis>,
+    /// The routing table as this coordinator last worked it out.
+    table: RouteTable,
 }
 
 /// Commands.
@@ -76,9 +78,19 @@
             sent: Vec::new(),
             waiting_since: None,
             planned_at: None,
+            table: RouteTable::default(),
         }
     }
 
+    /// Notes the routing table that follows from the present knowledge. Returns whether it
+    /// differs from the one before. Comparing with what other coordinators sent instead would
+    /// make two of them answer each other without end.
+    pub(crate) fn note_table(&mut self, table: &RouteTable) -> bool {
+        let is_news = self.table != *table;
+        self.table.clone_from(table);
+        is_news
+    }
+
     pub(crate) fn on_join(&mut self, join: &Join) {
         if let Err(i) = self.joins.binary_search_by_key(&join.session, |j| j.session) {
             self.joins.insert(i, join.clone());
--- a/crates/ownership/src/node.rs
+++ b/crates/ownership/src/node.rs
@@ -311,15 +311,18 @@
         let fresh = || Coordinator::new(row.row.epoch, cx.now);
         let mut coordinator = self.coordinator.take().unwrap_or_else(fresh);
         coordinator.drive(known, &mut self.store, cx);
-        let changes = self.routes.version.takeovers;
         let takes_work = |s| coordinator.takes_work(known, s);
-        let table = routes::build(row, &self.takeovers, changes, takes_work);
+        let table = routes::build(row, &self.takeovers, 0, takes_work);
+        let is_news = coordinator.note_table(&table);
         self.coordinator = Some(coordinator);
-        self.publish(table, cx);
+        if is_news {
+            self.publish(table, cx);
+        }
     }
 
     /// Makes a table of the known row the newest and sends it to everyone, if it differs.
     fn publish(&mut self, mut table: RouteTable, cx: &mut Cx<'_>) {
+        table.version.takeovers = self.routes.version.takeovers;
         if table == self.routes || table.version.row < self.routes.version.row {
             return;
         }
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod search;
+
 use std::collections::VecDeque;
 
 use model::{
@@ -84,6 +86,7 @@
     pub served: Vec<Fence>,
     pub violation: Option<String>,
     pub writes: u32,
+    pub keeps_log: bool,
     pub log: Log,
     rules: Rules,
     timing: Timing,
@@ -167,10 +170,20 @@
 /// Commands.
 impl World {
     pub fn new(hosts: usize, partitions: u32, timing: Timing, rules: Rules) -> Self {
+        Self::with_row(None, hosts, partitions, timing, rules)
+    }
+
+    pub fn with_row(
+        row: Option<VersionedRow>,
+        hosts: usize,
+        partitions: u32,
+        timing: Timing,
+        rules: Rules,
+    ) -> Self {
         let mut world = Self {
             now: Millis(100_000),
             hosts: Vec::new(),
-            row: None,
+            row,
             store: StoreState::Up,
             held: Vec::new(),
             trap: None,
@@ -178,6 +191,7 @@
             served: vec![Fence(0); partitions as usize],
             violation: None,
             writes: 0,
+            keeps_log: true,
             log: Log::default(),
             rules,
             timing,
@@ -322,8 +336,10 @@
             }
             Command::Drained => self.hosts[index].drained = true,
             Command::Record(decision) => {
-                let text = format!("{}: {}", decision.kind, decision.reason);
-                self.log.0.push((self.now, index, text));
+                if self.keeps_log {
+                    let text = format!("{}: {}", decision.kind, decision.reason);
+                    self.log.0.push((self.now, index, text));
+                }
             }
             Command::Resume { .. } | Command::StopAll | Command::ConfigKnown { .. } => {}
         }
