Say "not run" of a request only if none of it was sent

Cause: a backend server that read a request and hung up without an answer was reported as `NotRun(NotConnected)`, so the request would have been sent again. awc gives `Connect(Disconnected)` for it, and the host process took every connect error for a refused connection. Ruled out: other kinds; a closed port, half a head, nonsense, a refusal and a plain 503 are in the same table. Change: one judgement, `platform::nothing_was_sent`, for both the platform's client and the backend server's. Before: the new table fails at its second entry. After: all six entries pass, and the 14 contract tests still do. Conclusion: a lost answer is a lost answer, whatever the library calls it.

--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -3,6 +3,9 @@
 //! What a backend server says about itself only lowers trust. It is up while it announces itself
 //! and accepts connections; a refused connection counts at once.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -290,10 +293,10 @@
 /// Only an error from before the first byte was sent proves that the request did not run.
 fn failed(error: &SendRequestError) -> Attempted {
     log::debug!("backend: attempt failed: {error}.");
+    if platform::nothing_was_sent(error) {
+        return Attempted::new(Outcome::NotRun(NotRunReason::NotConnected), Connection::Refused);
+    }
     match error {
-        SendRequestError::Connect(_) => {
-            Attempted::new(Outcome::NotRun(NotRunReason::NotConnected), Connection::Refused)
-        }
         SendRequestError::Timeout => {
             Attempted::new(Outcome::Unknown(UnknownReason::Timeout), Connection::Good)
         }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use awc::http::header::{CONTENT_LENGTH, ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH};
 use awc::{Client, ClientRequest, Connector};
@@ -17,7 +17,7 @@
 use crate::error::{
     FailedSnafu, MalformedSnafu, StatusSnafu, TimeoutSnafu, UnknownSnafu, UnreachableSnafu,
 };
-use crate::{ReadError, WriteError};
+use crate::{ReadError, WriteError, nothing_was_sent};
 
 /// The longest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
@@ -158,20 +158,12 @@
 
 /// Tells how far a request came.
 fn broken(error: SendRequestError) -> Broken {
-    let message = error.to_string();
+    if nothing_was_sent(&error) {
+        return Broken::NotSent(error.to_string());
+    }
     match error {
-        // awc reports a connection that ended before the answer as `Connect(Disconnected)`,
-        // although the request was sent; so only the listed connect errors are harmless.
-        SendRequestError::Connect(
-            ConnectError::Resolver(_)
-            | ConnectError::NoRecords
-            | ConnectError::Unresolved
-            | ConnectError::Timeout
-            | ConnectError::Io(_),
-        )
-        | SendRequestError::Url(_) => Broken::NotSent(message),
         SendRequestError::Timeout => Broken::Late,
-        _ => Broken::Sent(message),
+        _ => Broken::Sent(error.to_string()),
     }
 }
 
