--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 mod builder;
 mod cells;
 mod check;
+mod diff;
 mod document;
 mod error;
 mod in_force;
@@ -16,6 +17,7 @@
 
 pub use builder::{ConfigBuilder, RuleBuilder, ServiceBuilder};
 pub use cells::MAX_HOSTS_PER_CELL;
+pub use diff::{check_change, diff};
 pub use document::{Config, KeySource, Method, PathPattern, Region, Repeat, Rule, Service};
 pub use error::{ConfigError, Fault};
 pub use in_force::{FreshnessLimits, InForce};
--- a/crates/config/src/print.rs
+++ b/crates/config/src/print.rs
@@ -81,6 +81,16 @@
     }
 }
 
+/// Returns in words how keys are read.
+pub(crate) fn key_text(keys: &KeySource) -> String {
+    match keys {
+        KeySource::None => "none".to_owned(),
+        KeySource::Header(name) => format!("header {name}"),
+        KeySource::PathSegment(index) => format!("path segment {index}"),
+        KeySource::Query(name) => format!("query parameter {name}"),
+    }
+}
+
 pub(crate) fn key_part(keys: &KeySource) -> Part<KeyDoc> {
     let doc = match keys {
         KeySource::None => return Part::Absent,
--- a/crates/papayarill/src/http.rs
+++ b/crates/papayarill/src/http.rs
@@ -16,29 +16,49 @@
 /// The longest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
-/// The operators' address of a host process, as an option of a command.
-#[derive(Clone, Copy, Debug)]
-pub struct OperatorsAddr(SocketAddr);
+/// Defines an address as an option of a command.
+macro_rules! addr_option {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug)]
+        pub struct $name(SocketAddr);
 
-impl Default for OperatorsAddr {
-    /// The option is required, so this value is never used; the option parser wants one.
-    fn default() -> Self {
-        Self(SocketAddr::from(([0, 0, 0, 0], 0)))
-    }
-}
+        impl Default for $name {
+            /// The option is required, so this value is never used; the option parser wants one.
+            fn default() -> Self {
+                Self(SocketAddr::from(([0, 0, 0, 0], 0)))
+            }
+        }
 
-impl FromStr for OperatorsAddr {
-    type Err = AddrParseError;
+        impl FromStr for $name {
+            type Err = AddrParseError;
 
-    fn from_str(text: &str) -> Result<Self, AddrParseError> {
-        text.parse().map(Self)
-    }
+            fn from_str(text: &str) -> Result<Self, AddrParseError> {
+                text.parse().map(Self)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl From<$name> for SocketAddr {
+            fn from(addr: $name) -> Self {
+                addr.0
+            }
+        }
+    };
 }
 
-impl fmt::Display for OperatorsAddr {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
+addr_option! {
+    /// The operators' address of a host process.
+    OperatorsAddr
+}
+addr_option! {
+    /// The address of the platform.
+    PlatformAddr
 }
 
 /// Asks for a JSON document.
--- a/crates/papayarill/src/main.rs
+++ b/crates/papayarill/src/main.rs
@@ -2,11 +2,15 @@
 //!
 //! Exit codes: 0 done, 1 refused, 2 the command line is wrong.
 
+mod apply;
+mod check;
 mod declare_dead;
 mod dev;
+mod document;
 mod drain;
 mod explain;
 mod http;
+mod in_force;
 mod serve;
 mod status;
 
@@ -33,6 +37,10 @@
 enum Command {
     /// run the host process beside a backend server
     Serve(serve::ServeOptions),
+    /// check a configuration document
+    Check(check::CheckOptions),
+    /// make a configuration document the newest version
+    Apply(apply::ApplyOptions),
     /// show the cell, the grantors, the owners and the lease that a host process knows
     Status(status::StatusOptions),
     /// show who owns a key, and why
@@ -63,6 +71,9 @@
         return ExitCode::SUCCESS;
     }
     match arguments.command {
+        Some(Command::Apply(options)) if options.usage_error().is_some() => {
+            usage(options.usage_error().unwrap_or_default())
+        }
         Some(command) => exit_code(run(command)),
         None => usage("a command is missing"),
     }
@@ -71,6 +82,8 @@
 fn run(command: Command) -> Result<(), Refusal> {
     match command {
         Command::Serve(options) => serve::run(&options),
+        Command::Check(options) => check::run(&options),
+        Command::Apply(options) => apply::run(&options),
         Command::Status(options) => status::run(&options),
         Command::Explain(options) => explain::run(&options),
         Command::Drain(options) => drain::run(&options),
