--- a/crates/papayarill/src/apply.rs
+++ b/crates/papayarill/src/apply.rs
@@ -22,7 +22,7 @@
     #[options(free, required)]
     file: String,
     /// the version that the document was written for; 0 if there is none yet
-    #[options(no_short, required, meta = "N")]
+    #[options(no_short, required, meta = "N", parse(try_from_str = "parse_number"))]
     based_on: u64,
     /// the platform's address
     #[options(no_short, required, meta = "ADDR")]
@@ -34,10 +34,14 @@
     #[options(no_short, meta = "ADDR")]
     host: Vec<OperatorsAddr>,
     /// how long to wait, in seconds
-    #[options(no_short, meta = "N", default = "60")]
+    #[options(no_short, meta = "N", default = "60", parse(try_from_str = "parse_number"))]
     wait_limit: u64,
 }
 
+fn parse_number(text: &str) -> Result<u64, String> {
+    text.parse().map_err(|_| format!("found {text:?}, expected a whole number"))
+}
+
 impl ApplyOptions {
     /// Returns what is wrong with the options together.
     pub fn usage_error(&self) -> Option<&'static str> {
--- a/crates/papayarill/src/http.rs
+++ b/crates/papayarill/src/http.rs
@@ -1,7 +1,7 @@
 //! Questions to the operators' listener of a host process.
 
 use std::fmt;
-use std::net::{AddrParseError, SocketAddr};
+use std::net::SocketAddr;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -31,10 +31,11 @@
         }
 
         impl FromStr for $name {
-            type Err = AddrParseError;
+            type Err = String;
 
-            fn from_str(text: &str) -> Result<Self, AddrParseError> {
-                text.parse().map(Self)
+            fn from_str(text: &str) -> Result<Self, String> {
+                let addr = text.parse().map(Self);
+                addr.map_err(|_| format!("found {text:?}, expected an IP number and a port"))
             }
         }
 
--- /dev/null
+++ b/crates/papayarill/tests/configuration.rs
@@ -0,0 +1,212 @@
+//! `papayarill check` and `apply` as operators run them: as processes, against a platform.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::thread;
+
+use host::operators::{HostState, Status};
+use model::HostAddr;
+
+const DONE: i32 = 0;
+const REFUSED: i32 = 1;
+const USAGE: i32 = 2;
+
+fn example(name: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    root.join(name).display().to_string()
+}
+
+/// Writes a document that no other test writes and returns its path.
+fn file(name: &str, text: &str) -> String {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("configuration");
+    std::fs::create_dir_all(&dir).expect("a directory");
+    let path = dir.join(name);
+    std::fs::write(&path, text).expect("a file");
+    path.display().to_string()
+}
+
+/// Returns the signage example with another number of slots.
+fn edited(name: &str, slots: u32) -> String {
+    let text = std::fs::read_to_string(example("signage.yaml")).expect("the example");
+    file(name, &text.replace("slots: 18\n", &format!("slots: {slots}\n")))
+}
+
+fn start(words: &[&str]) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_papayarill"));
+    command.args(words).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.spawn().expect("a started process")
+}
+
+/// The exit code with all that was printed.
+fn finish(child: Child) -> (i32, String) {
+    let Output { status, stdout, stderr } = child.wait_with_output().expect("an ended process");
+    let printed = [stdout, stderr].concat();
+    (status.code().expect("no signal"), String::from_utf8_lossy(&printed).into_owned())
+}
+
+/// Runs a command and checks its exit code and that it printed these texts.
+fn check(words: &[&str], code: i32, texts: &[&str]) {
+    let (found, printed) = finish(start(words));
+    assert_eq!(found, code, "{words:?}: {printed}");
+    for text in texts {
+        assert!(printed.contains(text), "{words:?}: {text:?} is not in {printed}");
+    }
+}
+
+fn start_platform() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        actix_rt::System::new().block_on(async {
+            let _handle = stand_ins::platform::start(listener).expect("a started stand-in");
+            std::future::pending::<()>().await;
+        });
+    });
+    addr.to_string()
+}
+
+fn status(config_version: u64) -> Status {
+    Status {
+        cell: "playlists/0".into(),
+        addr: HostAddr(SocketAddr::from(([127, 0, 0, 1], 9))),
+        zone: "hu-west-a".into(),
+        epoch: 1,
+        row_version: 1,
+        grantors: Vec::new(),
+        coordinator: false,
+        session: None,
+        lease_left_ms: None,
+        members: Vec::new(),
+        partitions: Vec::new(),
+        config_version,
+        state: HostState::Serving,
+        backend_server: None,
+        running: 0,
+        waiting: 0,
+        quarantined: Vec::new(),
+    }
+}
+
+/// Answers each question for the status with the next of these versions; the last one stays.
+fn start_host(versions: &'static [u64]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let last = versions.last().expect("a version");
+    let versions = versions.iter().chain(std::iter::repeat(last));
+    thread::spawn(move || {
+        for (stream, version) in listener.incoming().zip(versions) {
+            let mut stream = stream.expect("a connection");
+            let body = serde_json::to_string(&status(*version)).expect("JSON");
+            let length = body.len();
+            let count = stream.read(&mut [0; 4_096]).expect("a request");
+            assert!(count > 0);
+            let head = format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}");
+            stream.write_all(format!("{head}\r\n\r\n{body}").as_bytes()).expect("a connection");
+        }
+    });
+    addr.to_string()
+}
+
+#[test]
+fn check_accepts_the_examples_and_names_every_fault_of_other_documents() {
+    check(&["check", &example("solar-watch.yaml")], DONE, &["valid", "3 services"]);
+    check(&["check", &example("signage.yaml")], DONE, &["valid", "3 services"]);
+    let faulty = file("faulty.yaml", "regions: [{name: r, zones: [z]}]\nservices:\n- slots: x\n");
+    check(
+        &["check", &faulty],
+        REFUSED,
+        &[
+            "faulty.yaml: line 3: services[0].name: found nothing, expected a name",
+            "faulty.yaml: line 3: services[0].slots: found \"x\", expected a whole number from 1",
+        ],
+    );
+    check(&["check", "/no/such/file"], REFUSED, &["/no/such/file: cannot be read"]);
+    check(&["check", &file("binary.yaml", "a: \u{1}")], REFUSED, &["binary.yaml"]);
+    check(&["check"], USAGE, &["--help"]);
+    check(&["check", "a", "b"], USAGE, &["--help"]);
+}
+
+#[test]
+fn apply_refuses_a_command_line_that_makes_no_sense() {
+    let document = example("signage.yaml");
+    let based_on = ["apply", &document, "--based-on"];
+    check(&["apply", &document], USAGE, &["--based-on"]);
+    check(&[&based_on[..], &["1"]].concat(), USAGE, &["--platform"]);
+    check(
+        &[&based_on[..], &["x", "--platform", "127.0.0.1:1"]].concat(),
+        USAGE,
+        &["found \"x\", expected"],
+    );
+    check(&[&based_on[..], &["1", "--platform", "nowhere"]].concat(), USAGE, &["\"nowhere\""]);
+    let wait = ["1", "--platform", "127.0.0.1:1", "--wait"];
+    check(&[&based_on[..], &wait].concat(), USAGE, &["--wait needs at least one --host"]);
+}
+
+#[test]
+fn of_racing_operators_one_wins_and_the_other_is_told_what_changed() {
+    let platform = start_platform();
+    let apply = |document: &str, based_on: &str| {
+        start(&["apply", document, "--based-on", based_on, "--platform", &platform])
+    };
+    let (code, _) = finish(apply(&example("signage.yaml"), "0"));
+    assert_eq!(code, DONE);
+
+    let documents = [edited("racing-19.yaml", 19), edited("racing-20.yaml", 20)];
+    let children = documents.each_ref().map(|d| apply(d, "1"));
+    let mut results = children.map(finish);
+    results.sort();
+
+    let [(winner, accepted), (loser, told)] = results;
+    assert_eq!((winner, loser), (DONE, REFUSED), "{accepted} {told}");
+    assert!(accepted.contains("accepted as version 2"), "{accepted}");
+    assert!(told.contains("version 2 is in force now, not 1"), "{told}");
+    assert!(told.contains("changed since version 1:"), "{told}");
+    assert!(told.contains("service playlists: slots 18 -> "), "{told}");
+}
+
+#[test]
+fn apply_tells_what_is_in_force_in_place_of_the_base() {
+    let platform = start_platform();
+    let first = example("signage.yaml");
+    let second = edited("second.yaml", 21);
+    let check = |document: &str, based_on: &str, code, texts: &[&str]| {
+        let words = ["apply", document, "--based-on", based_on, "--platform", &platform];
+        check(&words, code, texts);
+    };
+    check(&first, "3", REFUSED, &["no version is in force yet"]);
+    check(&first, "0", DONE, &["accepted as version 1"]);
+    // The same command again, as after a lost answer.
+    check(&first, "0", DONE, &["accepted as version 1"]);
+    check(&second, "0", REFUSED, &["version 1 is in force now, not 0", "service playlists: added"]);
+    check(&second, "3", REFUSED, &["version 3 was never accepted; version 1 is in force"]);
+    check(&second, "1", DONE, &["accepted as version 2"]);
+    let text = std::fs::read_to_string(&first).expect("the example");
+    let moved = file("moved.yaml", &text.replace("partitions: 192", "partitions: 256"));
+    check(&moved, "2", REFUSED, &["services.playlists.partitions: found 256, expected 192"]);
+}
+
+#[test]
+fn apply_waits_until_every_named_host_runs_by_the_version() {
+    let platform = start_platform();
+    let document = example("signage.yaml");
+    let apply = ["apply", &document, "--based-on", "0", "--platform", &platform, "--wait"];
+    let (slow, newer, behind) = (start_host(&[0, 0, 1]), start_host(&[7]), start_host(&[0]));
+    let named = ["--host", &slow, "--host", &newer];
+    check(
+        &[&apply[..], &named].concat(),
+        DONE,
+        &[
+            "accepted as version 1",
+            &format!("cell playlists/0: version 1 is in force on {slow} after "),
+            "cell playlists/0: version 1 is in force on all 2 hosts that were named",
+        ],
+    );
+    let named = ["--host", &newer, "--host", &behind, "--wait-limit", "0"];
+    check(
+        &[&apply[..], &named].concat(),
+        REFUSED,
+        &["not known to be in force everywhere", &format!("{behind} runs by 0")],
+    );
+}
