--- a/crates/platform/src/row_doc.rs
+++ b/crates/platform/src/row_doc.rs
@@ -1,5 +1,8 @@
 //! The stored form of a cell's row: JSON with types of its own, checked when it is read.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 
 use model::{Epoch, Fence, HostAddr, Incarnation, Partition, Session, WriterTag, ZoneName};
--- /dev/null
+++ b/crates/platform/src/row_doc/tests.rs
@@ -0,0 +1,175 @@
+//! Rows from the store: whole ones are read back unchanged, others are refused.
+
+use std::net::SocketAddr;
+
+use model::{Epoch, Fence, HostAddr, Incarnation, Partition, Session, WriterTag, ZoneName};
+use ownership::{Assignment, CellRow, Grantor, GrantorSet, MemberEntry};
+use quickcheck::{Gen, QuickCheck};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::{MAX_PARTITION, RowDoc, check};
+
+const SEED: u64 = 11;
+
+fn session(number: u64) -> Session {
+    Session { incarnation: Incarnation(number), number: 1 }
+}
+
+fn grantor(number: u64) -> Grantor {
+    let addr = HostAddr(SocketAddr::from(([10, 0, 0, 1], 80)));
+    let zone = ZoneName::new("khomas-a").expect("a name");
+    Grantor { addr, incarnation: Incarnation(number), zone }
+}
+
+fn member(number: u64) -> MemberEntry {
+    let Grantor { addr, zone, .. } = grantor(number);
+    MemberEntry { session: session(number), addr, zone }
+}
+
+fn assignment(partition: u32) -> Assignment {
+    Assignment {
+        partition: Partition(partition),
+        fence: Fence(4),
+        owner: session(1),
+        standby: Some(session(2)),
+    }
+}
+
+fn row() -> CellRow {
+    CellRow {
+        writer: WriterTag(u64::MAX),
+        epoch: Epoch(9),
+        grantors: vec![grantor(3), grantor(1), grantor(2)],
+        unsealed: vec![GrantorSet { epoch: Epoch(8), grantors: vec![grantor(1)] }],
+        members: (1..=3).map(member).collect(),
+        assignments: (0..3).map(assignment).collect(),
+    }
+}
+
+fn check_edit(edit: impl FnOnce(&mut CellRow), expected: &str) {
+    let mut row = row();
+    edit(&mut row);
+    let found = check(&row).map_err(|e| e.to_string());
+    assert_eq!(found, Err(expected.to_owned()));
+}
+
+#[test]
+fn each_rule_of_a_row_is_checked() {
+    assert_eq!(check(&row()), Ok(()));
+    check_edit(|r| r.grantors.clear(), "grantors: found no entry, expected at least one");
+    check_edit(|r| r.grantors.push(grantor(4)), "grantors: found 4 entries, expected at most 3");
+    check_edit(|r| r.grantors[2] = grantor(3), "grantors[2]: found an entry for the second time");
+    check_edit(|r| r.epoch = Epoch(8), "unsealed[0].epoch: found 8, expected less than 8");
+    check_edit(
+        |r| r.unsealed.push(r.unsealed[0].clone()),
+        "unsealed[1]: found an entry for the second time",
+    );
+    check_edit(
+        |r| r.unsealed[0].grantors.clear(),
+        "unsealed.grantors: found no entry, expected at least one",
+    );
+    check_edit(
+        |r| r.unsealed = vec![r.unsealed[0].clone(); 65],
+        "unsealed: found 65 entries, expected at most 64",
+    );
+    check_edit(
+        |r| r.members = (1..=33).map(member).collect(),
+        "members: found 33 entries, expected at most 32",
+    );
+    check_edit(
+        |r| r.members.swap(1, 2),
+        "members[2]: found an entry that is not above the one before it",
+    );
+    check_edit(
+        |r| r.members[0].session.number = 0,
+        "members[0]: found session number 0, expected at least 1",
+    );
+    check_edit(
+        |r| r.assignments[1].partition = Partition(0),
+        "assignments[1]: found an entry that is not above the one before it",
+    );
+    check_edit(
+        |r| r.assignments[2].partition = Partition(MAX_PARTITION + 1),
+        "assignments[2].partition: found 1048576, expected at most 1048575",
+    );
+    check_edit(
+        |r| r.assignments[2].fence = Fence(5),
+        "assignments[2].fence: found 5, expected an even number",
+    );
+    check_edit(
+        |r| r.assignments[2].owner.number = 0,
+        "assignments[2]: found session number 0, expected at least 1",
+    );
+    check_edit(
+        |r| r.assignments[2].standby = Some(Session { number: 0, ..session(2) }),
+        "assignments[2]: found session number 0, expected at least 1",
+    );
+}
+
+fn any_row(rng: &mut StdRng) -> CellRow {
+    let mut row = row();
+    row.writer = WriterTag(rng.random());
+    row.members.truncate(rng.random_range(0..=3));
+    row.unsealed.truncate(rng.random_range(0..=1));
+    row.assignments = (0..rng.random_range(0..40)).map(|n| assignment(n * 7)).collect();
+    for assignment in &mut row.assignments {
+        assignment.fence = Fence(rng.random_range(0..u64::MAX / 2) * 2);
+        assignment.standby = rng.random::<bool>().then(|| session(rng.random()));
+    }
+    row
+}
+
+fn to_json(row: &CellRow) -> Vec<u8> {
+    serde_json::to_vec(&RowDoc::from(row)).expect("JSON")
+}
+
+/// Reads a row as the client does.
+fn from_json(json: &[u8]) -> Option<CellRow> {
+    let doc: RowDoc = serde_json::from_slice(json).ok()?;
+    CellRow::try_from(doc).ok()
+}
+
+fn check_all(property: fn(u64) -> bool) {
+    let numbers = Gen::from_size_and_seed(64, SEED);
+    QuickCheck::new().rng(numbers).tests(500).quickcheck(property);
+}
+
+#[test]
+fn rows_are_read_back_unchanged() {
+    check_all(|seed| {
+        let row = any_row(&mut StdRng::seed_from_u64(seed));
+        from_json(&to_json(&row)) == Some(row)
+    });
+}
+
+#[test]
+fn damaged_rows_are_refused_or_keep_every_rule() {
+    check_all(|seed| {
+        let rng = &mut StdRng::seed_from_u64(seed);
+        let mut json = to_json(&any_row(rng));
+        for _ in 0..rng.random_range(1..4) {
+            let at = rng.random_range(0..json.len());
+            json[at] = rng.random();
+        }
+        json.truncate(rng.random_range(0..json.len() * 2));
+        from_json(&json).is_none_or(|row| check(&row) == Ok(()))
+    });
+}
+
+#[test]
+fn fields_that_no_row_has_are_refused() {
+    let json = String::from_utf8(to_json(&row())).expect("text");
+    let check = |from: &str, to: &str| {
+        let edited = json.replacen(from, to, 1);
+        assert_ne!(edited, json);
+        assert_eq!(from_json(edited.as_bytes()), None, "{edited}");
+    };
+    check("{\"writer\"", "{\"more\":1,\"writer\"");
+    check("\"fence\":4", "\"fence\":4,\"more\":1");
+    check("\"fence\":4", "\"fence\":-4");
+    check("\"fence\":4", "\"fence\":4.5");
+    check("\"fence\":4", "\"fence\":18446744073709551616");
+    check("khomas-a", "Khomas A");
+    check("10.0.0.1:80", "localhost:80");
+}
