--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -13,7 +13,7 @@
 use crate::error::{ConflictSnafu, FailedSnafu, MalformedSnafu, NoSuchConfigSnafu, UnknownSnafu};
 use crate::head::{Head, HeadDoc, HeadEntry};
 use crate::http::Http;
-use crate::row_doc::{self, RowDoc};
+use crate::row_doc::{decode_row, encode_row};
 use crate::{ReadError, WriteError};
 
 /// The key of the head in the table service.
@@ -52,8 +52,7 @@
         let Some((version, body)) = self.http.get_row(&key).await? else {
             return Ok(None);
         };
-        let doc: RowDoc = parse(&key, &body)?;
-        match CellRow::try_from(doc) {
+        match decode_row(&body) {
             Ok(row) => Ok(Some(VersionedRow { version, row })),
             Err(error) => MalformedSnafu { key, message: error.to_string() }.fail(),
         }
@@ -113,12 +112,10 @@
         expected: Option<RowVersion>,
         row: &CellRow,
     ) -> Result<RowVersion, WriteError> {
-        if let Err(error) = row_doc::check(row) {
-            // A row that no reader accepts would stop the cell for good.
-            return FailedSnafu { message: error.to_string() }.fail();
+        match encode_row(row) {
+            Ok(body) => self.http.put_row(&row_key(cell), expected, body.into()).await,
+            Err(error) => FailedSnafu { message: error.to_string() }.fail(),
         }
-        let body = to_json(&RowDoc::from(row))?;
-        self.http.put_row(&row_key(cell), expected, body).await
     }
 
     /// Makes `yaml` the newest configuration if `based_on` still is. The document goes first, so
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -65,6 +65,12 @@
 #[derive(Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum RowError {
+    /// The row is not JSON of the expected shape.
+    #[snafu(display("{message}"))]
+    Syntax {
+        /// What the parser found, with line and column.
+        message: String,
+    },
     /// A list is longer than allowed.
     #[snafu(display("{list}: found {found} entries, expected at most {limit}"))]
     TooMany {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use client::Platform;
 pub use error::{ReadError, RowError, WriteError};
-pub use row_doc::{MAX_GRANTORS, MAX_MEMBERS, MAX_PARTITION, MAX_UNSEALED};
+pub use row_doc::{MAX_GRANTORS, MAX_MEMBERS, MAX_PARTITION, MAX_UNSEALED, decode_row, encode_row};
 pub use sent::nothing_was_sent;
--- a/crates/platform/src/row_doc.rs
+++ b/crates/platform/src/row_doc.rs
@@ -31,7 +31,7 @@
 /// A cell's row as it is stored.
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub(crate) struct RowDoc {
+struct RowDoc {
     writer: u64,
     epoch: u64,
     grantors: Vec<GrantorDoc>,
@@ -184,8 +184,25 @@
     }
 }
 
+/// Returns the stored form of a row, which is JSON. A row that no reader would accept is refused,
+/// since it would stop its cell for good.
+pub fn encode_row(row: &CellRow) -> Result<Vec<u8>, RowError> {
+    check(row)?;
+    serde_json::to_vec(&RowDoc::from(row)).map_err(syntax)
+}
+
+/// Reads the stored form of a row and checks it.
+pub fn decode_row(json: &[u8]) -> Result<CellRow, RowError> {
+    let doc: RowDoc = serde_json::from_slice(json).map_err(syntax)?;
+    CellRow::try_from(doc)
+}
+
+fn syntax(error: serde_json::Error) -> RowError {
+    RowError::Syntax { message: error.to_string() }
+}
+
 /// Checks what every reader of a row relies on.
-pub(crate) fn check(row: &CellRow) -> Result<(), RowError> {
+fn check(row: &CellRow) -> Result<(), RowError> {
     check_grantors("grantors", &row.grantors)?;
     check_unsealed(row)?;
     check_members(&row.members)?;
--- a/crates/platform/src/row_doc/tests.rs
+++ b/crates/platform/src/row_doc/tests.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::{MAX_PARTITION, RowDoc, check};
+use super::{MAX_PARTITION, decode_row, encode_row};
 
 const SEED: u64 = 11;
 
@@ -50,13 +50,13 @@
 fn check_edit(edit: impl FnOnce(&mut CellRow), expected: &str) {
     let mut row = row();
     edit(&mut row);
-    let found = check(&row).map_err(|e| e.to_string());
+    let found = encode_row(&row).map_err(|e| e.to_string());
     assert_eq!(found, Err(expected.to_owned()));
 }
 
 #[test]
 fn each_rule_of_a_row_is_checked() {
-    assert_eq!(check(&row()), Ok(()));
+    assert!(encode_row(&row()).is_ok());
     check_edit(|r| r.grantors.clear(), "grantors: found no entry, expected at least one");
     check_edit(|r| r.grantors.push(grantor(4)), "grantors: found 4 entries, expected at most 3");
     check_edit(|r| r.grantors[2] = grantor(3), "grantors[2]: found an entry for the second time");
@@ -120,16 +120,6 @@
     row
 }
 
-fn to_json(row: &CellRow) -> Vec<u8> {
-    serde_json::to_vec(&RowDoc::from(row)).expect("JSON")
-}
-
-/// Reads a row as the client does.
-fn from_json(json: &[u8]) -> Option<CellRow> {
-    let doc: RowDoc = serde_json::from_slice(json).ok()?;
-    CellRow::try_from(doc).ok()
-}
-
 fn check_all(property: fn(u64) -> bool) {
     let numbers = Gen::from_size_and_seed(64, SEED);
     QuickCheck::new().rng(numbers).tests(500).quickcheck(property);
@@ -139,7 +129,7 @@
 fn rows_are_read_back_unchanged() {
     check_all(|seed| {
         let row = any_row(&mut StdRng::seed_from_u64(seed));
-        from_json(&to_json(&row)) == Some(row)
+        encode_row(&row).is_ok_and(|json| decode_row(&json) == Ok(row))
     });
 }
 
@@ -147,23 +137,23 @@
 fn damaged_rows_are_refused_or_keep_every_rule() {
     check_all(|seed| {
         let rng = &mut StdRng::seed_from_u64(seed);
-        let mut json = to_json(&any_row(rng));
+        let mut json = encode_row(&any_row(rng)).expect("a valid row");
         for _ in 0..rng.random_range(1..4) {
             let at = rng.random_range(0..json.len());
             json[at] = rng.random();
         }
         json.truncate(rng.random_range(0..json.len() * 2));
-        from_json(&json).is_none_or(|row| check(&row) == Ok(()))
+        decode_row(&json).map_or(true, |row| encode_row(&row).is_ok())
     });
 }
 
 #[test]
 fn fields_that_no_row_has_are_refused() {
-    let json = String::from_utf8(to_json(&row())).expect("text");
+    let json = String::from_utf8(encode_row(&row()).expect("a valid row")).expect("text");
     let check = |from: &str, to: &str| {
         let edited = json.replacen(from, to, 1);
         assert_ne!(edited, json);
-        assert_eq!(from_json(edited.as_bytes()), None, "{edited}");
+        assert!(decode_row(edited.as_bytes()).is_err(), "{edited}");
     };
     check("{\"writer\"", "{\"more\":1,\"writer\"");
     check("\"fence\":4", "\"fence\":4,\"more\":1");
