--- a/crates/routing/src/records.rs
+++ b/crates/routing/src/records.rs
@@ -18,6 +18,9 @@
 
 use partition::{PartitionRecords, Record, State};
 
+/// The memory of one record in bytes, without a kept answer.
+pub const RECORD_BYTES: usize = size_of::<Record>();
+
 derive_common! {
     value
     /// Bounds on time and memory.
