--- a/crates/routing/src/records.rs
+++ b/crates/routing/src/records.rs
@@ -9,6 +9,7 @@
 //! vouches moves on with it; a clock that is set back opens no hole.
 
 mod partition;
+mod settings;
 
 use std::collections::VecDeque;
 
@@ -18,44 +19,11 @@
 
 use partition::{PartitionRecords, Record, State};
 
+pub use settings::RecordSettings;
+
 /// The memory of one record in bytes, without a kept answer.
 pub const RECORD_BYTES: usize = size_of::<Record>();
 
-derive_common! {
-    value
-    /// Bounds on time and memory.
-    pub struct RecordSettings {
-        /// How long an id may be re-sent after it was minted.
-        pub retention: Millis,
-        /// How far the clocks of callers may be ahead of a host's clock.
-        pub caller_skew: Millis,
-        /// How far the clocks of two hosts may be apart.
-        pub host_skew: Millis,
-        /// The most records; further ids are refused as not run.
-        pub max_records: usize,
-        /// The most bytes of kept answers; the oldest answers give way, their records stay.
-        pub max_answer_bytes: usize,
-        /// The largest answer that is kept, in bytes.
-        pub max_one_answer_bytes: usize,
-        /// How long records wait for the assignment of their partition.
-        pub handover_wait: Millis,
-    }
-}
-
-impl Default for RecordSettings {
-    fn default() -> Self {
-        Self {
-            retention: Millis(600_000),
-            caller_skew: Millis(1_000),
-            host_skew: Millis(250),
-            max_records: 150_000,
-            max_answer_bytes: 8 << 20,
-            max_one_answer_bytes: 64 << 10,
-            handover_wait: Millis(60_000),
-        }
-    }
-}
-
 derive_common! {
     value
     /// Names one run of a request. A run that ends late cannot touch the record of another run.
@@ -206,22 +174,32 @@
         }
         self.drop_partition(partition);
         let adopted = self.take_waiting(partition, origin);
-        let unvouched_until = wall_now + self.unvouched_span();
-        let (vouched_from, handed, started) = match (origin, adopted) {
-            (Origin::First, _) => (Millis::ZERO, Vec::new(), Started::Fresh),
+        let (handed, started) = self.inherit(origin, adopted, wall_now);
+        let Handed { vouched_from, records, .. } = handed;
+        let records = records.into_iter().map(|r| Record::from_handed(r, wall_now)).collect();
+        self.insert_partition(PartitionRecords { partition, vouched_from, frozen: false, records });
+        started
+    }
+
+    /// Returns what a new owner knows of the time before it.
+    fn inherit(
+        &self,
+        origin: Origin,
+        adopted: Option<Handed>,
+        wall_now: Millis,
+    ) -> (Handed, Started) {
+        let nothing = |vouched_from| Handed { fence: Fence(0), vouched_from, records: Vec::new() };
+        match (origin, adopted) {
+            (Origin::First, _) => (nothing(Millis::ZERO), Started::Fresh),
             (Origin::Planned { .. }, Some(handed)) => {
                 let records = handed.records.len();
-                (handed.vouched_from, handed.records, Started::Adopted { records })
+                (handed, Started::Adopted { records })
             }
             _ => {
-                let until = unvouched_until;
-                (until, Vec::new(), Started::Unvouched { until })
+                let until = wall_now + self.unvouched_span();
+                (nothing(until), Started::Unvouched { until })
             }
-        };
-        let records = handed.into_iter().map(|r| Record::from_handed(r, wall_now)).collect();
-        let fresh = PartitionRecords { partition, vouched_from, frozen: false, records };
-        self.insert_partition(fresh);
-        started
+        }
     }
 
     /// Stops letting requests of a partition run and returns its records for the next owner.
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -87,8 +87,12 @@
 }
 
 /// All first attempts fail, and each request goes on for as long as it may.
-fn attempts_in_outage(first: u32, failure: Failure, servers: Servers, random: u64) -> u32 {
-    let mut budget = Budget::new(10);
+fn attempts_in_outage(
+    mut budget: Budget,
+    first: u32,
+    (failure, servers): (Failure, Servers),
+    random: u64,
+) -> u32 {
     let mut sends = 0;
     for n in 0..first {
         budget.first_attempt();
@@ -122,8 +126,8 @@
             (Failure::NotRun(NotRunReason::NotConnected), Servers::Any),
             (Failure::Unknown(UnknownReason::Timeout), Servers::Owner),
         ];
-        let bounded = |(failure, servers)| {
-            attempts_in_outage(first, failure, servers, random) * 10 <= first * 11
+        let bounded = |outage| {
+            attempts_in_outage(Budget::new(10), first, outage, random) * 10 <= first * 11
         };
         failures.into_iter().all(bounded)
     }
@@ -142,6 +146,13 @@
     }
 }
 
+/// Taken out on purpose: the budget.
+#[test]
+fn without_the_budget_an_outage_multiplies_the_load() {
+    let outage = (Failure::NotRun(NotRunReason::BackendRefused), Servers::Owner);
+    assert_eq!(attempts_in_outage(Budget::new(1_000), 500, outage, 1), 500 * MAX_SENDS);
+}
+
 #[test]
 fn a_request_follows_a_moved_owner_without_a_budget() {
     let mut budget = Budget::new(0);
