Tell a change of one partition's route from a newer table

A newer table may show other partitions only, and a free re-send after it would go to the same dead owner. Retention and slots can be taken over from a new configuration.

--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -250,6 +250,11 @@
         self.servers = servers;
     }
 
+    /// Takes over the slots per backend server of a new configuration.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.settings.slots = slots;
+    }
+
     /// Notes that a request was sent.
     pub fn started(&mut self, addr: HostAddr) {
         if let Some(index) = self.position(addr) {
--- a/crates/routing/src/records.rs
+++ b/crates/routing/src/records.rs
@@ -266,6 +266,12 @@
         self.answer_bytes = 0;
     }
 
+    /// Takes over the retention time of a new configuration. What was forgotten under a shorter
+    /// one stays unvouched for.
+    pub fn set_retention(&mut self, retention: Millis) {
+        self.settings.retention = retention;
+    }
+
     /// Forgets ids that are older than the retention time. To be called about once a second.
     pub fn expire(&mut self, wall_now: Millis) {
         let wait = self.settings.handover_wait;
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -6,6 +6,8 @@
 use model::{CellId, Fence, HostAddr, Millis, Partition, ZoneName, derive_common};
 use ownership::{RouteEntry, RouteTable, RoutesVersion};
 
+use crate::retry::Route;
+
 /// The shortest pause between two questions about one cell.
 const QUESTION_PAUSE: Millis = Millis(20);
 
@@ -39,6 +41,19 @@
     }
 }
 
+/// Returns whether a partition went to another owner, or to the same one under a higher fence.
+///
+/// A newer table alone does not tell: it may show a change of other partitions.
+pub fn compare(before: Option<RouteEntry>, after: Option<RouteEntry>) -> Route {
+    match (before, after) {
+        (_, None) => Route::Same,
+        (None, Some(_)) => Route::Newer,
+        (Some(before), Some(after)) if after.fence > before.fence => Route::Newer,
+        (Some(before), Some(after)) if after.owner != before.owner => Route::Newer,
+        _ => Route::Same,
+    }
+}
+
 /// The routes of the cells that this ingress sends to.
 #[derive(Clone, Debug, Default)]
 pub struct RouteCache {
--- a/crates/routing/tests/records.rs
+++ b/crates/routing/tests/records.rs
@@ -169,6 +169,17 @@
     assert_eq!(to.begin(P, id_at(NOW.0, 1), 1, NOW), Begin::Unknown);
 }
 
+#[test]
+fn a_longer_retention_brings_nothing_back() {
+    let mut records = owner(Origin::First);
+    let ticket = run(&mut records, id_at(NOW.0, 1));
+    records.finish(ticket, answered(4));
+    records.set_retention(Millis(1_000));
+    records.expire(NOW + Millis(1_001));
+    records.set_retention(Millis(60_000));
+    assert_eq!(records.begin(P, id_at(NOW.0, 1), 1, NOW + Millis(1_001)), Begin::Unknown);
+}
+
 #[test]
 fn memory_is_bounded_and_nothing_needed_is_forgotten() {
     let small = RecordSettings { max_records: 3, max_answer_bytes: 1_000, ..settings() };
--- a/crates/routing/tests/routes.rs
+++ b/crates/routing/tests/routes.rs
@@ -2,7 +2,8 @@
 
 use model::{CellId, Fence, HostAddr, Millis, Partition, RowVersion, ServiceName};
 use ownership::{RouteEntry, RouteTable, RoutesVersion};
-use routing::routes::{Learned, RouteCache};
+use routing::retry::Route;
+use routing::routes::{Learned, RouteCache, compare};
 
 const MAX_AGE: Millis = Millis(5_000);
 
@@ -76,3 +77,17 @@
     cache.learn(&cell(), table(version(6, 0), vec![entry(7, 6, 2)]), Millis(2_000));
     assert_eq!(cache.should_ask(&cell(), MAX_AGE, Millis(2_100)), None);
 }
+
+#[test]
+fn only_a_change_of_the_partition_itself_counts_as_newer() {
+    let check = |before: Option<RouteEntry>, after: Option<RouteEntry>, expected| {
+        assert_eq!(compare(before, after), expected, "{before:?} {after:?}");
+    };
+    let known = Some(entry(7, 4, 1));
+    check(known, known, Route::Same);
+    check(known, Some(entry(7, 6, 1)), Route::Newer);
+    check(known, Some(entry(7, 4, 2)), Route::Newer);
+    check(known, None, Route::Same);
+    check(None, known, Route::Newer);
+    check(None, None, Route::Same);
+}
