--- a/crates/routing/tests/records_walk.rs
+++ b/crates/routing/tests/records_walk.rs
@@ -28,6 +28,8 @@
     DigestCheck,
     Freeze,
     HandedFloor,
+    /// The caller mints a new id only if it knows that no send of the old one ran.
+    CallerRule,
 }
 
 /// One intended action of a caller.
@@ -66,6 +68,7 @@
     actions: Vec<Action>,
     runs: Vec<Run>,
     run_count: u64,
+    minted: u64,
     seen: Seen,
 }
 
@@ -99,6 +102,7 @@
             actions: Vec::new(),
             runs: Vec::new(),
             run_count: 0,
+            minted: 0,
             seen: Seen::default(),
         }
     }
@@ -127,10 +131,10 @@
         let skews = [-2_000, -50, 0, 900, 999, 1_090, 1_100, 5_000];
         let skew: i64 = *skews.choose(&mut self.rng).unwrap();
         let minted_at = self.now.saturating_add_signed(skew);
-        let number = u64::try_from(self.actions.len()).unwrap();
-        let id = id_at(minted_at, number);
-        self.actions.push(Action { id, digest: number + 1, ran: None });
-        self.send(self.actions.len() - 1, number + 1)
+        self.minted += 1;
+        let id = id_at(minted_at, self.minted);
+        self.actions.push(Action { id, digest: self.minted, ran: None });
+        self.send(self.actions.len() - 1, self.minted)
     }
 
     fn send_again(&mut self) -> Result<(), String> {
@@ -154,16 +158,27 @@
         let checked = if self.taken_out == TakenOut::DigestCheck { 0 } else { digest };
         let begin = self.hosts[host].begin(P, id, checked, wall);
         self.check(action, digest, &begin)?;
-        if let Begin::Run(ticket) = begin {
-            self.run_count += 1;
-            let number = self.run_count;
-            self.actions[action].ran = Some(number);
-            self.actions[action].digest = digest;
-            self.runs.push(Run { host, action, ticket, number });
+        match begin {
+            Begin::Run(ticket) => {
+                self.run_count += 1;
+                let number = self.run_count;
+                self.actions[action].ran = Some(number);
+                self.actions[action].digest = digest;
+                self.runs.push(Run { host, action, ticket, number });
+            }
+            Begin::Unknown | Begin::TooOld => self.mint_anew(action),
+            _ => {}
         }
         Ok(())
     }
 
+    fn mint_anew(&mut self, action: usize) {
+        if self.actions[action].ran.is_none() || self.taken_out == TakenOut::CallerRule {
+            self.minted += 1;
+            self.actions[action].id = id_at(self.now, self.minted);
+        }
+    }
+
     fn check(&mut self, action: usize, digest: u64, begin: &Begin) -> Result<(), String> {
         let known = &self.actions[action];
         let ran = known.ran.is_some();
@@ -311,6 +326,7 @@
         TakenOut::DigestCheck,
         TakenOut::Freeze,
         TakenOut::HandedFloor,
+        TakenOut::CallerRule,
     ];
     for rule in rules {
         let broken = (0..WALKS).filter(|seed| walk(rule, *seed).is_err()).count();
--- a/crates/routing/tests/rules.rs
+++ b/crates/routing/tests/rules.rs
@@ -4,7 +4,10 @@
 
 use common::{id_at, rule, service};
 use papayarill_config::{KeySource, Method, Repeat};
-use routing::rules::{KeyError, digest, match_rule, parse_method, partition_of_id, read_key};
+use quickcheck::quickcheck;
+use routing::rules::{
+    KeyError, MAX_KEY_BYTES, digest, match_rule, parse_method, partition_of_id, read_key,
+};
 
 #[test]
 fn the_first_rule_that_matches_counts() {
@@ -97,3 +100,21 @@
     assert_eq!(partition_of_id(id, 16), partition_of_id(id, 16));
     assert!(partition_of_id(id, 16).0 < 16);
 }
+
+quickcheck! {
+    fn any_target_is_read_or_refused(target: String, index: u8) -> bool {
+        let sources = [
+            KeySource::PathSegment(u32::from(index % 4)),
+            KeySource::Query("k".to_owned()),
+            KeySource::Header("k".to_owned()),
+        ];
+        sources.into_iter().all(|source| {
+            let service = service(source, vec![rule(vec![], "/**")]);
+            match_rule(&service, Method::Get, &target);
+            match read_key(&service, &target, |_| Some(target.as_bytes())) {
+                Ok(key) => key.is_some_and(|k| (1..=MAX_KEY_BYTES).contains(&k.len())),
+                Err(error) => !error.to_string().is_empty(),
+            }
+        })
+    }
+}
