Tell a lost answer from a lost request at the backend server

Cause: the client library reports a connection that ended before the answer as a failed connect, so an answer lost after its request had run was told to the caller as not run. It also ends a body that is cut off without an error, with a Content-Length as well as chunked, and follows redirects by itself. Ruled out: checking lengths alone, which misses chunked bodies. Before: the cut test counts lies for the library's own client at both encodings. After: none at any byte of either, and the lost answer counts as maybe sent.

--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -10,6 +10,7 @@
 use awc::error::SendRequestError;
 use bytes::Bytes;
 use futures_util::StreamExt;
+use http_client::{Limits, Sent};
 use model::{Fence, Millis, NotRunReason, Outcome, Partition, UnknownReason};
 use serde::{Deserialize, Serialize};
 use wire::{AnswerHead, BodyError, ForwardHead};
@@ -21,7 +22,7 @@
 const CONTROL_TIME_LIMIT: Duration = Duration::from_millis(500);
 
 /// How long a connection to the backend server may take.
-const CONNECT_TIME_LIMIT: Duration = Duration::from_millis(500);
+const CONNECT_TIME_LIMIT: Millis = Millis(500);
 
 /// The most connections to one backend server, whatever it announces.
 const MAX_CONNECTIONS: usize = 1_024;
@@ -95,10 +96,8 @@
 impl Backend {
     /// Makes a client that knows no backend server yet.
     pub fn new() -> Self {
-        let connector = awc::Connector::new().limit(MAX_CONNECTIONS).timeout(CONNECT_TIME_LIMIT);
-        let client =
-            awc::Client::builder().connector(connector).disable_timeout().no_default_headers();
-        Self { client: client.finish(), view: RefCell::new(None) }
+        let limits = Limits { connections: MAX_CONNECTIONS, connect_limit: CONNECT_TIME_LIMIT };
+        Self { client: http_client::client(limits), view: RefCell::new(None) }
     }
 
     /// Takes in an announcement. Returns whether the backend server was down before.
@@ -290,14 +289,16 @@
 /// Only an error from before the first byte was sent proves that the request did not run.
 fn failed(error: &SendRequestError) -> Attempted {
     log::debug!("backend: attempt failed: {error}.");
-    match error {
-        SendRequestError::Connect(_) => {
+    match http_client::sent(error) {
+        Sent::No if matches!(error, SendRequestError::Url(_)) => {
+            Attempted::new(Outcome::NotRun(NotRunReason::NotConnected), Connection::Good)
+        }
+        Sent::No => {
             Attempted::new(Outcome::NotRun(NotRunReason::NotConnected), Connection::Refused)
         }
-        SendRequestError::Timeout => {
-            Attempted::new(Outcome::Unknown(UnknownReason::Timeout), Connection::Good)
+        Sent::Maybe => {
+            Attempted::new(Outcome::Unknown(UnknownReason::ConnectionLost), Connection::Broken)
         }
-        _ => Attempted::new(Outcome::Unknown(UnknownReason::ConnectionLost), Connection::Broken),
     }
 }
 
--- /dev/null
+++ b/crates/http-client/src/whole.rs
@@ -0,0 +1,87 @@
+//! Connections whose end in the middle of an answer is an error.
+//!
+//! Between two answers the pool of awc treats an error like an end, so a connection that was
+//! closed there is dropped as usual.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::{Service, ServiceExt};
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection, Connector};
+use awc::http::Uri;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Connects over TCP.
+pub(crate) fn service() -> impl Service<
+    ConnectInfo<Uri>,
+    Response = Connection<Uri, WholeStream>,
+    Error = ConnectError,
+    Future = impl Future<Output = Result<Connection<Uri, WholeStream>, ConnectError>> + 'static,
+> + Clone
++ 'static {
+    Connector::default().service().map(|conn: Connection<Uri, TcpStream>| {
+        let (io, uri) = conn.into_parts();
+        Connection::new(uri, WholeStream(io))
+    })
+}
+
+/// A TCP connection that reports its end as an error.
+#[derive(Debug)]
+pub(crate) struct WholeStream(TcpStream);
+
+impl AsyncRead for WholeStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.0).poll_read(cx, buf))?;
+        if buf.filled().len() == before && buf.remaining() > 0 {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for WholeStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for WholeStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.0, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.0, cx)
+    }
+}
