--- a/crates/wire/tests/common/values.rs
+++ b/crates/wire/tests/common/values.rs
@@ -285,7 +285,7 @@
 
     /// Draws a call of any kind.
     pub fn call(&mut self) -> Call {
-        match self.below(5) {
+        match self.below(6) {
             0 => Call::Ownership {
                 from: self.addr(),
                 cell: self.cell(),
@@ -300,11 +300,12 @@
                 vouched_from: self.millis(),
                 records: self.list(Self::record),
             }),
-            _ => Call::Quarantine {
+            4 => Call::Quarantine {
                 service: self.service(),
                 digest: self.number(),
                 time_left: self.millis(),
             },
+            _ => Call::Suspects { service: self.service(), digests: self.list(Self::number) },
         }
     }
 
