Sort waiting jobs again when their rule turns out long

A trace of the starts showed slow answers only in the first 12 to 17 s: jobs that had been queued as short before their rule was known kept that place and were started as short work for as long as they could wait. Ruled out: the size of the reserve (trials with a larger one left 3.40 at 0.8), and the first jobs of an unknown rule alone (without the first 5 s still 3.06 at 0.8). Change: the length of a waiting job is looked up again when it comes up for a start.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -74,9 +74,7 @@
         }
         let deadline = now + job.time_left;
         let waiter = Waiter { id: job.id, rule: job.rule, deadline, expected, order: self.offered };
-        if let Some(lane) = self.waiting.lane_mut(job.priority, length) {
-            lane.push(waiter);
-        }
+        self.waiting.insert(job.priority, length, waiter);
         Verdict::Queued
     }
 
@@ -134,9 +132,15 @@
     fn start_waiting(&mut self, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
         while let Some((priority, length)) = self.waiting.next(|p, l| self.may_start(p, l, now)) {
-            let lane = self.waiting.lane_mut(priority, length);
-            let Some(waiter) = lane.and_then(|l| l.pop()) else { break };
-            if now + waiter.expected >= waiter.deadline {
+            let Some(waiter) = self.waiting.pop(priority, length) else { break };
+            let actual = self.length_of(waiter.rule);
+            let expected = self.estimates.expected(waiter.rule);
+            if actual != length {
+                // The rule turned out otherwise while the job waited.
+                self.waiting.insert(priority, actual, Waiter { expected, ..waiter });
+                continue;
+            }
+            if now + expected >= waiter.deadline {
                 let retry_after = self.retry_after(Millis::ZERO, now);
                 actions.push(refuse(waiter.id, NotRunReason::Deadline, retry_after));
                 continue;
--- a/crates/admission/src/waiting.rs
+++ b/crates/admission/src/waiting.rs
@@ -22,9 +22,9 @@
 
 /// The waiters of one class and length, in order of arrival.
 #[derive(Debug)]
-pub(crate) struct Lane {
-    pub(crate) priority: Priority,
-    pub(crate) length: Length,
+struct Lane {
+    priority: Priority,
+    length: Length,
     waiters: VecDeque<Waiter>,
     /// The sum of the expected times.
     work: Millis,
@@ -35,16 +35,17 @@
         Self { priority, length, waiters: VecDeque::new(), work: Millis::ZERO }
     }
 
-    pub(crate) fn first(&self) -> Option<&Waiter> {
+    fn first(&self) -> Option<&Waiter> {
         self.waiters.front()
     }
 
-    pub(crate) fn push(&mut self, waiter: Waiter) {
+    fn insert(&mut self, waiter: Waiter) {
         self.work += waiter.expected;
-        self.waiters.push_back(waiter);
+        let at = self.waiters.partition_point(|w| w.order < waiter.order);
+        self.waiters.insert(at, waiter);
     }
 
-    pub(crate) fn pop(&mut self) -> Option<Waiter> {
+    fn pop(&mut self) -> Option<Waiter> {
         let waiter = self.waiters.pop_front()?;
         self.work = self.work - waiter.expected;
         Some(waiter)
@@ -76,7 +77,19 @@
         Self { lanes: CLASSES.into_iter().flat_map(both).collect() }
     }
 
-    pub(crate) fn lane_mut(&mut self, priority: Priority, length: Length) -> Option<&mut Lane> {
+    /// Adds a waiter at the place that its order gives it.
+    pub(crate) fn insert(&mut self, priority: Priority, length: Length, waiter: Waiter) {
+        if let Some(lane) = self.lane_mut(priority, length) {
+            lane.insert(waiter);
+        }
+    }
+
+    /// Takes the oldest waiter of a lane.
+    pub(crate) fn pop(&mut self, priority: Priority, length: Length) -> Option<Waiter> {
+        self.lane_mut(priority, length)?.pop()
+    }
+
+    fn lane_mut(&mut self, priority: Priority, length: Length) -> Option<&mut Lane> {
         self.lanes.iter_mut().find(|l| l.priority == priority && l.length == length)
     }
 
