Make separate processes fail under load and judge what came of it

Trial deployments move into a crate of their own, so that the tests and the measurements share them.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -21,5 +21,5 @@
 mod shared;
 mod start;
 
-pub use settings::{Faults, Listen, Settings, SettingsError};
+pub use settings::{Faults, Listen, Settings, SettingsError, TestSwitches};
 pub use start::{Addresses, Drainer, Running, StartError, start};
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -1,5 +1,6 @@
 //! The listener for operators: metrics, health, status, explanations and orders.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use actix::{Actor, Addr, Context, Handler, Message};
@@ -9,7 +10,10 @@
 use ownership::Event;
 use serde::{Deserialize, Serialize};
 
+use wire::Cut;
+
 use crate::decisions::KeptDecision;
+use crate::settings::TestSwitches;
 use crate::shared::Cx;
 use crate::{drain, owner, routes};
 
@@ -20,6 +24,20 @@
 pub struct Operators {
     /// The parts of the host process.
     pub cx: Cx,
+    /// The listener for host processes.
+    pub hosts: Rc<wire::Server>,
+}
+
+impl Operators {
+    fn cut(&self, cut: Cut) {
+        if self.cx.settings.test_switches == TestSwitches::Off {
+            log::warn!("host: Refused to be cut off; test_switches is off.");
+            return;
+        }
+        log::warn!("host: Other host processes: {cut:?}.");
+        self.cx.client.cut(cut.clone());
+        self.hosts.cut(cut);
+    }
 }
 
 impl Actor for Operators {
@@ -150,6 +168,8 @@
     DeclareDead(Vec<Session>),
     /// Let a quarantined request run again.
     LiftQuarantine(u64),
+    /// Cut this host process off from all others, or end that; for tests.
+    Cut(Cut),
 }
 
 impl Message for Order {
@@ -179,6 +199,7 @@
         match order {
             Order::Drain => drain::begin(&self.cx),
             Order::DeclareDead(sessions) => self.cx.feed(Event::DeclaredDead(sessions)),
+            Order::Cut(cut) => self.cut(cut),
             Order::LiftQuarantine(digest) => owner::lift_quarantine(&self.cx, digest),
         }
     }
@@ -273,6 +294,8 @@
             .route("/status", web::get().to(get_status))
             .route("/explain", web::get().to(get_explanation))
             .route("/drain", web::post().to(post_drain))
+            .route("/cut", web::post().to(post_cut))
+            .route("/cut", web::delete().to(delete_cut))
             .route("/declare-dead", web::post().to(post_declare_dead))
             .route("/quarantine/{digest}", web::delete().to(delete_quarantine))
     });
@@ -314,6 +337,16 @@
     HttpResponse::Accepted().finish()
 }
 
+async fn post_cut(state: web::Data<OperatorsState>) -> HttpResponse {
+    state.operators.do_send(Order::Cut(Cut::All));
+    HttpResponse::Accepted().finish()
+}
+
+async fn delete_cut(state: web::Data<OperatorsState>) -> HttpResponse {
+    state.operators.do_send(Order::Cut(Cut::None));
+    HttpResponse::Accepted().finish()
+}
+
 /// Sessions in text form, as `status` prints them.
 #[derive(Deserialize)]
 struct DeadSessions {
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -31,8 +31,23 @@
     pub listen: Listen,
     /// The time limits of the ownership protocol.
     pub timing: ownership::Timing,
-    /// How long other hosts have to notice that this one is leaving.
-    pub drain_notice: Millis,
+    /// Whether operators may cut this host process off from others, for tests.
+    pub test_switches: TestSwitches,
+}
+
+/// Whether a host process takes orders that only tests give.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TestSwitches {
+    /// It refuses them.
+    Off,
+    /// It obeys them.
+    On,
+}
+
+impl From<bool> for TestSwitches {
+    fn from(wanted: bool) -> Self {
+        if wanted { Self::On } else { Self::Off }
+    }
 }
 
 /// The four listeners of a host process. Each has its own peers, so each can be fenced off by a
@@ -115,8 +130,8 @@
     listen: ListenDocument,
     #[serde(default)]
     timing: TimingDocument,
-    #[serde(default = "default_drain_notice_ms")]
-    drain_notice_ms: u64,
+    #[serde(default)]
+    test_switches: bool,
 }
 
 #[derive(Deserialize)]
@@ -192,10 +207,6 @@
     1_000
 }
 
-fn default_drain_notice_ms() -> u64 {
-    500
-}
-
 impl Settings {
     /// Parses and checks a settings document.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
@@ -219,7 +230,7 @@
             platform_time_limit: Millis(document.platform_time_limit_ms),
             listen,
             timing,
-            drain_notice: Millis(document.drain_notice_ms),
+            test_switches: TestSwitches::from(document.test_switches),
         })
     }
 }
--- a/crates/host/src/start.rs
+++ b/crates/host/src/start.rs
@@ -85,7 +85,7 @@
     /// Where it listens.
     pub addresses: Addresses,
     cx: Cx,
-    hosts: wire::Server,
+    hosts: Rc<wire::Server>,
     servers: Vec<ServerHandle>,
 }
 
@@ -135,7 +135,8 @@
     let membership = Membership::new(cx.clone()).launch(events_rx);
     let hosts =
         wire::serve(listeners.hosts, peers::handlers(&cx, &membership)).context(HostsSnafu)?;
-    let servers = start_servers(&cx, listeners.http, addresses)?;
+    let hosts = Rc::new(hosts);
+    let servers = start_servers(&cx, &hosts, listeners.http, addresses)?;
     actix_rt::spawn(routes::keep_fresh(cx.clone()));
     actix_rt::spawn(config_watch::poll(cx.clone()));
     actix_rt::spawn(housekeeping(cx.clone()));
@@ -212,6 +213,7 @@
 
 fn start_servers(
     cx: &Cx,
+    hosts: &Rc<wire::Server>,
     listeners: HttpListeners,
     addresses: Addresses,
 ) -> Result<Vec<ServerHandle>, StartError> {
@@ -220,7 +222,7 @@
         ingress: Ingress::new(cx.clone()).start(),
         leaving: cx.leaving.subscribe(),
     };
-    let operators = Operators { cx: cx.clone() }.start();
+    let operators = Operators { cx: cx.clone(), hosts: hosts.clone() }.start();
     let servers = [
         callers::listen(listeners.callers, state)
             .context(ListenSnafu { part: "callers", addr: addresses.callers })?,
--- a/crates/papayarill/tests/whole_path.rs
+++ b/crates/papayarill/tests/whole_path.rs
@@ -1,20 +1,24 @@
 //! A request reaches the one backend server that owns its key, from any host process.
 
-mod common;
-
-use common::{Deployment, SERVICE, ZONES, deployment, http};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
+use trial::deployment::{Deployment, SERVICE, ZONES, deployment};
+use trial::http;
+use trial::process::Program;
 use uuid::Uuid;
 
 const SEED: u64 = 7;
 const KEYS: u32 = 300;
 const REQUESTS: usize = 3_000;
 
+fn program() -> Program {
+    Program(env!("CARGO_BIN_EXE_papayarill").into())
+}
+
 #[actix_rt::test]
 async fn each_key_is_run_by_its_owner_alone() {
-    let deployment = deployment(&ZONES).await;
+    let deployment = deployment(&program(), &ZONES).await;
     let mut rng = StdRng::seed_from_u64(SEED);
     let client = http::client();
 
@@ -71,7 +75,7 @@
 
 #[actix_rt::test]
 async fn bad_requests_are_refused_and_run_nowhere() {
-    let deployment = deployment(&ZONES[..3]).await;
+    let deployment = deployment(&program(), &ZONES[..3]).await;
     let client = http::client();
     let callers = deployment.hosts[0].callers;
     let id = Uuid::now_v7().to_string();
--- a/crates/papayarill/tests/common/mod.rs
+++ b/crates/trial/src/deployment.rs
@@ -1,10 +1,6 @@
-//! A deployment of separate processes on loopback, for tests.
-
-#![allow(dead_code)]
-
-pub mod http;
-pub mod process;
+//! A platform stand-in and hosts, each a process of its own.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,11 +9,15 @@
 use platform::Platform;
 use stand_ins::backend::Run;
 
-use process::{Process, spawn};
+use crate::http;
+use crate::process::{self, Process, Program};
 
 /// The service of the test deployments.
 pub const SERVICE: &str = "index-board";
 
+/// The partitions of the service.
+pub const PARTITIONS: usize = 48;
+
 /// The availability zones of the test deployments.
 pub const ZONES: [&str; 6] =
     ["khomas-a", "khomas-b", "erongo-a", "erongo-b", "oshana-a", "oshana-b"];
@@ -36,19 +36,33 @@
 
 /// One host: a host process with its backend server.
 pub struct Host {
+    /// The availability zone.
     pub zone: String,
+    /// The host process.
     pub process: Process,
-    pub backend: Option<Process>,
+    /// The backend server.
+    pub backend: Process,
+    /// Where the host process listens to callers.
     pub callers: SocketAddr,
+    /// Where it listens to other host processes.
     pub hosts: SocketAddr,
+    /// Where it listens to its backend server.
     pub announce: SocketAddr,
+    /// Where it listens to operators.
     pub operators: SocketAddr,
+    /// What former backend servers of this host ran.
+    pub past_runs: Vec<Run>,
 }
 
 /// A platform stand-in and hosts.
 pub struct Deployment {
+    /// The program that the processes run.
+    pub program: Program,
+    /// The platform stand-in.
     pub platform: Process,
+    /// Where the platform stand-in listens.
     pub platform_addr: SocketAddr,
+    /// The hosts.
     pub hosts: Vec<Host>,
 }
 
@@ -60,7 +74,7 @@
         .collect();
     format!(
         "regions:\n{regions}services:\n- name: {SERVICE}\n  key:\n    path-segment: 1\n  \
-         partitions: 48\n  backend-servers: 6\n  slots: 6\n  connections: 110\n  \
+         partitions: {PARTITIONS}\n  backend-servers: 6\n  slots: 6\n  connections: 110\n  \
          reserved-slots: 2\n  drain-deadline-ms: 20000\n  rules:\n  - methods: [GET]\n    \
          path: /keys/*\n    repeatable: true\n    priority: interactive\n    \
          time-limit-ms: 10000\n  - methods: [POST]\n    path: /keys/*\n    repeatable: false\n    \
@@ -70,32 +84,31 @@
 
 /// Starts a platform with the configuration and one host per zone, and waits until each
 /// partition is served.
-pub async fn deployment(zones: &[&str]) -> Deployment {
-    let mut deployment = platform_only().await;
+pub async fn deployment(program: &Program, zones: &[&str]) -> Deployment {
+    let mut deployment = platform_only(program).await;
     for zone in zones {
-        let host = start_host(deployment.platform_addr, zone);
-        deployment.hosts.push(host);
+        deployment.add_host(zone);
     }
     deployment.wait_until_served().await;
     deployment
 }
 
 /// Starts a platform with the configuration.
-pub async fn platform_only() -> Deployment {
-    let platform = spawn(&["dev", "platform"]);
+pub async fn platform_only(program: &Program) -> Deployment {
+    let platform = program.spawn(&["dev", "platform"]);
     let platform_addr = platform.address("");
     let client = Platform::new(platform_addr, PLATFORM_TIME_LIMIT);
     client.apply_config(None, &config(), WriterTag(1)).await.expect("the configuration is stored");
-    Deployment { platform, platform_addr, hosts: Vec::new() }
+    Deployment { program: program.clone(), platform, platform_addr, hosts: Vec::new() }
 }
 
 /// Starts one host process and its backend server.
-pub fn start_host(platform: SocketAddr, zone: &str) -> Host {
+pub fn start_host(program: &Program, platform: SocketAddr, zone: &str) -> Host {
     let settings = format!(
-        "zone: {zone}\nservice: {SERVICE}\nplatform: {platform}\n\
+        "zone: {zone}\nservice: {SERVICE}\nplatform: {platform}\ntest_switches: true\n\
          timing:\n  balance_interval_ms: {NO_BALANCING_MS}\n"
     );
-    let process = spawn(&["serve", "--settings", &process::settings_file(&settings)]);
+    let process = program.spawn(&["serve", "--settings", &process::settings_file(&settings)]);
     let announce = process.address("backend=");
     Host {
         zone: zone.to_owned(),
@@ -103,14 +116,15 @@
         hosts: process.address("hosts="),
         operators: process.address("operators="),
         announce,
-        backend: Some(start_backend(announce)),
+        backend: start_backend(program, announce),
         process,
+        past_runs: Vec::new(),
     }
 }
 
 /// Starts a backend server that announces itself to a host process.
-pub fn start_backend(announce: SocketAddr) -> Process {
-    spawn(&["dev", "backend", "--service", SERVICE, "--announce", &announce.to_string()])
+pub fn start_backend(program: &Program, announce: SocketAddr) -> Process {
+    program.spawn(&["dev", "backend", "--service", SERVICE, "--announce", &announce.to_string()])
 }
 
 impl Host {
@@ -120,17 +134,33 @@
         serde_json::from_slice(&body).ok()
     }
 
-    /// Returns what the backend server ran.
+    /// Returns what the backend servers of this host ran.
     pub async fn runs(&self) -> Vec<Run> {
-        let Some(backend) = &self.backend else {
-            return Vec::new();
-        };
-        let body = http::get(backend.address(""), "/stand-in/runs").await;
-        body.and_then(|b| serde_json::from_slice(&b).ok()).unwrap_or_default()
+        let body = http::get(self.backend.address(""), "/stand-in/runs").await;
+        let present: Option<Vec<Run>> = body.and_then(|b| serde_json::from_slice(&b).ok());
+        self.past_runs.iter().cloned().chain(present.unwrap_or_default()).collect()
+    }
+
+    /// Kills the backend server and starts another one.
+    pub async fn replace_backend(&mut self, program: &Program) {
+        self.kill_backend().await;
+        self.backend = start_backend(program, self.announce);
+    }
+
+    /// Kills the backend server, but keeps what it ran.
+    pub async fn kill_backend(&mut self) {
+        self.past_runs = self.runs().await;
+        self.backend.kill();
     }
 }
 
 impl Deployment {
+    /// Starts another host.
+    pub fn add_host(&mut self, zone: &str) {
+        let host = start_host(&self.program, self.platform_addr, zone);
+        self.hosts.push(host);
+    }
+
     /// Waits until each partition has an owner that is a live member, and all hosts know it.
     pub async fn wait_until_served(&self) {
         wait_for("all partitions to be served", || self.is_served()).await;
@@ -142,7 +172,7 @@
             let Some(status) = host.status().await else {
                 return false;
             };
-            if status.partitions.len() != 48 || status.lease_left_ms.is_none() {
+            if status.partitions.len() != PARTITIONS || status.lease_left_ms.is_none() {
                 return false;
             }
             let owners: Vec<&String> = status.partitions.iter().map(|p| &p.owner).collect();
@@ -156,6 +186,10 @@
     }
 
     /// Returns the index of the host that is the coordinator.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no host is.
     pub async fn coordinator(&self) -> usize {
         for (index, host) in self.hosts.iter().enumerate() {
             if host.status().await.is_some_and(|s| s.coordinator) {
@@ -171,7 +205,11 @@
     }
 }
 
-/// Waits until a condition holds, or panics with `what` after [`PATIENCE`].
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics with `what` after [`PATIENCE`].
 pub async fn wait_for<F, Fut>(what: &str, mut holds: F)
 where
     F: FnMut() -> Fut,
--- a/crates/papayarill/tests/common/http.rs
+++ b/crates/trial/src/http.rs
@@ -1,14 +1,14 @@
-//! Plain HTTP for tests.
+//! Plain HTTP for trials.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 
-/// How long a server may take to answer a test.
+/// How long a server may take to answer.
 const TIME_LIMIT: Duration = Duration::from_secs(20);
 
-/// The longest answer that a test reads, in bytes.
+/// The longest answer that is read, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
 /// What a caller sees of one request.
@@ -31,7 +31,7 @@
     }
 }
 
-/// Returns a client whose connections a test shares.
+/// Returns a client for many requests.
 pub fn client() -> awc::Client {
     awc::Client::builder().timeout(TIME_LIMIT).disable_redirects().finish()
 }
--- a/crates/papayarill/tests/common/process.rs
+++ b/crates/trial/src/process.rs
@@ -1,37 +1,52 @@
-//! Processes that a test starts and ends.
+//! Processes that a trial starts and ends.
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use rustix::process::{Pid, Signal, kill_process};
 
-/// A process that ends with the test.
+/// The shipped program.
+#[derive(Clone, Debug)]
+pub struct Program(pub PathBuf);
+
+/// A process that is killed when this is dropped.
 pub struct Process {
     child: Child,
     first_line: String,
 }
 
-/// Starts `papayarill` and waits for the line that tells its addresses.
-pub fn spawn(arguments: &[&str]) -> Process {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_papayarill"))
-        .args(arguments)
-        .env("RUST_LOG", std::env::var("PAPAYARILL_TEST_LOG").unwrap_or("warn".to_owned()))
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("papayarill starts");
-    let stdout = child.stdout.take().expect("stdout is piped");
-    let mut first_line = String::new();
-    BufReader::new(stdout).read_line(&mut first_line).expect("papayarill tells its addresses");
-    Process { child, first_line }
+impl Program {
+    /// Starts the program and waits for the line that tells its addresses.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program does not start or tells no addresses.
+    pub fn spawn(&self, arguments: &[&str]) -> Process {
+        let mut child = Command::new(&self.0)
+            .args(arguments)
+            .env("RUST_LOG", std::env::var("PAPAYARILL_TRIAL_LOG").unwrap_or("off".to_owned()))
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut first_line = String::new();
+        BufReader::new(stdout).read_line(&mut first_line).expect("the program tells its addresses");
+        Process { child, first_line }
+    }
 }
 
 /// Writes settings to a file of their own and returns its path.
+///
+/// # Panics
+///
+/// Panics if the file cannot be written.
 pub fn settings_file(text: &str) -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
-    let name = format!("papayarill-test-{}-{number}.yaml", std::process::id());
+    let name = format!("papayarill-trial-{}-{number}.yaml", std::process::id());
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, text).expect("the settings can be written");
     path.to_str().expect("the path is UTF-8").to_owned()
@@ -39,6 +54,10 @@
 
 impl Process {
     /// Returns the address with this label in the process's first line.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
     pub fn address(&self, label: &str) -> SocketAddr {
         let words = self.first_line.split_whitespace().skip(1);
         let mut found = words.filter_map(|w| w.strip_prefix(label)?.parse().ok());
--- /dev/null
+++ b/crates/trial/src/verdict.rs
@@ -0,0 +1,93 @@
+//! Judges what callers and backend servers saw.
+
+use model::Millis;
+use stand_ins::backend::{Run, RunEnd};
+
+use crate::load::KeyLog;
+
+/// Returns the longest time without an answer for each key, from `since` on.
+pub fn gaps(logs: &[KeyLog], since: Millis) -> Vec<Millis> {
+    logs.iter().map(|log| longest_gap(log, since)).collect()
+}
+
+fn longest_gap(log: &KeyLog, since: Millis) -> Millis {
+    let mut last = since;
+    let mut longest = Millis::ZERO;
+    let answers = log.actions.iter().filter(|a| a.ran() && a.answered_at > since);
+    for action in answers {
+        longest = longest.max(action.answered_at.since(last));
+        last = action.answered_at;
+    }
+    let end = log.actions.last().map_or(since, |a| a.answered_at);
+    longest.max(end.since(last))
+}
+
+/// Returns each case in which two backend servers served a partition at once, in words.
+///
+/// All processes of a trial share one boot clock, so runs of different backend servers can be put
+/// in order. A run under a lower fence must not start after, or still go on at, the start of a
+/// run under a higher fence.
+pub fn double_ownership(runs_by_host: &[Vec<Run>]) -> Vec<String> {
+    let mut runs: Vec<(&Run, usize)> = Vec::new();
+    for (host, host_runs) in runs_by_host.iter().enumerate() {
+        runs.extend(host_runs.iter().map(|r| (r, host)));
+    }
+    runs.sort_by_key(|(r, _)| (r.partition, r.fence, r.started_at_ms));
+    let mut found = Vec::new();
+    for pair in runs.windows(2) {
+        let [(older, from), (newer, to)] = pair else {
+            continue;
+        };
+        if older.partition != newer.partition || older.fence == newer.fence || from == to {
+            continue;
+        }
+        if last_moment(&runs, older) > newer.started_at_ms {
+            found.push(format!("{older:?} at host {from} and {newer:?} at host {to}"));
+        }
+    }
+    found
+}
+
+/// Returns the last moment at which the partition was served under the fence of `run`.
+fn last_moment(runs: &[(&Run, usize)], run: &Run) -> u64 {
+    let same = runs.iter().filter(|(r, _)| r.partition == run.partition && r.fence == run.fence);
+    same.map(|(r, _)| {
+        if r.end == Some(RunEnd::Cancelled) {
+            r.started_at_ms
+        } else {
+            r.ended_at_ms.unwrap_or(r.started_at_ms)
+        }
+    })
+    .max()
+    .unwrap_or(0)
+}
+
+/// Returns the request ids that ran more than once.
+pub fn repeated_ids(runs_by_host: &[Vec<Run>]) -> Vec<String> {
+    let runs = runs_by_host.iter().flatten();
+    let mut ids: Vec<&String> = runs.filter_map(|r| r.request_id.as_ref()).collect();
+    ids.sort_unstable();
+    let twice = ids.windows(2).filter(|pair| pair[0] == pair[1]);
+    let mut repeated: Vec<String> = twice.map(|pair| pair[0].clone()).collect();
+    repeated.dedup();
+    repeated
+}
+
+/// Returns the request ids whose caller was told "not run" at last although a backend server ran
+/// them.
+pub fn false_refusals(logs: &[KeyLog], runs_by_host: &[Vec<Run>]) -> Vec<String> {
+    let mut ran: Vec<&String> =
+        runs_by_host.iter().flatten().filter_map(|r| r.request_id.as_ref()).collect();
+    ran.sort_unstable();
+    let actions = logs.iter().flat_map(|l| &l.actions);
+    let refused = actions.filter(|a| a.seen.iter().all(|s| s.outcome == "not-run"));
+    let ids = refused.filter_map(|a| a.id.as_ref());
+    ids.filter(|id| ran.binary_search(id).is_ok()).cloned().collect()
+}
+
+/// Returns how many actions got no answer at the first send, with the reasons.
+pub fn not_served_at_once(logs: &[KeyLog]) -> Vec<String> {
+    let actions = logs.iter().flat_map(|l| &l.actions);
+    let missed = actions.filter(|a| a.seen.first().is_some_and(|s| s.status != 200));
+    missed.filter_map(|a| a.seen.first()).map(|s| format!("{} {}", s.status, s.reason)).collect()
+}
