--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -15,6 +15,10 @@
 /// The most times that one request follows a moved owner without payment.
 pub const MAX_FREE_MOVES: u32 = 8;
 
+/// The most times that one request is sent without payment to an owner that refused it and whose
+/// route stays the same: its move may have been called off.
+pub const MAX_FREE_PROBES: u32 = 2;
+
 /// The most re-sends that the budget saves up while all is well.
 pub const MAX_SAVED_RETRIES: u64 = 10;
 
@@ -158,6 +162,8 @@
 pub struct Attempts {
     resends: u32,
     moves: u32,
+    probes: u32,
+    refused_by_owner: bool,
 }
 
 impl Attempts {
@@ -168,7 +174,10 @@
     pub fn next_step(&mut self, failure: Failure, cx: &RetryContext, budget: &mut Budget) -> Step {
         match advice(failure, cx) {
             Advice::Stop => Step::Answer(Stop::Final),
-            Advice::Follow => self.await_route(cx),
+            Advice::Follow => {
+                self.refused_by_owner = gives_up_partition(failure);
+                self.await_route(cx)
+            }
             Advice::Elsewhere => self.move_on(cx, budget),
             Advice::Again => self.send_again(cx, budget),
         }
@@ -183,8 +192,11 @@
             self.moves += 1;
             return Step::SendAgain { after: Millis::ZERO };
         }
-        // The move may have been called off, so the same owner is tried, but only within the
-        // budget: it may just as well be dead.
+        if self.refused_by_owner && self.probes < MAX_FREE_PROBES {
+            self.probes += 1;
+            return Step::SendAgain { after: Millis::ZERO };
+        }
+        // An owner that did not answer may be dead, so it is tried only within the budget.
         if budget.take() {
             return Step::SendAgain { after: Millis::ZERO };
         }
@@ -238,6 +250,11 @@
     Again,
 }
 
+/// Returns whether the owner is alive and has just stopped serving the partition.
+fn gives_up_partition(failure: Failure) -> bool {
+    matches!(failure, Failure::NotRun(NotRunReason::NotOwner | NotRunReason::Draining))
+}
+
 fn advice(failure: Failure, cx: &RetryContext) -> Advice {
     match failure {
         Failure::NotRun(reason) => after_not_run(reason, cx.servers),
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -155,13 +155,23 @@
 
 #[test]
 fn a_request_follows_a_moved_owner_without_a_budget() {
-    let mut budget = Budget::new(0);
-    let cx = cx(Repeat::AtMostOnce, Servers::Owner);
-    let mut attempts = Attempts::default();
-    let step = attempts.next_step(Failure::NotRun(NotRunReason::NotOwner), &cx, &mut budget);
-    assert_eq!(kind(step), Kind::Await);
-    assert_eq!(kind(attempts.after_wait(Route::Same, &cx, &mut budget)), Kind::Await);
-    assert_eq!(kind(attempts.after_wait(Route::Newer, &cx, &mut budget)), Kind::Again);
+    let check = |reason, routes: &[Route], expected: &[Kind]| {
+        let mut budget = Budget::new(0);
+        let cx = cx(Repeat::AtMostOnce, Servers::Owner);
+        let mut attempts = Attempts::default();
+        let step = attempts.next_step(Failure::NotRun(reason), &cx, &mut budget);
+        assert_eq!(kind(step), Kind::Await);
+        let steps = routes.iter().map(|r| kind(attempts.after_wait(*r, &cx, &mut budget)));
+        assert_eq!(steps.collect::<Vec<_>>(), expected, "{reason:?}");
+    };
+    let same = [Route::Same; 3];
+    check(NotRunReason::NotOwner, &[Route::Newer], &[Kind::Again]);
+    check(NotRunReason::NotConnected, &[Route::Newer], &[Kind::Again]);
+    // A called-off move leaves the route as it was.
+    check(NotRunReason::NotOwner, &same, &[Kind::Again, Kind::Again, Kind::Await]);
+    check(NotRunReason::Draining, &same, &[Kind::Again, Kind::Again, Kind::Await]);
+    check(NotRunReason::NotConnected, &same, &[Kind::Await, Kind::Await, Kind::Await]);
+    check(NotRunReason::NoLease, &same, &[Kind::Await, Kind::Await, Kind::Await]);
 }
 
 #[test]
