Let ids of callers whose clocks are ahead wait, and follow routes by partition

Cause: after a takeover ids were not vouched for 1.25 s, because an owner accepted ids minted up to a second ahead. Ruled out: shortening the accepted lead, which would refuse honest callers. Change: the ingress waits out the lead of the caller's clock, so an owner sees at most the difference between two hosts' clocks and vouches again after half a second. With it go faults found in review: a release that was called off could still end as handed over; a newer table of other partitions counted as a newer route; a backend server could forge the headers that tell outcomes; the records ignored the retention time of the service.

--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -15,6 +15,7 @@
 use futures_util::StreamExt;
 use http_client::{Limits, Sent};
 use model::{Fence, Millis, NotRunReason, Outcome, Partition, UnknownReason};
+use routing::outcome;
 use serde::{Deserialize, Serialize};
 use wire::{AnswerHead, BodyError, ForwardHead};
 
@@ -30,6 +31,9 @@
 /// The most connections to one backend server, whatever it announces.
 const MAX_CONNECTIONS: usize = 1_024;
 
+/// The prefix of the headers that only host processes may set.
+pub const OWN_HEADER_PREFIX: &str = "papayarill-";
+
 /// Whether a backend server refuses work whose fence is too low or whose grant is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -309,10 +313,9 @@
 where
     S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
-    let refused =
-        answer.status().as_u16() == 503 && answer.headers().contains_key("papayarill-refused");
-    if refused {
-        return Attempted::new(Outcome::NotRun(NotRunReason::BackendRefused), Connection::Good);
+    let refused = answer.headers().get(outcome::REFUSED_HEADER).map(|v| v.as_bytes());
+    if let Some(reason) = outcome::refusal(answer.status().as_u16(), refused) {
+        return Attempted::new(Outcome::NotRun(reason), Connection::Good);
     }
     let head = AnswerHead {
         status: answer.status().as_u16(),
@@ -324,9 +327,11 @@
     Attempted::new(Outcome::Ran((head, body)), Connection::Good)
 }
 
-/// Leaves out the headers that are about the connection and not about the answer.
+/// Leaves out the headers of the connection, and those by which the system tells outcomes.
 fn answer_headers(headers: &awc::http::header::HeaderMap) -> Vec<(String, Vec<u8>)> {
-    let kept = headers.iter().filter(|(name, _)| !is_hop_header(name.as_str()));
+    let kept = headers.iter().filter(|(name, _)| {
+        !is_hop_header(name.as_str()) && !name.as_str().starts_with(OWN_HEADER_PREFIX)
+    });
     kept.map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec())).collect()
 }
 
--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -13,7 +13,7 @@
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use model::{Millis, Outcome, RequestId};
+use model::{Clock, Millis, Outcome, RequestId};
 use papayarill_config::{Config, Repeat, Service};
 use routing::answer::{self, CallerAnswer, OUTCOME_HEADER, RETRY_AFTER_HEADER};
 use routing::rules::{self, Matched};
@@ -23,7 +23,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 use wire::AnswerHead;
 
-use crate::backend::is_hop_header;
+use crate::backend::{OWN_HEADER_PREFIX, is_hop_header};
 use crate::ingress::{CallerRequest, Chunks, Ingress, Served};
 
 /// Threads that parse callers' HTTP.
@@ -41,6 +41,9 @@
 /// The longest header block that is passed on, in bytes.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
 
+/// How far the clock of a caller may be ahead.
+const MAX_CALLER_LEAD: Millis = Millis(1_000);
+
 /// The header with the caller's request id.
 const REQUEST_ID_HEADER: &str = "idempotency-key";
 
@@ -50,9 +53,6 @@
 /// The header that names the host process of the owner.
 const OWNER_HEADER: &str = "papayarill-owner";
 
-/// The prefix of the headers that only host processes may set.
-const OWN_HEADER_PREFIX: &str = "papayarill-";
-
 /// What the listener needs.
 #[derive(Clone)]
 pub struct CallersState {
@@ -60,6 +60,8 @@
     pub config: watch::Receiver<Arc<Config>>,
     /// The ingress.
     pub ingress: Addr<Ingress>,
+    /// Wall-clock time.
+    pub wall: Clock,
     /// Whether this host is leaving, so that callers should connect elsewhere.
     pub leaving: watch::Receiver<bool>,
 }
@@ -77,6 +79,11 @@
     MissingId,
     #[snafu(display("the header idempotency-key: {source}"))]
     Id { source: model::RequestIdError },
+    #[snafu(display(
+        "the header idempotency-key: minted {lead} ms in the future, \
+         at most {MAX_CALLER_LEAD} ms are waited out"
+    ))]
+    Future { lead: Millis },
     #[snafu(display("the header {name} is malformed"))]
     Header { name: &'static str },
     #[snafu(display("the headers are longer than {MAX_HEADER_BYTES} bytes"))]
@@ -151,6 +158,9 @@
     })
     .context(KeySnafu)?;
     let id = read_id(req.headers(), &matched)?;
+    if let Some(id) = id {
+        wait_until_minted(id, &state.wall).await?;
+    }
     let time_limit = read_time_limit(req.headers(), &matched)?;
     let headers = passed_headers(req.headers())?;
     let body = read_body(body, service.max_body_bytes).await?;
@@ -197,6 +207,19 @@
     RequestId::parse(text.trim_matches('"')).context(IdSnafu).map(Some)
 }
 
+/// Waits out the lead of a caller's clock. No owner ever runs an id before the time at which it
+/// claims to be minted, so after a takeover ids of all earlier times can be told apart.
+async fn wait_until_minted(id: RequestId, wall: &Clock) -> Result<(), RequestError> {
+    let lead = id.minted_at().since(wall.now());
+    if lead > MAX_CALLER_LEAD {
+        return FutureSnafu { lead }.fail();
+    }
+    if lead > Millis::ZERO {
+        tokio::time::sleep(lead.into()).await;
+    }
+    Ok(())
+}
+
 fn read_time_limit(headers: &HeaderMap, matched: &Matched) -> Result<Millis, RequestError> {
     let Some(value) = headers.get(TIME_LEFT_HEADER) else {
         return Ok(matched.time_limit);
--- a/crates/host/src/ingress.rs
+++ b/crates/host/src/ingress.rs
@@ -4,8 +4,10 @@
 use actix::{Actor, Context, Handler, Message, ResponseFuture};
 use bytes::Bytes;
 use futures_util::StreamExt;
-use model::{CellId, HostAddr, Millis, NotRunReason, Outcome, Partition, RequestId, ServiceName};
-use ownership::RoutesVersion;
+use model::{
+    CellId, HostAddr, Millis, NotRunReason, Outcome, Partition, RequestId, ServiceName,
+    UnknownReason,
+};
 use routing::answer::DEFAULT_RETRY_AFTER;
 use routing::retry::{Attempts, Budget, Failure, RetryContext, Route, Servers, Step};
 use routing::rules::Matched;
@@ -13,7 +15,7 @@
 use wire::{AnswerHead, Body, BodyError, ForwardHead};
 
 use crate::owner::{self, OwnerOutcome};
-use crate::routes;
+use crate::routes::{self, Known};
 use crate::shared::Cx;
 
 /// Requests that may wait in the actor's mailbox.
@@ -95,7 +97,7 @@
             let mut gone = std::mem::replace(&mut req.gone, oneshot::channel().1);
             let outcome = tokio::select! {
                 outcome = Job::new(&cx, req).run() => outcome,
-                _ = &mut gone => Outcome::NotRun(NotRunReason::Abandoned),
+                _ = &mut gone => Outcome::Unknown(UnknownReason::ConnectionLost),
             };
             count(&outcome);
             Served { outcome: outcome.map(pipe), retry_after: DEFAULT_RETRY_AFTER }
@@ -145,8 +147,8 @@
 #[derive(Clone, Copy)]
 struct Target {
     addr: HostAddr,
-    /// The version of the table that named the owner; `None` if any server may serve.
-    route: Option<RoutesVersion>,
+    /// What named the owner; `None` if any server may serve.
+    known: Option<Known>,
 }
 
 impl<'a> Job<'a> {
@@ -211,14 +213,12 @@
     }
 
     async fn await_route(&self, target: Option<Target>, at_most: Millis) -> Route {
-        let Some(cell) = self.cell() else {
+        let (Some(cell), Some(partition)) = (self.cell(), self.req.partition) else {
             return Route::Same;
         };
-        let known = match target {
-            Some(target) => target.route,
-            None => routes::version(self.cx, &cell),
-        };
-        routes::await_newer(self.cx, &cell, known, at_most).await
+        let nothing = Known { route: None, version: routes::version(self.cx, &cell) };
+        let before = target.and_then(|t| t.known).unwrap_or(nothing);
+        routes::await_newer(self.cx, &cell, partition, before, at_most).await
     }
 
     fn servers(&self) -> Servers {
@@ -245,11 +245,12 @@
     fn target(&self) -> Option<Target> {
         let Some(partition) = self.req.partition else {
             let addr = routes::choose(self.cx, &self.req.service)?;
-            return Some(Target { addr, route: None });
+            return Some(Target { addr, known: None });
         };
         let cell = self.cell()?;
         let route = routes::known(self.cx, &cell, partition)?;
-        Some(Target { addr: route.owner, route: routes::version(self.cx, &cell) })
+        let known = Known { route: Some(route), version: routes::version(self.cx, &cell) };
+        Some(Target { addr: route.owner, known: Some(known) })
     }
 
     async fn attempt(&self, target: Target) -> OwnerOutcome {
@@ -261,7 +262,7 @@
         let head = self.head(time_left);
         let body = self.req.body.clone();
         let started_at = self.cx.now();
-        if target.route.is_none() {
+        if target.known.is_none() {
             routes::started(self.cx, &self.req.service, target.addr);
         }
         let outcome = if target.addr == self.cx.addr {
@@ -270,7 +271,7 @@
             metrics::counter!("papayarill_hops_total").increment(1);
             self.cx.client.forward(target.addr, head, body).await
         };
-        if target.route.is_none() {
+        if target.known.is_none() {
             routes::finished(self.cx, &self.req.service, target.addr, started_at, &outcome);
         }
         outcome
--- a/crates/host/src/owner/claims.rs
+++ b/crates/host/src/owner/claims.rs
@@ -15,7 +15,7 @@
 pub fn serve(cx: &Cx, partition: Partition, fence: Fence, origin: Origin) {
     let started = cx.owner.records.borrow_mut().start(partition, origin, cx.wall.now());
     log::info!("owner: Serves partition {partition} under fence {fence}: {started:?}.");
-    cx.owner.closing.borrow_mut().retain(|p| *p != partition);
+    cx.owner.reopen(partition);
     send_grants(cx);
 }
 
@@ -33,7 +33,7 @@
 pub fn resume(cx: &Cx, partition: Partition, fence: Fence) {
     log::info!("owner: Resumes partition {partition} under fence {fence}.");
     cx.owner.records.borrow_mut().resume(partition);
-    cx.owner.closing.borrow_mut().retain(|p| *p != partition);
+    cx.owner.reopen(partition);
     send_grants(cx);
 }
 
@@ -57,17 +57,21 @@
     time_limit: Millis,
 ) {
     let cx = cx.clone();
-    cx.owner.closing.borrow_mut().push(partition);
+    let closing = cx.owner.close(partition);
     actix_rt::spawn(async move {
         let quiet = tokio::time::timeout(time_limit.into(), quiet(&cx, partition)).await;
         if quiet.is_err() {
             log::warn!("owner: Cancels what still runs for partition {partition}.");
             cx.owner.in_flight.borrow_mut().retain(|i| i.partition != Some(partition));
         }
-        if !cx.owner.is_closing(partition) {
+        if !cx.owner.is_current(closing) {
             return;
         }
         let handed_over = hand_over(&cx, partition, fence, next).await;
+        // The release may have been called off meanwhile, and requests may run again since.
+        if !cx.owner.is_current(closing) {
+            return;
+        }
         cx.feed(Event::Quiesced { partition, fence, handed_over });
         send_grants(&cx);
     });
--- a/crates/host/src/owner/mod.rs
+++ b/crates/host/src/owner/mod.rs
@@ -40,7 +40,7 @@
     quarantine: RefCell<Quarantine>,
     waiting: RefCell<Vec<(u64, oneshot::Sender<permit::Go>)>>,
     in_flight: RefCell<Vec<InFlight>>,
-    closing: RefCell<Vec<Partition>>,
+    closing: RefCell<Vec<Closing>>,
     demand: RefCell<Vec<PartitionDemand>>,
     next_call: Cell<u64>,
     finished: Notify,
@@ -55,6 +55,14 @@
     _keep: oneshot::Sender<()>,
 }
 
+/// A partition that is being released. Releases are numbered, so that the end of one that was
+/// called off is not taken for the end of a later one.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Closing {
+    partition: Partition,
+    release: u64,
+}
+
 /// How many requests of a partition came since the last report.
 struct PartitionDemand {
     partition: Partition,
@@ -66,7 +74,7 @@
     /// Makes an owner that owns nothing.
     pub fn new() -> Self {
         Self {
-            records: RefCell::new(Records::new(RecordSettings::default())),
+            records: RefCell::new(Records::new(record_settings())),
             queue: RefCell::new(Queue::new(Limits::builder(UNKNOWN_SLOTS).build())),
             quarantine: RefCell::new(Quarantine::new(QuarantineLimits::default())),
             waiting: RefCell::new(Vec::new()),
@@ -89,7 +97,24 @@
     }
 
     fn is_closing(&self, partition: Partition) -> bool {
-        self.closing.borrow().contains(&partition)
+        self.closing.borrow().iter().any(|c| c.partition == partition)
+    }
+
+    /// Refuses new work of a partition until it is reopened.
+    fn close(&self, partition: Partition) -> Closing {
+        let closing = Closing { partition, release: self.next_call() };
+        self.reopen(partition);
+        self.closing.borrow_mut().push(closing);
+        closing
+    }
+
+    fn reopen(&self, partition: Partition) {
+        self.closing.borrow_mut().retain(|c| c.partition != partition);
+    }
+
+    /// Returns whether this very release is still under way.
+    fn is_current(&self, closing: Closing) -> bool {
+        self.closing.borrow().contains(&closing)
     }
 
     fn next_call(&self) -> u64 {
@@ -111,6 +136,13 @@
     }
 }
 
+/// An ingress waits out the lead of callers' clocks, so at an owner an id can be ahead only by as
+/// much as the clocks of two hosts differ.
+fn record_settings() -> RecordSettings {
+    let defaults = RecordSettings::default();
+    RecordSettings { caller_skew: defaults.host_skew, ..defaults }
+}
+
 impl Default for Owner {
     fn default() -> Self {
         Self::new()
@@ -180,7 +212,11 @@
 
 /// Forgets request records that are past their retention time.
 pub fn expire_records(cx: &Cx) {
-    cx.owner.records.borrow_mut().expire(cx.wall.now());
+    let mut records = cx.owner.records.borrow_mut();
+    if let Some(service) = cx.own_service() {
+        records.set_retention(service.record_retention);
+    }
+    records.expire(cx.wall.now());
 }
 
 /// Takes in that the backend server is down: nobody waits for a lease to end.
--- a/crates/host/src/owner/once.rs
+++ b/crates/host/src/owner/once.rs
@@ -37,7 +37,6 @@
         Begin::Replay(kept) => replay(cx, kept),
         Begin::Full => Outcome::NotRun(NotRunReason::Overloaded),
         Begin::NotServed => Outcome::NotRun(NotRunReason::NotOwner),
-        Begin::Unknown | Begin::TooOld => Outcome::Unknown(UnknownReason::NotVouched),
         other => told(cx, answer::for_begin(&other)),
     }
 }
--- a/crates/host/src/routes.rs
+++ b/crates/host/src/routes.rs
@@ -35,11 +35,18 @@
 pub struct Routes {
     cache: RefCell<RouteCache>,
     in_use: RefCell<Vec<(CellId, Millis)>>,
-    balancers: RefCell<Vec<(ServiceName, Balancer)>>,
+    balancers: RefCell<Vec<ServiceBalancer>>,
     budgets: RefCell<Vec<(ServiceName, Budget)>>,
     learned: Notify,
 }
 
+/// The balancer of one service, with the members that it was told.
+struct ServiceBalancer {
+    service: ServiceName,
+    balancer: Balancer,
+    members: Vec<(HostAddr, Distance)>,
+}
+
 impl Routes {
     /// Makes an empty set of routes.
     pub fn new() -> Self {
@@ -106,24 +113,32 @@
     cx.routes.cache.borrow().version(cell)
 }
 
-/// Waits until a table newer than `known` is there, but not longer than `at_most`.
+/// What an attempt knew of a partition's owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Known {
+    /// The route, if there was one.
+    pub route: Option<RouteEntry>,
+    /// The version of the table that it came from.
+    pub version: Option<RoutesVersion>,
+}
+
+/// Waits until a newer route of the partition than `before` is known, but not longer than
+/// `at_most`.
 pub async fn await_newer(
     cx: &Cx,
     cell: &CellId,
-    known: Option<RoutesVersion>,
+    partition: Partition,
+    before: Known,
     at_most: Millis,
 ) -> Route {
     let deadline = cx.now() + at_most;
-    if let Some(known) = known {
-        cx.routes.cache.borrow_mut().mark_moved(cell, known);
+    if let Some(version) = before.version {
+        cx.routes.cache.borrow_mut().mark_moved(cell, version);
     }
-    cx.routes.note_use(cell, cx.now());
     loop {
-        if version(cx, cell) > known {
-            return Route::Newer;
-        }
-        if cx.now() >= deadline {
-            return Route::Same;
+        let route = routing::routes::compare(before.route, known(cx, cell, partition));
+        if route == Route::Newer || cx.now() >= deadline {
+            return route;
         }
         ask(cx, cell);
         // The own cell's table changes without a question, so the wait is bounded in any case.
@@ -244,14 +259,15 @@
 pub fn choose(cx: &Cx, service: &ServiceName) -> Option<HostAddr> {
     refresh_balancer(cx, service);
     let balancers = cx.routes.balancers.borrow();
-    let index = balancers.binary_search_by(|(name, _)| name.cmp(service)).ok()?;
+    let index = balancers.binary_search_by(|b| b.service.cmp(service)).ok()?;
     let random = [rand::random(), rand::random()];
-    balancers[index].1.choose(random, cx.now()).map(|choice| choice.server)
+    balancers[index].balancer.choose(random, cx.now()).map(|choice| choice.server)
 }
 
-/// Hands the members of all cells of the service to its balancer.
+/// Hands the members of all cells of the service to its balancer, if they changed.
 fn refresh_balancer(cx: &Cx, service: &ServiceName) {
-    let Some(found) = cx.service(service) else {
+    let config = cx.config.current();
+    let Some(found) = config.service(service.as_str()) else {
         return;
     };
     let mut members = Vec::new();
@@ -259,13 +275,18 @@
         let cell = CellId { service: service.clone(), index };
         members.extend(cell_members(cx, &cell));
     }
-    let config = cx.config.current();
     let own_zone = &cx.settings.zone;
     let members: Vec<(HostAddr, Distance)> = members
         .iter()
         .map(|(addr, zone)| (*addr, balance::distance(&config, own_zone, zone)))
         .collect();
-    with_balancer(cx, service, |b| b.set_members(&members));
+    with_balancer(cx, service, |b| {
+        if b.members != members {
+            b.balancer.set_slots(found.slots);
+            b.balancer.set_members(&members);
+            b.members = members;
+        }
+    });
 }
 
 fn cell_members(cx: &Cx, cell: &CellId) -> Vec<(HostAddr, model::ZoneName)> {
@@ -277,22 +298,24 @@
     cx.routes.cache.borrow().members(cell).to_vec()
 }
 
-fn with_balancer(cx: &Cx, service: &ServiceName, f: impl FnOnce(&mut Balancer)) {
+fn with_balancer(cx: &Cx, service: &ServiceName, f: impl FnOnce(&mut ServiceBalancer)) {
     let mut balancers = cx.routes.balancers.borrow_mut();
-    let index = match balancers.binary_search_by(|(name, _)| name.cmp(service)) {
+    let index = match balancers.binary_search_by(|b| b.service.cmp(service)) {
         Ok(index) => index,
         Err(index) => {
             let balancer = Balancer::new(cx.addr, BalanceSettings::default());
-            balancers.insert(index, (service.clone(), balancer));
+            let members = Vec::new();
+            let fresh = ServiceBalancer { service: service.clone(), balancer, members };
+            balancers.insert(index, fresh);
             index
         }
     };
-    f(&mut balancers[index].1);
+    f(&mut balancers[index]);
 }
 
 /// Notes that a request goes to a server that was chosen.
 pub fn started(cx: &Cx, service: &ServiceName, server: HostAddr) {
-    with_balancer(cx, service, |b| b.started(server));
+    with_balancer(cx, service, |b| b.balancer.started(server));
 }
 
 /// Notes what came of a request to a server that was chosen.
@@ -311,5 +334,5 @@
         Outcome::NotRun(NotRunReason::Abandoned) => Observation::Abandoned,
         _ => Observation::Refused,
     };
-    with_balancer(cx, service, |b| b.finished(server, observation, now));
+    with_balancer(cx, service, |b| b.balancer.finished(server, observation, now));
 }
--- a/crates/host/src/start.rs
+++ b/crates/host/src/start.rs
@@ -220,6 +220,7 @@
     let state = CallersState {
         config: cx.published.subscribe(),
         ingress: Ingress::new(cx.clone()).start(),
+        wall: cx.wall.clone(),
         leaving: cx.leaving.subscribe(),
     };
     let operators = Operators { cx: cx.clone(), hosts: hosts.clone() }.start();
--- a/crates/papayarill/src/main.rs
+++ b/crates/papayarill/src/main.rs
@@ -57,10 +57,8 @@
 type Refusal = String;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(
-        env_logger::Env::default().default_filter_or("info,actix_server=warn"),
-    )
-    .init();
+    let filter = env_logger::Env::default().default_filter_or("info,actix_server=warn");
+    env_logger::Builder::from_env(filter).format_timestamp_millis().init();
     let words: Vec<String> = std::env::args().skip(1).collect();
     let arguments = match Arguments::parse_args_default(&words) {
         Ok(arguments) => arguments,
--- a/crates/trial/src/http.rs
+++ b/crates/trial/src/http.rs
@@ -20,6 +20,8 @@
     pub outcome: String,
     /// The value of `papayarill-reason`.
     pub reason: String,
+    /// The value of `papayarill-this-send`.
+    pub this_send: String,
     /// The body.
     pub body: Bytes,
 }
@@ -27,7 +29,13 @@
 impl Seen {
     fn nothing(reason: &str) -> Self {
         let reason = reason.to_owned();
-        Self { status: 0, outcome: String::new(), reason, body: Bytes::new() }
+        let nothing = String::new();
+        Self { status: 0, outcome: nothing.clone(), reason, this_send: nothing, body: Bytes::new() }
+    }
+
+    /// Returns whether the caller was told that this send did not run the request.
+    pub fn did_not_run(&self) -> bool {
+        self.outcome == "not-run" || self.this_send == "not-run"
     }
 }
 
@@ -46,9 +54,10 @@
         value.unwrap_or_default().to_owned()
     };
     let (outcome, reason) = (text("papayarill-outcome"), text("papayarill-reason"));
+    let this_send = text("papayarill-this-send");
     let status = answer.status().as_u16();
     match answer.body().limit(MAX_BODY_BYTES).await {
-        Ok(body) => Seen { status, outcome, reason, body },
+        Ok(body) => Seen { status, outcome, reason, this_send, body },
         Err(_) => Seen::nothing("cut"),
     }
 }
--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -21,6 +21,9 @@
 /// How often a caller sends one intended action before it gives up.
 const MAX_SENDS: usize = 20;
 
+/// The reason of an answer that nobody can improve on.
+const NOT_VOUCHED: &str = "not-vouched";
+
 /// Makes the callers' choices repeatable.
 const SEED: u64 = 11;
 
@@ -125,10 +128,11 @@
         KeyLog { key: self.path, actions }
     }
 
-    /// Sends one action until it has an answer, always with the same id.
-    async fn act(&mut self, id: Option<String>) -> Action {
+    /// Sends one action until it has an answer, or until it is known that nobody can tell whether
+    /// it ran. The id stays the same unless every send with it was told that it did not run.
+    async fn act(&mut self, mut id: Option<String>) -> Action {
         let sent_at = self.clock.now();
-        let mut seen = Vec::new();
+        let mut seen: Vec<Seen> = Vec::new();
         while seen.len() < MAX_SENDS {
             let mut answer = self.send(id.as_deref()).await;
             answer.body = Bytes::new();
@@ -137,6 +141,11 @@
             if done {
                 break;
             }
+            if id.is_some() && seen.iter().all(Seen::did_not_run) {
+                id = Some(Uuid::now_v7().to_string());
+            } else if seen.last().is_some_and(|s| s.reason == NOT_VOUCHED) {
+                break;
+            }
             tokio::time::sleep(PAUSE).await;
         }
         Action { sent_at, answered_at: self.clock.now(), id, seen }
