--- a/crates/ownership/src/agenda.rs
+++ b/crates/ownership/src/agenda.rs
@@ -70,7 +70,7 @@
                 agenda.row.assignments[index] = changed(&assignment, owner, None);
             } else {
                 let keep = assignment.standby.filter(|s| *s != owner && view.is_usable(*s));
-                begin(agenda, new_move(&assignment, owner, keep, cx), view);
+                begin(agenda, new_move(&assignment, owner, keep, cx), view, cx);
             }
         }
     }
@@ -107,14 +107,15 @@
     if may_change(&assignment, assignment.owner, view, cx) {
         row.assignments[index] = changed(&assignment, assignment.owner, Some(standby));
     } else {
-        begin(agenda, new_move(&assignment, assignment.owner, Some(standby), cx), view);
+        begin(agenda, new_move(&assignment, assignment.owner, Some(standby), cx), view, cx);
     }
 }
 
-fn begin(agenda: &mut Agenda, new: Move, view: &View<'_>) {
+fn begin(agenda: &mut Agenda, new: Move, view: &View<'_>, cx: &Cx<'_>) {
     let waits = agenda.moves.iter().any(|(m, _)| m.partition == new.partition);
-    // A move away from a lost owner would wait for a release that never comes.
-    let is_lost = view.row.assignment(new.partition).is_some_and(|a| view.is_lost(a.owner));
+    // A move away from a lost owner waits until its lease is over.
+    let is_waiting = |a: &Assignment| view.is_lost(a.owner) && !view.is_claim_ended(a.owner, a, cx);
+    let is_lost = view.row.assignment(new.partition).is_some_and(is_waiting);
     if !waits && !is_lost && view.moves.get(new.partition).is_none() {
         agenda.moves.push((new, "planned"));
     }
--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -178,7 +178,8 @@
             return;
         }
         let mut begun = Vec::new();
-        let settled = cx.now >= self.since + cx.timing().term || !stored.assignments.is_empty();
+        // A new coordinator hears from all members before it plans with them.
+        let settled = cx.now >= self.since + cx.timing().silence_limit;
         let better = grantor_set::next_row(&view, cx).filter(|_| settled && next == *stored);
         let plan_pause = Millis(cx.timing().renew_interval.0 / PLANS_PER_INTERVAL);
         if let Some(better) = better {
--- a/crates/ownership/src/succession.rs
+++ b/crates/ownership/src/succession.rs
@@ -90,7 +90,7 @@
         return ready.then_some((m.owner, m.standby.filter(|s| !view.is_lost(*s))));
     }
     if owner_gone {
-        let standby = assignment.standby.filter(|s| !view.is_lost(*s) && !gone(*s));
+        let standby = assignment.standby.filter(|s| view.is_usable(*s) && !gone(*s));
         return standby.map(|s| (s, None));
     }
     let standby_gone = assignment.standby.is_some_and(gone);
