--- a/crates/ownership/tests/model_check.rs
+++ b/crates/ownership/tests/model_check.rs
@@ -64,7 +64,7 @@
 fn coordinator_owns(rules: Rules) -> Space {
     let start = started(4, &[0, 1, 2], &[(0, 3)], rules);
     let faults = vec![Act::Pause(0), Act::Cut(0), Act::Crash(1), Act::Store(StoreState::Down)];
-    space("coordinator owns", start, faults, 3)
+    Space { rounds: 8, fault_rounds: 4, ..space("coordinator owns", start, faults, 3) }
 }
 
 /// Two partitions with each other's owner as standby.
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -18,6 +18,21 @@
 /// Bounds the messages that one step may cause, so that a loop fails instead of hanging.
 const MAX_DELIVERIES: usize = 20_000;
 
+/// When a world begins.
+const START: Millis = Millis(100_000);
+
+/// How far the clock of each host is ahead of that of the host before it.
+const OFFSET_STEP_MS: u64 = 7_000;
+
+/// How many of the oldest messages may overtake each other in a disorderly world.
+const REORDERED: usize = 8;
+
+/// One message in so many is kept back in a disorderly world.
+const KEPT_BACK_ONE_IN: usize = 40;
+
+/// The most messages that are kept back.
+const MAX_HELD: usize = 40;
+
 /// What a host process does at the moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum State {
@@ -35,6 +50,8 @@
     pub group: u8,
     /// How far this host's clock is ahead.
     pub offset: Millis,
+    /// How many milliseconds per second this host's clock runs ahead.
+    pub rate: u64,
     pub drained: bool,
     inbox: Vec<Packet>,
     runs: u64,
@@ -83,6 +100,8 @@
     pub broken_links: Vec<(usize, usize)>,
     pub held: Vec<Packet>,
     pub trap: Option<Trap>,
+    /// The state of a generator that puts messages out of order and keeps some back.
+    pub disorder: Option<u64>,
     pub partitions: u32,
     /// The highest fence that anyone began to serve under, per partition.
     pub served: Vec<Fence>,
@@ -183,13 +202,14 @@
         rules: Rules,
     ) -> Self {
         let mut world = Self {
-            now: Millis(100_000),
+            now: START,
             hosts: Vec::new(),
             row,
             store: StoreState::Up,
             broken_links: Vec::new(),
             held: Vec::new(),
             trap: None,
+            disorder: None,
             partitions,
             served: vec![Fence(0); partitions as usize],
             violation: None,
@@ -206,7 +226,8 @@
                 node,
                 state: State::Running,
                 group: 0,
-                offset: Millis::ZERO,
+                offset: Millis(OFFSET_STEP_MS * index as u64),
+                rate: 0,
                 drained: false,
                 inbox: Vec::new(),
                 runs: 0,
@@ -247,7 +268,7 @@
     }
 
     pub fn feed(&mut self, index: usize, event: Event) {
-        let now = self.now + self.hosts[index].offset;
+        let now = self.local_time(index);
         let commands = self.hosts[index].node.handle(event, now);
         for command in commands {
             self.carry_out(index, command);
@@ -258,7 +279,8 @@
     /// Delivers what is under way until nothing is.
     pub fn settle(&mut self) {
         for _ in 0..MAX_DELIVERIES {
-            let Some(packet) = self.queue.pop_front() else {
+            let index = self.random(self.queue.len().min(REORDERED));
+            let Some(packet) = self.queue.remove(index) else {
                 return;
             };
             self.deliver(packet);
@@ -364,6 +386,11 @@
         }
         let kind = kind_of(&message);
         let packet = Packet { from: addr(index), to, event: received(addr(index), message) };
+        let is_kept_back = self.disorder.is_some() && self.random(KEPT_BACK_ONE_IN) == 1;
+        if is_kept_back && self.held.len() < MAX_HELD {
+            self.held.push(packet);
+            return;
+        }
         let trap = self.trap.filter(|t| t.kind == kind && t.to == target);
         let Some(trap) = trap else {
             self.queue.push_back(packet);
@@ -380,6 +407,16 @@
         }
     }
 
+    /// Returns 0 in an orderly world, or else a number below `bound`.
+    fn random(&mut self, bound: usize) -> usize {
+        let Some(state) = &mut self.disorder else {
+            return 0;
+        };
+        *state =
+            state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (*state >> 33) as usize % bound.max(1)
+    }
+
     fn write(&mut self, index: usize, expected: Option<RowVersion>, row: CellRow) -> Event {
         if !self.store_answers(index) {
             return Event::RowWriteFailed;
@@ -451,8 +488,7 @@
     pub fn serving(&self, partition: Partition) -> Vec<usize> {
         let serves = |i: &usize| {
             let host = &self.hosts[*i];
-            let now = self.now + host.offset;
-            host.state != State::Down && host.node.serves(partition, now).is_some()
+            host.state != State::Down && host.node.serves(partition, self.local_time(*i)).is_some()
         };
         (0..self.hosts.len()).filter(serves).collect()
     }
@@ -472,6 +508,11 @@
         (0..self.hosts.len()).filter(coordinates).collect()
     }
 
+    fn local_time(&self, index: usize) -> Millis {
+        let host = &self.hosts[index];
+        self.now + host.offset + Millis(self.now.since(START).0 * host.rate / 1_000)
+    }
+
     fn reaches(&self, a: usize, b: usize) -> bool {
         let is_broken = self.broken_links.contains(&(a.min(b), a.max(b)));
         self.hosts[a].group == self.hosts[b].group && !is_broken
