Move partitions to their standby only, so that a store outage in between stops nothing

A planned move to a third member asked the standby and then the owner to let go before the row was written. With the store down at that moment nobody could serve the partition until it was back. The row now names the next owner as standby first; once the owner has let go, that standby may take over without a write. No move begins while the store fails.

--- a/crates/ownership/src/agenda.rs
+++ b/crates/ownership/src/agenda.rs
@@ -128,7 +128,7 @@
         owner,
         standby,
         until: cx.now + cx.timing().release_time_limit + cx.timing().term,
-        asked_at: None,
+        asked: None,
     }
 }
 
--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -113,7 +113,6 @@
     pub(crate) fn on_released(&mut self, transfer: &Transfer, handed_over: bool) {
         if transfer.epoch == self.epoch {
             self.moves.on_released(transfer, handed_over);
-            self.moves.hasten(transfer.partition);
         }
     }
 
@@ -131,8 +130,12 @@
         self.losses.ask(self.epoch, &known.row.row.grantors, cx);
         self.follow_moves(known, cx);
         self.change_row(known, store, cx);
-        self.moves.ask(&known.row.row, cx);
         self.assign(known, cx);
+        let sent = &self.sent;
+        let is_acked = |a: &Assignment| {
+            sent.iter().any(|s| s.acked && (s.partition, s.fence) == (a.partition, a.fence))
+        };
+        self.moves.ask(&known.row.row, is_acked, cx);
         self.take_over(known, store, cx);
     }
 
@@ -164,8 +167,9 @@
     fn follow_moves(&mut self, known: Known<'_>, cx: &mut Cx<'_>) {
         let mut moves = std::mem::take(&mut self.moves);
         let is_lost = |s| view(&self.losses, &self.moves, self.since, known).is_lost(s);
-        moves.follow(&known.row.row, is_lost, cx);
+        let over = moves.follow(&known.row.row, is_lost, cx);
         self.moves = moves;
+        self.sent.retain(|s| !over.contains(&s.partition));
     }
 
     fn change_row(&mut self, known: Known<'_>, store: &mut Store, cx: &mut Cx<'_>) {
@@ -192,8 +196,8 @@
             begun = agenda.moves;
         }
         let provenance = provenance(stored, &next, &self.moves);
-        for (new, reason) in begun {
-            self.sent.retain(|s| s.partition != new.partition);
+        // While the store is down, nobody is asked to let go of what could not be given away.
+        for (new, reason) in begun.into_iter().filter(|_| !store.is_failing()) {
             self.moves.begin(new, reason, cx);
         }
         if next != *stored {
@@ -211,9 +215,8 @@
         let row = &known.row.row;
         for a in &row.assignments {
             let view = view(&self.losses, &self.moves, self.since, known);
-            let is_leaving = view.moves.get(a.partition).is_some_and(|m| m.owner != a.owner);
             let has_left = view.moves.given_up(a.owner, a).is_some();
-            if is_leaving || has_left || view.is_lost(a.owner) {
+            if view.moves.is_leaving(a) || has_left || view.is_lost(a.owner) {
                 continue;
             }
             let Some(to) = addr_of(row, a.owner) else {
@@ -250,7 +253,8 @@
             let Some(standby) = a.standby.filter(|s| !view.is_lost(*s)) else {
                 continue;
             };
-            let is_free = view.is_over(a.owner, cx) && view.moves.given_up(standby, a).is_none();
+            let is_free =
+                view.is_claim_ended(a.owner, a, cx) && view.moves.given_up(standby, a).is_none();
             let Some(to) = addr_of(row, standby).filter(|_| is_free) else {
                 continue;
             };
--- a/crates/ownership/src/moves.rs
+++ b/crates/ownership/src/moves.rs
@@ -1,4 +1,8 @@
 //! Planned moves: claims that live members are asked to give up.
+//!
+//! A partition always moves to its standby. If the next owner is not the standby yet, the row
+//! names it as such first, which stops nobody. Should the store fail once the owner has let go,
+//! the standby can still take over.
 
 use model::{Fence, HostAddr, Millis, Partition, Session};
 
@@ -17,7 +21,18 @@
     pub(crate) standby: Option<Session>,
     /// When the move is given up.
     pub(crate) until: Millis,
-    pub(crate) asked_at: Option<Millis>,
+    /// Who was asked last to give up its claim, and when.
+    pub(crate) asked: Option<(Session, Millis)>,
+}
+
+impl Move {
+    /// Returns the owner and standby that the row should name next.
+    pub(crate) fn target(&self, assignment: &Assignment) -> (Session, Option<Session>) {
+        if self.owner == assignment.owner || assignment.standby == Some(self.owner) {
+            return (self.owner, self.standby);
+        }
+        (assignment.owner, Some(self.owner))
+    }
 }
 
 /// A claim that a member gave up at the current epoch.
@@ -58,30 +73,39 @@
         }
     }
 
-    /// Drops what the row has overtaken, and gives up moves that took too long.
+    /// Follows the row and gives up moves that took too long. Returns the partitions whose move
+    /// is over; their owners may have to be told to go on.
     pub(crate) fn follow(
         &mut self,
         row: &CellRow,
         is_lost: impl Fn(Session) -> bool,
         cx: &mut Cx<'_>,
-    ) {
-        let is_current = |partition, fence| {
-            row.assignment(partition).is_some_and(|a: &Assignment| a.fence <= fence)
-        };
-        self.given_up.retain(|g| is_current(g.partition, g.fence));
-        self.moves.retain(|m| is_current(m.partition, m.fence));
-        self.moves.retain(|m| {
+    ) -> Vec<Partition> {
+        self.given_up.retain(|g| row.assignment(g.partition).is_none_or(|a| a.fence <= g.fence));
+        let mut over = Vec::new();
+        self.moves.retain_mut(|m| {
+            let is_current = advance(m, row);
             let expired = cx.now >= m.until;
             if expired {
                 cx.record(Some(m.partition), "move-undone", "no release in time".to_owned());
             }
-            !expired && !is_lost(m.owner)
+            let stays = is_current && !expired && !is_lost(m.owner);
+            if !stays {
+                over.push(m.partition);
+            }
+            stays
         });
+        over
     }
 
-    /// Asks for the claims that stand in the way of the moves: first the standby's, which stops
-    /// nobody, and then the owner's.
-    pub(crate) fn ask(&mut self, row: &CellRow, cx: &mut Cx<'_>) {
+    /// Asks for the claims that stand in the way of the moves. An owner is asked only once it
+    /// serves under the fence of the row, so that its records carry that fence.
+    pub(crate) fn ask(
+        &mut self,
+        row: &CellRow,
+        serves: impl Fn(&Assignment) -> bool,
+        cx: &mut Cx<'_>,
+    ) {
         let pause = cx.timing().renew_interval;
         for i in 0..self.moves.len() {
             let Some(assignment) = row.assignment(self.moves[i].partition) else {
@@ -90,20 +114,15 @@
             let Some(session) = self.next_release(&self.moves[i], assignment) else {
                 continue;
             };
-            if !cx.is_due(self.moves[i].asked_at, pause) {
+            let asked_at = self.moves[i].asked.filter(|(s, _)| *s == session).map(|(_, at)| at);
+            let waits = session == assignment.owner && asked_at.is_none() && !serves(assignment);
+            if waits || !cx.is_due(asked_at, pause) {
                 continue;
             }
-            self.moves[i].asked_at = Some(cx.now);
+            self.moves[i].asked = Some((session, cx.now));
             send_release(row, &self.moves[i], assignment, session, cx);
         }
     }
-
-    /// Makes the next `ask` go on with the move of a partition at once.
-    pub(crate) fn hasten(&mut self, partition: Partition) {
-        if let Some(m) = self.moves.iter_mut().find(|m| m.partition == partition) {
-            m.asked_at = None;
-        }
-    }
 }
 
 /// Queries.
@@ -117,6 +136,12 @@
         self.moves.len()
     }
 
+    /// Returns whether the owner of an assignment was asked to give it up.
+    pub(crate) fn is_leaving(&self, assignment: &Assignment) -> bool {
+        let asked = self.get(assignment.partition).and_then(|m| m.asked);
+        asked.is_some_and(|(session, _)| session == assignment.owner)
+    }
+
     /// Returns how `session` gave up its claim on an assignment, if it did.
     pub(crate) fn given_up(&self, session: Session, assignment: &Assignment) -> Option<&GivenUp> {
         let same = |g: &&GivenUp| {
@@ -127,12 +152,27 @@
         self.given_up.iter().find(same)
     }
 
+    /// The claimant that has to let go before the row can be changed, if one has to.
     fn next_release(&self, m: &Move, assignment: &Assignment) -> Option<Session> {
-        let needed = |s: &Session| self.given_up(*s, assignment).is_none();
-        let standby = assignment.standby.filter(|s| *s != m.owner);
-        let owner = Some(assignment.owner).filter(|s| *s != m.owner);
-        standby.filter(needed).or(owner.filter(needed))
+        let (next_owner, _) = m.target(assignment);
+        let claimants = [assignment.standby, Some(assignment.owner)];
+        let in_the_way = claimants.into_iter().flatten().filter(|s| *s != next_owner);
+        in_the_way.into_iter().find(|s| self.given_up(*s, assignment).is_none())
+    }
+}
+
+/// Takes over the fence of the row if the row went one step along the move. Returns whether the
+/// move still applies to the row.
+fn advance(m: &mut Move, row: &CellRow) -> bool {
+    let Some(a) = row.assignment(m.partition) else {
+        return false;
+    };
+    let is_step = a.fence > m.fence && a.owner != m.owner && a.standby == Some(m.owner);
+    if is_step {
+        m.fence = a.fence;
+        m.asked = None;
     }
+    a.fence == m.fence
 }
 
 fn send_release(
--- a/crates/ownership/src/node.rs
+++ b/crates/ownership/src/node.rs
@@ -90,8 +90,11 @@
         let rules = self.rules;
         let mut cx = Cx { settings: &settings, rules: &rules, now, out: Vec::new() };
         self.check_lease(&mut cx);
+        let is_routine = is_routine(&event);
         self.dispatch(event, &mut cx);
-        self.drive(&mut cx);
+        if !is_routine {
+            self.drive(&mut cx);
+        }
         for _ in 0..MAX_OWN_ROUNDS {
             if !self.handle_own_messages(&mut cx) {
                 break;
@@ -440,6 +443,15 @@
     }
 }
 
+/// Returns whether an event can wait for the next tick to be acted upon. Renewals are most of what
+/// a coordinator receives.
+fn is_routine(event: &Event) -> bool {
+    let Event::Received { message, .. } = event else {
+        return false;
+    };
+    matches!(message, Message::Renew(_) | Message::AskRoutes(_) | Message::Routes(_))
+}
+
 /// Without the marks of the older set, any session with a claim may be one that it ended.
 fn mark_all_claimants(row: &CellRow, grantor: &mut GrantorRole) {
     for assignment in &row.assignments {
--- a/crates/ownership/src/succession.rs
+++ b/crates/ownership/src/succession.rs
@@ -86,8 +86,9 @@
     let owner_gone = gone(assignment.owner);
     let planned = view.moves.get(assignment.partition).filter(|m| !view.is_lost(m.owner));
     if let Some(m) = planned {
-        let ready = may_change(assignment, m.owner, view, cx);
-        return ready.then_some((m.owner, m.standby.filter(|s| !view.is_lost(*s))));
+        let (owner, standby) = m.target(assignment);
+        let ready = may_change(assignment, owner, view, cx);
+        return ready.then_some((owner, standby.filter(|s| !view.is_lost(*s))));
     }
     if owner_gone {
         let standby = assignment.standby.filter(|s| view.is_usable(*s) && !gone(*s));
