--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Chores: measurements and checks.
 
 mod admission;
+mod config;
 mod requests;
 
 use std::process::ExitCode;
@@ -25,7 +26,7 @@
 struct Measure {
     /// Print this help.
     help: bool,
-    /// The part: admission or requests.
+    /// The part: admission, config or requests.
     #[options(free, required)]
     part: String,
 }
@@ -38,9 +39,10 @@
     };
     match measure.part.as_str() {
         "admission" => admission::run(),
+        "config" => config::run(),
         "requests" => requests::run(),
         other => {
-            eprintln!("found {other:?}, expected admission or requests");
+            eprintln!("found {other:?}, expected admission, config or requests");
             return ExitCode::FAILURE;
         }
     }
