--- a/crates/ownership/src/rescue.rs
+++ b/crates/ownership/src/rescue.rs
@@ -88,13 +88,27 @@
 
     /// Returns whether so many grantors are dead that no lease can be had.
     pub(crate) fn is_needed(&self, row: &CellRow) -> bool {
-        let dead = row.grantors.iter().filter(|g| self.dead.contains(&g.incarnation)).count();
-        dead >= blocking(row.grantors.len())
+        self.is_broken(&row.grantors)
+    }
+
+    /// Returns the row with this process as the only grantor.
+    ///
+    /// Older sets that are broken as well leave the row, so that a process that restarts again
+    /// and again does not make it grow. Sealing the present set covers them: all its marks are
+    /// lost, so every claim is ended, and the same time is waited out.
+    pub(crate) fn next_row(&self, row: &CellRow, session: Session, cx: &Cx<'_>) -> CellRow {
+        let mut kept = row.clone();
+        kept.unsealed.retain(|s| !self.is_broken(&s.grantors));
+        replace(&kept, session, cx)
+    }
+
+    fn is_broken(&self, grantors: &[Grantor]) -> bool {
+        let dead = grantors.iter().filter(|g| self.dead.contains(&g.incarnation)).count();
+        dead >= blocking(grantors.len())
     }
 }
 
-/// Returns the row with this process as the only grantor.
-pub(crate) fn next_row(row: &CellRow, session: Session, cx: &Cx<'_>) -> CellRow {
+fn replace(row: &CellRow, session: Session, cx: &Cx<'_>) -> CellRow {
     let (addr, zone) = (cx.own_addr(), &cx.settings.zone);
     let mut next = grantor_set::replace_grantors(row, vec![grantor_entry(session, addr, zone)]);
     if let Err(i) = next.members.binary_search_by_key(&session, |m| m.session) {
--- a/crates/ownership/src/row.rs
+++ b/crates/ownership/src/row.rs
@@ -77,7 +77,17 @@
     }
 }
 
+/// Epochs and fences beyond this are no counts of changes; the room above it keeps sums exact.
+const MAX_COUNT: u64 = u64::MAX / 2;
+
 impl CellRow {
+    /// Returns whether the numbers of the row can be counted on from. The form of a row that was
+    /// read is checked where it is read.
+    pub fn is_countable(&self) -> bool {
+        let fences = self.assignments.iter().map(|a| a.fence.0);
+        fences.chain([self.epoch.0]).all(|n| n <= MAX_COUNT)
+    }
+
     /// Returns the assignment of `partition`.
     pub fn assignment(&self, partition: Partition) -> Option<&Assignment> {
         let index = self.assignments.binary_search_by_key(&partition, |a| a.partition).ok()?;
--- a/crates/ownership/tests/cell.rs
+++ b/crates/ownership/tests/cell.rs
@@ -2,9 +2,9 @@
 
 mod world;
 
-use model::{Millis, Partition};
+use model::{ConfigVersion, Millis, Partition};
 use ownership::{Event, Rules, Timing};
-use world::{State, StoreState, World};
+use world::{State, StoreState, World, session};
 
 const LIMIT: Millis = Millis(3_000);
 
@@ -169,3 +169,107 @@
     assert_eq!(world.violation, None);
     assert!(world.hosts.iter().all(|h| h.state == State::Running));
 }
+
+#[test]
+fn a_move_without_release_is_undone() {
+    let mut world = cell(3, 3);
+    world.quiesces = false;
+    let owner = owner_of(&world, 0);
+    world.report(owner, 0);
+    world.step(Millis(100));
+    assert!(world.serving(Partition(0)).is_empty(), "the release is under way");
+    world.report(owner, 4);
+    let undone = world.run_until(Millis(4_000), |w| w.resumed > 0);
+    assert!(undone.is_some(), "{:#?}", world.log);
+    assert_eq!(owner_of(&world, 0), owner);
+}
+
+#[test]
+fn a_store_outage_during_a_move_stops_nothing() {
+    let mut world = cell(3, 3);
+    let owner = owner_of(&world, 0);
+    world.quiesces = false;
+    world.report(owner, 0);
+    world.step(Millis(100));
+    let fence = world.hosts[owner].node.row().unwrap().row.assignment(Partition(0)).unwrap().fence;
+    world.store = StoreState::Down;
+    let (partition, handed_over) = (Partition(0), true);
+    world.feed(owner, Event::Quiesced { partition, fence, handed_over });
+    world.settle();
+    let served = world.run_until(Millis(2_000), |w| !w.serving(Partition(0)).is_empty());
+    assert!(served.is_some(), "{:#?}", world.log);
+    assert_eq!(world.violation, None);
+}
+
+#[test]
+fn grantors_that_are_lost_for_good_are_replaced_on_the_operators_word() {
+    let check = |hosts: usize, lost: &[usize]| {
+        let mut world = cell(hosts, 4);
+        lost.iter().for_each(|i| world.crash(*i));
+        world.run_until(Millis(5_000), |_| false);
+        assert!(!world.all_served(), "{hosts} hosts: nothing may be served");
+        let dead = lost.iter().map(|i| session(*i)).collect::<Vec<_>>();
+        for index in (0..hosts).filter(|i| !lost.contains(i)) {
+            world.feed(index, Event::DeclaredDead(dead.clone()));
+        }
+        world.settle();
+        recovery(&mut world);
+    };
+    check(5, &[0, 1]);
+    check(2, &[0]);
+}
+
+#[test]
+fn two_coordinators_at_once_keep_ownership_single() {
+    let mut world = cell(6, 12);
+    world.broken_links.push((0, 1));
+    let both = world.run_until(Millis(2_000), |w| w.coordinators() == [0, 1]);
+    assert!(both.is_some(), "{:#?}", world.log);
+    world.crash(5);
+    assert!(recovery(&mut world) <= LIMIT);
+}
+
+#[test]
+fn unfenced_backend_servers_get_their_grace() {
+    let grace = Millis(1_000);
+    let timing = Timing { unfenced_grace: grace, ..timing() };
+    let mut world = World::new(6, 12, timing, Rules::default());
+    world.run_until(Millis(5_000), |_| false);
+    world.crash(5);
+    let took = recovery(&mut world);
+    assert!(took >= grace + Millis(500), "took {took} ms");
+}
+
+#[test]
+fn the_newest_configuration_becomes_known_everywhere() {
+    let mut world = cell(6, 4);
+    let coordinator = world.coordinators()[0];
+    world.feed(coordinator, Event::ConfigSeen(ConfigVersion(7)));
+    world.run_until(Millis(700), |_| false);
+    let knows = |i: usize| i == coordinator || world.config_known.contains(&(i, ConfigVersion(7)));
+    assert!((0..6).all(knows), "{:?}", world.config_known);
+}
+
+#[test]
+fn routes_list_open_members_only() {
+    let mut world = cell(4, 4);
+    world.report(2, 0);
+    world.step(Millis(50));
+    for host in &world.hosts {
+        let members = &host.node.routes().members;
+        assert!(members.iter().all(|(addr, _)| *addr != world::addr(2)), "{members:?}");
+        assert_eq!(members.len(), 3);
+    }
+}
+
+#[test]
+fn a_process_that_restarts_again_and_again_keeps_the_row_small() {
+    let mut world = cell(1, 4);
+    for _ in 0..100 {
+        world.crash(0);
+        world.restart(0);
+        world.step(Millis(50));
+    }
+    assert!(world.stored().unsealed.len() <= 1, "{:?}", world.stored().unsealed);
+    recovery(&mut world);
+}
--- /dev/null
+++ b/crates/ownership/tests/garbage.rs
@@ -0,0 +1,104 @@
+//! Messages and rows with any content at all: nothing panics, and numbers do not overflow.
+
+mod world;
+
+use model::{ConfigVersion, Epoch, Fence, Millis, Partition, RowVersion, Session};
+use ownership::{
+    Event, Join, Message, RefusalReason, Release, Renew, RoutesVersion, Rules, Timing, Transfer,
+    VersionedRow,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use world::{World, addr, first_row, grantor, report, zone};
+
+const HOSTS: usize = 3;
+const EVENTS: usize = 400;
+
+fn number(rng: &mut StdRng) -> u64 {
+    match rng.random_range(0..10) {
+        0 => u64::MAX,
+        1 => u64::MAX - 1,
+        2 => rng.random(),
+        _ => rng.random_range(0..8),
+    }
+}
+
+fn session(rng: &mut StdRng) -> Session {
+    let known = world::session(rng.random_range(0..HOSTS));
+    Session { number: rng.random_range(0..4), ..known }
+}
+
+fn transfer(rng: &mut StdRng) -> Transfer {
+    Transfer {
+        epoch: Epoch(number(rng)),
+        session: session(rng),
+        partition: Partition(rng.random_range(0..4)),
+        fence: Fence(number(rng)),
+    }
+}
+
+fn row(rng: &mut StdRng) -> VersionedRow {
+    let owners: Vec<(usize, usize)> =
+        (0..4).map(|_| (rng.random_range(0..HOSTS), rng.random_range(0..HOSTS))).collect();
+    let grantors: Vec<usize> = (0..rng.random_range(0..4)).collect();
+    let mut known = first_row(HOSTS, &grantors, &owners);
+    known.version = RowVersion(number(rng));
+    known.row.epoch = Epoch(number(rng));
+    known.row.assignments[0].fence = Fence(number(rng));
+    if rng.random() {
+        known.row.members.pop();
+    }
+    known
+}
+
+fn message(rng: &mut StdRng) -> Message {
+    let host = rng.random_range(0..HOSTS);
+    let (epoch, session, sent_at) = (Epoch(number(rng)), session(rng), Millis(number(rng)));
+    let (incarnation, grantors) = (world::incarnation(host, 0), vec![grantor(host)]);
+    let routes = RoutesVersion { row: RowVersion(number(rng)), takeovers: 1 };
+    let (transfer, fence) = (transfer(rng), Fence(number(rng)));
+    match rng.random_range(0..16) {
+        0 => Message::Join(Join { session, addr: addr(host), zone: zone(host), slots: 1 }),
+        1 => Message::Renew(Renew { epoch, session, sent_at, report: report(1) }),
+        2 => Message::Renewed {
+            epoch,
+            session,
+            sent_at,
+            routes,
+            config: ConfigVersion(1),
+            config_age: Millis(number(rng)),
+        },
+        3 => Message::RenewRefused { session, sent_at, reason: RefusalReason::Lapsed },
+        4 => {
+            let reason = RefusalReason::OtherEpoch { epoch, grantors };
+            Message::RenewRefused { session, sent_at, reason }
+        }
+        5 => Message::Assign { transfer, handed_over_from: Some(fence), first: false },
+        6 => Message::TakeOver(transfer),
+        7 => Message::Serving(transfer),
+        8 => Message::Release(Release { transfer, next: None, time_limit: sent_at }),
+        9 => Message::Released { transfer, handed_over: true },
+        10 => Message::Lapse { epoch, session },
+        11 => Message::Lapsed { epoch, session, remaining: sent_at },
+        12 => Message::Seal { epoch, sealed: Epoch(number(rng)), grantors, incarnation },
+        13 => Message::Sealed { epoch, sealed: Epoch(1), incarnation, lapsed: vec![session] },
+        14 => Message::RowNotice(row(rng)),
+        _ => Message::AskRoutes(routes),
+    }
+}
+
+#[test]
+fn nothing_panics() {
+    for seed in 0..40 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut world = World::new(HOSTS, 4, Timing::default(), Rules::default());
+        for _ in 0..EVENTS {
+            let (host, from) = (rng.random_range(0..HOSTS), rng.random_range(0..HOSTS));
+            let event = Event::Received { from: addr(from), message: message(&mut rng) };
+            world.feed(host, event);
+            if rng.random_range(0..10) == 0 {
+                world.step(Millis(100));
+            }
+        }
+    }
+}
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -7,8 +7,8 @@
 use std::collections::VecDeque;
 
 use model::{
-    CellId, Epoch, Fence, HostAddr, Incarnation, Millis, Partition, RowVersion, ServiceName,
-    Session, WriterTag, ZoneName,
+    CellId, ConfigVersion, Epoch, Fence, HostAddr, Incarnation, Millis, Partition, RowVersion,
+    ServiceName, Session, WriterTag, ZoneName,
 };
 use ownership::{
     Assignment, CellRow, Command, Event, Grantor, MemberEntry, Message, Node, NodeSettings, Report,
@@ -107,6 +107,10 @@
     pub served: Vec<Fence>,
     pub violation: Option<String>,
     pub writes: u32,
+    /// Whether released partitions become quiet at once.
+    pub quiesces: bool,
+    pub resumed: u32,
+    pub config_known: Vec<(usize, ConfigVersion)>,
     pub keeps_log: bool,
     pub log: Log,
     rules: Rules,
@@ -214,6 +218,9 @@
             served: vec![Fence(0); partitions as usize],
             violation: None,
             writes: 0,
+            quiesces: true,
+            resumed: 0,
+            config_known: Vec::new(),
             keeps_log: true,
             log: Log::default(),
             rules,
@@ -362,6 +369,7 @@
                 self.queue.push_back(Packet { from, to: from, event });
             }
             Command::Serve { partition, fence, .. } => self.note_served(partition, fence),
+            Command::Quiesce { .. } if !self.quiesces => {}
             Command::Quiesce { partition, fence, .. } => {
                 let event = Event::Quiesced { partition, fence, handed_over: true };
                 self.queue.push_back(Packet { from, to: from, event });
@@ -373,7 +381,9 @@
                     self.log.0.push((self.now, index, text));
                 }
             }
-            Command::Resume { .. } | Command::StopAll | Command::ConfigKnown { .. } => {}
+            Command::Resume { .. } => self.resumed += 1,
+            Command::ConfigKnown { version, .. } => self.note_config(index, version),
+            Command::StopAll => {}
         }
     }
 
@@ -407,6 +417,12 @@
         }
     }
 
+    fn note_config(&mut self, index: usize, version: ConfigVersion) {
+        if !self.config_known.contains(&(index, version)) {
+            self.config_known.push((index, version));
+        }
+    }
+
     /// Returns 0 in an orderly world, or else a number below `bound`.
     fn random(&mut self, bound: usize) -> usize {
         let Some(state) = &mut self.disorder else {
