Pace reads that bring nothing new, and let no process believe its own death

A test with messages of any content found two loops. A forged answer made a process count itself among the dead, and it replaced the grantors without end; a process is no longer told so by messages. A node whose row was ahead of the store's went from conflict to read without a pause; after a read that brings nothing new the next operation waits half a renew interval.

--- a/crates/ownership/src/node.rs
+++ b/crates/ownership/src/node.rs
@@ -156,6 +156,11 @@
 
     fn on_row_read(&mut self, row: Option<VersionedRow>, cx: &mut Cx<'_>) {
         self.store.on_answered();
+        let version = row.as_ref().map(|r| r.version);
+        let is_known = self.row.as_ref().map(|r| r.version) >= version;
+        if is_known && version.is_some() {
+            self.store.on_nothing_new(cx);
+        }
         match row {
             Some(row) => self.adopt(row, cx),
             None if self.row.is_none() => self.create_row(cx),
@@ -239,7 +244,14 @@
     fn on_declared_dead(&mut self, sessions: &[Session], cx: &mut Cx<'_>) {
         for session in sessions {
             cx.record(None, "declared-dead", format!("the operator says so of {session}"));
-            self.rescue.mark_dead(session.incarnation);
+            if session.incarnation != cx.settings.incarnation {
+                self.rescue.mark_dead(session.incarnation);
+            }
+        }
+        // The others rely on the operator's word, so a process that was declared dead by mistake
+        // stops. It is no member again before it is restarted.
+        if sessions.iter().any(|s| s.incarnation == cx.settings.incarnation) {
+            self.lose_lease("the operator declared this process dead", cx);
         }
     }
 }
--- a/crates/ownership/src/node/receive.rs
+++ b/crates/ownership/src/node/receive.rs
@@ -49,7 +49,7 @@
             Message::Sealed { sealed, incarnation, lapsed, .. } => {
                 self.seals.on_sealed(from, sealed, incarnation, &lapsed);
                 if let Some(known) = &self.row {
-                    self.rescue.on_sealed(&known.row, from, sealed, incarnation);
+                    self.rescue.on_sealed(&known.row, from, sealed, incarnation, cx);
                 }
             }
             Message::RowNotice(known) => self.adopt(known, cx),
--- a/crates/ownership/src/rescue.rs
+++ b/crates/ownership/src/rescue.rs
@@ -45,11 +45,14 @@
         from: HostAddr,
         sealed: Epoch,
         answered: Incarnation,
+        cx: &Cx<'_>,
     ) {
         let older = row.unsealed.iter().filter(|s| s.epoch == sealed).flat_map(|s| &s.grantors);
         let current = row.grantors.iter().filter(|_| row.epoch == sealed);
         for grantor in older.chain(current) {
-            self.on_answer(grantor, from, answered);
+            if grantor.incarnation != cx.settings.incarnation {
+                self.on_answer(grantor, from, answered);
+            }
         }
     }
 
--- a/crates/ownership/src/store.rs
+++ b/crates/ownership/src/store.rs
@@ -25,13 +25,22 @@
     /// A read is needed as soon as nothing else is under way.
     stale: bool,
     failed_at: Option<Millis>,
+    /// When a read brought nothing new.
+    idle_read_at: Option<Millis>,
     read_at: Option<Millis>,
     tags: u32,
 }
 
 impl Default for Store {
     fn default() -> Self {
-        Self { phase: Phase::Idle, stale: true, failed_at: None, read_at: None, tags: 0 }
+        Self {
+            phase: Phase::Idle,
+            stale: true,
+            failed_at: None,
+            idle_read_at: None,
+            read_at: None,
+            tags: 0,
+        }
     }
 }
 
@@ -81,6 +90,13 @@
         self.failed_at = None;
     }
 
+    /// Notes that a read brought nothing new, so that the next operation is not tried at once. A
+    /// write that conflicts and a read that shows no other row would otherwise alternate without
+    /// a pause.
+    pub(crate) fn on_nothing_new(&mut self, cx: &Cx<'_>) {
+        self.idle_read_at = Some(cx.now);
+    }
+
     /// Ends a write that lost a race; the row has to be read.
     pub(crate) fn on_conflict(&mut self) {
         self.on_answered();
@@ -106,7 +122,8 @@
     /// Returns whether an operation can start now.
     pub(crate) fn is_free(&self, cx: &Cx<'_>) -> bool {
         let pause = Millis(cx.timing().renew_interval.0 / RETRIES_PER_INTERVAL);
-        self.phase == Phase::Idle && cx.is_due(self.failed_at, pause)
+        let rested = cx.is_due(self.failed_at, pause) && cx.is_due(self.idle_read_at, pause);
+        self.phase == Phase::Idle && rested
     }
 
     /// Returns whether a write can start now.
--- a/crates/ownership/tests/garbage.rs
+++ b/crates/ownership/tests/garbage.rs
@@ -12,7 +12,7 @@
 use world::{World, addr, first_row, grantor, report, zone};
 
 const HOSTS: usize = 3;
-const EVENTS: usize = 400;
+const EVENTS: usize = 3_000;
 
 fn number(rng: &mut StdRng) -> u64 {
     match rng.random_range(0..10) {
@@ -96,6 +96,8 @@
             let (host, from) = (rng.random_range(0..HOSTS), rng.random_range(0..HOSTS));
             let event = Event::Received { from: addr(from), message: message(&mut rng) };
             world.feed(host, event);
+            let storm = world.violation.as_ref().filter(|v| v.contains("cease"));
+            assert!(storm.is_none(), "seed {seed}: {storm:?}");
             if rng.random_range(0..10) == 0 {
                 world.step(Millis(100));
             }
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -292,7 +292,8 @@
             };
             self.deliver(packet);
         }
-        self.fail("messages never cease".to_owned());
+        let last: Vec<String> = self.queue.iter().map(|p| format!("{p:?}")).take(4).collect();
+        self.fail(format!("messages never cease: {last:?}"));
     }
 
     pub fn pause(&mut self, index: usize) {
