--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -52,6 +52,7 @@
     pub offset: Millis,
     /// How many milliseconds per second this host's clock runs ahead.
     pub rate: u64,
+    pub draining: bool,
     pub drained: bool,
     inbox: Vec<Packet>,
     runs: u64,
@@ -235,6 +236,7 @@
                 group: 0,
                 offset: Millis(OFFSET_STEP_MS * index as u64),
                 rate: 0,
+                draining: false,
                 drained: false,
                 inbox: Vec::new(),
                 runs: 0,
@@ -312,6 +314,12 @@
         self.hosts[index].inbox.clear();
     }
 
+    pub fn drain(&mut self, index: usize) {
+        self.hosts[index].draining = true;
+        self.feed(index, Event::Drain);
+        self.settle();
+    }
+
     /// Starts a new run of the host process at the same address.
     pub fn restart(&mut self, index: usize) {
         self.hosts[index].runs += 1;
@@ -319,6 +327,7 @@
         self.hosts[index].node = self.fresh_node(index, self.hosts[index].runs);
         self.hosts[index].state = State::Running;
         self.hosts[index].drained = false;
+        self.hosts[index].draining = false;
         self.report(index, 4);
     }
 
