Change grantors after moves unless one is lost, and give self-ended sessions two margins

A change of grantors starts the coordinator's memory anew and would interrupt moves. It now waits for them, and comes first only when a grantor is silent or the set is not full. A session that its own process ended gave its partitions away at once; what ran for it now has the same two margins to be cancelled as after a lapse.

--- a/crates/ownership/src/agenda.rs
+++ b/crates/ownership/src/agenda.rs
@@ -9,8 +9,8 @@
 use crate::view::View;
 use crate::{Assignment, CellRow};
 
-/// How many planned moves run at once.
-const MOVES_IN_FLIGHT: usize = 16;
+/// How many planned moves run at once; enough for a host that leaves to be empty after one batch.
+const MOVES_IN_FLIGHT: usize = 64;
 
 /// How long a backend server counts as cold.
 const COLD_SPAN: Millis = Millis(30_000);
--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -5,7 +5,7 @@
 
 use model::{Epoch, Fence, HostAddr, Incarnation, Millis, Partition, Session};
 
-use crate::agenda::Balance;
+use crate::agenda::{Agenda, Balance};
 use crate::cx::Cx;
 use crate::grantor::GrantorRole;
 use crate::loss::Losses;
@@ -21,6 +21,9 @@
 /// Plans are made this many times per renew interval.
 const PLANS_PER_INTERVAL: u64 = 3;
 
+/// How many hosts may wait to be admitted; more ask again later.
+const MAX_JOINS: usize = 64;
+
 /// How an assignment came about, as far as the coordinator that wrote it knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Provenance {
@@ -96,6 +99,9 @@
     }
 
     pub(crate) fn on_join(&mut self, join: &Join) {
+        if self.joins.len() >= MAX_JOINS {
+            return;
+        }
         if let Err(i) = self.joins.binary_search_by_key(&join.session, |j| j.session) {
             self.joins.insert(i, join.clone());
         }
@@ -129,7 +135,7 @@
 
     /// Does whatever is due: ends silent sessions, changes the row, sends orders.
     pub(crate) fn drive(&mut self, known: Known<'_>, store: &mut Store, cx: &mut Cx<'_>) {
-        self.forget_past(&known.row.row);
+        self.forget_past(known);
         self.find_losses(known, cx);
         self.losses.ask(self.epoch, &known.row.row.grantors, cx);
         self.follow_moves(known, cx);
@@ -143,13 +149,15 @@
         self.take_over(known, store, cx);
     }
 
-    fn forget_past(&mut self, row: &CellRow) {
+    fn forget_past(&mut self, known: Known<'_>) {
+        let row = &known.row.row;
         let is_current = |partition, fence| {
             row.assignment(partition).is_none_or(|a: &Assignment| a.fence <= fence)
         };
         self.sent.retain(|s| is_current(s.partition, s.fence));
         self.provenance.retain(|p| is_current(p.partition, p.fence));
-        self.joins.retain(|j| row.member(j.session).is_none());
+        let grantor = known.grantor;
+        self.joins.retain(|j| row.member(j.session).is_none() && !grantor.is_superseded(j.session));
         self.losses.retain(|s| row.names(s));
     }
 
@@ -179,38 +187,50 @@
     fn change_row(&mut self, known: Known<'_>, store: &mut Store, cx: &mut Cx<'_>) {
         let stored = &known.row.row;
         let view = view(&self.losses, &self.moves, self.since, known);
-        let mut next = succession::next_row(&view, &self.joins, cx);
-        self.waiting_since =
-            if next == *stored { None } else { self.waiting_since.or(Some(cx.now)) };
+        let next = succession::next_row(&view, &self.joins, cx);
+        let waits = next != *stored;
+        self.waiting_since = self.waiting_since.filter(|_| waits).or(waits.then_some(cx.now));
         if !store.can_write(cx) {
             return;
         }
-        let mut begun = Vec::new();
-        // A new coordinator hears from all members before it plans with them.
-        let settled = cx.now >= self.since + cx.timing().silence_limit;
-        let better = grantor_set::next_row(&view, cx).filter(|_| settled && next == *stored);
-        let plan_pause = Millis(cx.timing().renew_interval.0 / PLANS_PER_INTERVAL);
-        if let Some(better) = better {
-            cx.record(None, "grantors", format!("epoch {} gets other grantors", better.epoch));
-            next = better;
-        } else if settled && (next != *stored || cx.is_due(self.planned_at, plan_pause)) {
-            let agenda = agenda::next(&view, next, self.balance(cx), cx);
-            self.planned_at = Some(cx.now);
-            if !agenda.moves.is_empty() {
-                self.moved_at = cx.now;
-            }
-            next = agenda.row;
-            begun = agenda.moves;
-        }
-        let provenance = provenance(stored, &next, &self.moves);
+        let agenda = self.plan(known, next, cx);
+        let provenance = provenance(stored, &agenda.row, &self.moves);
         // While the store is down, nobody is asked to let go of what could not be given away.
-        for (new, reason) in begun.into_iter().filter(|_| !store.is_failing()) {
+        for (new, reason) in agenda.moves.into_iter().filter(|_| !store.is_failing()) {
             self.moves.begin(new, reason, cx);
+            self.moved_at = cx.now;
         }
-        if next != *stored {
-            record_changes(stored, &next, cx);
+        if agenda.row != *stored {
+            record_changes(stored, &agenda.row, cx);
             self.provenance.extend(provenance);
-            store.write(Some(known.row.version), next, cx);
+            store.write(Some(known.row.version), agenda.row, cx);
+        }
+    }
+
+    /// Adds to `next` what can wait until nothing is lost: other grantors, and placement.
+    fn plan(&mut self, known: Known<'_>, next: CellRow, cx: &Cx<'_>) -> Agenda {
+        let view = view(&self.losses, &self.moves, self.since, known);
+        let is_quiet = next == known.row.row;
+        let pause = Millis(cx.timing().renew_interval.0 / PLANS_PER_INTERVAL);
+        let is_due = !is_quiet || cx.is_due(self.planned_at, pause);
+        // A new coordinator hears from all members before it plans with them.
+        let settled = cx.now >= self.since + cx.timing().silence_limit;
+        if !settled || !is_due {
+            return Agenda { row: next, moves: Vec::new() };
+        }
+        self.planned_at = Some(cx.now);
+        let better = grantor_set::next_row(&view, cx).filter(|_| is_quiet);
+        let is_urgent = better.is_some() && grantor_set::is_urgent(&view, cx);
+        let has_moves = self.moves.len() > 0;
+        match better {
+            Some(row) if is_urgent && !has_moves => Agenda { row, moves: Vec::new() },
+            Some(_) if is_urgent => Agenda { row: next, moves: Vec::new() },
+            Some(better) => {
+                let agenda = agenda::next(&view, next, self.balance(cx), cx);
+                let is_idle = agenda.row == known.row.row && agenda.moves.is_empty();
+                if is_idle && !has_moves { Agenda { row: better, ..agenda } } else { agenda }
+            }
+            None => agenda::next(&view, next, self.balance(cx), cx),
         }
     }
 
@@ -326,6 +346,9 @@
 }
 
 fn record_changes(stored: &CellRow, next: &CellRow, cx: &mut Cx<'_>) {
+    if next.epoch != stored.epoch {
+        cx.record(None, "grantors", format!("epoch {} gets other grantors", next.epoch));
+    }
     for a in next.assignments.iter().filter(|a| stored.assignment(a.partition) != Some(a)) {
         let standby = a.standby.map_or_else(|| "nobody".to_owned(), |s| s.to_string());
         let text = format!("owner {}, standby {standby}, fence {}", a.owner, a.fence);
--- a/crates/ownership/src/grantor_set.rs
+++ b/crates/ownership/src/grantor_set.rs
@@ -3,7 +3,7 @@
 use model::{Incarnation, ZoneName};
 
 use crate::cx::Cx;
-use crate::grantor::grantor_entry;
+use crate::grantor::{Heard, grantor_entry};
 use crate::view::View;
 use crate::{CellRow, Grantor, GrantorSet};
 
@@ -37,6 +37,13 @@
     is_new || view.row.members.iter().any(is_pending)
 }
 
+/// Returns whether the loss of one more grantor would stop the cell. Otherwise a change of
+/// grantors can wait until all moves are done, which it would interrupt.
+pub(crate) fn is_urgent(view: &View<'_>, cx: &Cx<'_>) -> bool {
+    let is_silent = |g: &Grantor| !is_recent(g.incarnation, view, cx);
+    view.row.grantors.len() < FULL_SET || view.row.grantors.iter().any(is_silent)
+}
+
 /// Returns the row at the next epoch, with the present set among those to be sealed.
 pub(crate) fn replace_grantors(row: &CellRow, grantors: Vec<Grantor>) -> CellRow {
     let mut next = row.clone();
@@ -99,12 +106,15 @@
 
 /// A process is fit if it was heard lately and is not draining.
 fn is_fit(incarnation: Incarnation, view: &View<'_>, cx: &Cx<'_>) -> bool {
+    let mut heard = view.grantor.all_heard().iter();
+    let drains = |h: &Heard| h.session.incarnation == incarnation && h.report.draining;
+    is_recent(incarnation, view, cx) && !heard.any(drains)
+}
+
+fn is_recent(incarnation: Incarnation, view: &View<'_>, cx: &Cx<'_>) -> bool {
     let limit = cx.timing().silence_limit;
     let start = view.since - cx.timing().renew_interval;
     let is_grantor = view.row.is_grantor(incarnation);
     let heard = view.grantor.heard_process(incarnation).or(is_grantor.then_some(start));
-    let is_recent = heard.is_some_and(|at| cx.now.since(at) <= limit);
-    let drains = |h: &&crate::grantor::Heard| h.session.incarnation == incarnation;
-    let is_draining = view.grantor.all_heard().iter().filter(drains).any(|h| h.report.draining);
-    is_recent && !is_draining
+    heard.is_some_and(|at| cx.now.since(at) <= limit)
 }
--- a/crates/ownership/src/loss.rs
+++ b/crates/ownership/src/loss.rs
@@ -100,12 +100,15 @@
         !cx.rules.lapse_wait.is_kept() || cx.now >= last + wait
     }
 
-    /// Returns whether the grace for backend servers that check no fences has passed since it
-    /// was learned that the session is over.
+    /// Returns whether enough time has passed since it was learned that the session is over.
+    ///
+    /// A lapse leaves two margins between the end of the lease and the next owner, in which what
+    /// runs is cancelled. A session that its own process ended gets the same.
     pub(crate) fn is_grace_over(&self, session: Session, cx: &Cx<'_>) -> bool {
         let Ok(index) = self.0.binary_search_by_key(&session, |l| l.session) else {
             return false;
         };
-        cx.now >= self.0[index].begun + cx.timing().unfenced_grace
+        let margin = cx.timing().drift_margin;
+        cx.now >= self.0[index].begun + margin + margin + cx.timing().unfenced_grace
     }
 }
--- a/crates/ownership/src/rescue.rs
+++ b/crates/ownership/src/rescue.rs
@@ -27,11 +27,16 @@
         }
     }
 
-    /// Notes the former runs of this very process.
+    /// Notes the former runs of this very process, and forgets the dead that the row forgot.
     pub(crate) fn follow(&mut self, row: &CellRow, cx: &Cx<'_>) {
         for grantor in grantors(row) {
             self.on_answer(&grantor, cx.own_addr(), cx.settings.incarnation);
         }
+        let is_named = |i: Incarnation| {
+            let member = row.members.iter().any(|m| m.session.incarnation == i);
+            member || grantors(row).iter().any(|g| g.incarnation == i)
+        };
+        self.dead.retain(|i| is_named(*i));
     }
 
     /// Notes which run of a host process answered at an address when a grantor was asked for.
