--- a/crates/ownership/tests/cell.rs
+++ b/crates/ownership/tests/cell.rs
@@ -152,6 +152,19 @@
     }
 }
 
+#[test]
+fn a_draining_host_gets_no_new_work_after_two_seconds() {
+    for index in [0, 1, 5] {
+        let mut world = cell(6, 120);
+        world.drain(index);
+        let serves = |w: &World| (0..120).any(|p| w.serving(Partition(p)).contains(&index));
+        let took = world.run_until(Millis(10_000), |w| !serves(w)).expect("no more work");
+        let drained = world.run_until(Millis(10_000), |w| w.hosts[index].drained);
+        println!("host {index}: no more work after {took} ms, drained {drained:?} later");
+        assert!(took <= Millis(2_000) && drained.is_some());
+    }
+}
+
 #[test]
 fn hosts_can_be_replaced_one_after_another() {
     let mut world = cell(6, 12);
--- a/crates/ownership/tests/model_check.rs
+++ b/crates/ownership/tests/model_check.rs
@@ -201,7 +201,7 @@
 }
 
 fn report(found: &Found, name: &str) {
-    println!("{name}: {} states, depth {}", found.states, found.depth);
+    println!("{name}: {} states, {:?}", found.states, found.reached);
     if let Some(trace) = &found.trace {
         println!("{name}: {} acts:\n  {}", trace.len(), trace.join("\n  "));
     }
--- a/crates/ownership/tests/world/search.rs
+++ b/crates/ownership/tests/world/search.rs
@@ -48,10 +48,20 @@
     pub step: Millis,
 }
 
+/// What a search saw on its way.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reached {
+    pub depth: usize,
+    pub epoch: u64,
+    pub fence: u64,
+    /// How many states have two coordinators or more.
+    pub rival_coordinators: usize,
+}
+
 /// What a search found.
 pub struct Found {
     pub states: usize,
-    pub depth: usize,
+    pub reached: Reached,
     pub trace: Option<Vec<String>>,
 }
 
@@ -86,21 +96,30 @@
 pub fn search(space: &Space) -> Found {
     let first = node(space.start.clone(), Act::Round, space.budget, space.rounds, 0);
     let seen = RefCell::new(BTreeSet::from([first.fingerprint]));
-    let deepest = RefCell::new(0);
+    let reached = RefCell::new(Reached::default());
     let next = |n: &Node| {
         let Some(world) = n.world.borrow_mut().take() else {
             return Vec::new();
         };
         let nodes = successors(space, n, &world);
         seen.borrow_mut().extend(nodes.iter().map(|n| n.fingerprint));
-        let depth = n.depth.max(*deepest.borrow());
-        *deepest.borrow_mut() = depth;
+        reached.borrow_mut().note(n.depth, &world);
         nodes
     };
     let path = bfs(&first, next, |n| n.violation.is_some());
     let trace = path.map(|path| path.iter().skip(1).map(describe).collect());
-    let (states, depth) = (seen.borrow().len(), *deepest.borrow());
-    Found { states, depth, trace }
+    let (states, reached) = (seen.borrow().len(), *reached.borrow());
+    Found { states, reached, trace }
+}
+
+impl Reached {
+    fn note(&mut self, depth: usize, world: &World) {
+        let fence = world.served.iter().map(|f| f.0).max().unwrap_or(0);
+        self.depth = self.depth.max(depth);
+        self.epoch = self.epoch.max(world.stored().epoch.0);
+        self.fence = self.fence.max(fence);
+        self.rival_coordinators += usize::from(world.coordinators().len() > 1);
+    }
 }
 
 fn describe(node: &Node) -> String {
