--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -201,7 +201,6 @@
             self.moved_at = cx.now;
         }
         if agenda.row != *stored {
-            record_changes(stored, &agenda.row, cx);
             self.provenance.extend(provenance);
             store.write(Some(known.row.version), agenda.row, cx);
         }
@@ -291,11 +290,15 @@
                 continue;
             };
             let fence = a.fence.takeover();
-            if self.note_sent(a.partition, fence, cx) {
+            let is_first = self.sent.iter().all(|s| (s.partition, s.fence) != (a.partition, fence));
+            if !self.note_sent(a.partition, fence, cx) {
+                continue;
+            }
+            if is_first {
                 let text = format!("standby {standby} follows {} at fence {fence}", a.owner);
                 cx.record(Some(a.partition), "takeover", text);
-                cx.send(to, Message::TakeOver(transfer(row, standby, a.partition, fence)));
             }
+            cx.send(to, Message::TakeOver(transfer(row, standby, a.partition, fence)));
         }
     }
 
@@ -345,17 +348,6 @@
         .collect()
 }
 
-fn record_changes(stored: &CellRow, next: &CellRow, cx: &mut Cx<'_>) {
-    if next.epoch != stored.epoch {
-        cx.record(None, "grantors", format!("epoch {} gets other grantors", next.epoch));
-    }
-    for a in next.assignments.iter().filter(|a| stored.assignment(a.partition) != Some(a)) {
-        let standby = a.standby.map_or_else(|| "nobody".to_owned(), |s| s.to_string());
-        let text = format!("owner {}, standby {standby}, fence {}", a.owner, a.fence);
-        cx.record(Some(a.partition), "assignment", text);
-    }
-}
-
 /// The report of a host process whose backend server has not been seen yet.
 pub(crate) fn empty_report() -> Report {
     Report { slots: 0, slots_in_use: 0, draining: false, partitions: Vec::new() }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -9,6 +9,7 @@
 //! `store` is each process's dealings with the row, and `node` joins them all.
 
 mod agenda;
+mod changes;
 mod claims;
 mod coordinator;
 mod cx;
--- a/crates/ownership/src/node.rs
+++ b/crates/ownership/src/node.rs
@@ -21,7 +21,7 @@
 use crate::store::Store;
 use crate::{
     CellRow, Command, Event, MemberEntry, Message, NodeSettings, Report, RouteTable, Rules,
-    VersionedRow,
+    VersionedRow, changes,
 };
 
 /// The most rounds in which a node handles messages to itself after one event.
@@ -202,6 +202,9 @@
             return;
         }
         let row = &known.row;
+        if let Some(former) = self.row.as_ref().filter(|_| self.store.wrote(row)) {
+            changes::record(&former.row, row, cx);
+        }
         let former = self.row.as_ref().map(|r| r.row.epoch);
         if former != Some(row.epoch) {
             self.epoch_since = cx.now;
--- a/crates/ownership/src/store.rs
+++ b/crates/ownership/src/store.rs
@@ -29,6 +29,7 @@
     idle_read_at: Option<Millis>,
     read_at: Option<Millis>,
     tags: u32,
+    last_tag: Option<WriterTag>,
 }
 
 impl Default for Store {
@@ -40,6 +41,7 @@
             idle_read_at: None,
             read_at: None,
             tags: 0,
+            last_tag: None,
         }
     }
 }
@@ -71,6 +73,7 @@
         self.tags += 1;
         let step = TAG_STEP.wrapping_mul(u64::from(self.tags));
         row.writer = WriterTag(cx.settings.incarnation.0.wrapping_add(step));
+        self.last_tag = Some(row.writer);
         self.phase = Phase::Writing(row.clone());
         cx.push(Command::WriteRow { expected, row });
     }
@@ -131,6 +134,11 @@
         self.is_free(cx) && !self.stale
     }
 
+    /// Returns whether a row is what this process wrote last. It tells if the answer was lost.
+    pub(crate) fn wrote(&self, row: &CellRow) -> bool {
+        self.last_tag == Some(row.writer)
+    }
+
     /// Returns when the latest read was started.
     pub(crate) fn read_at(&self) -> Option<Millis> {
         self.read_at
