--- a/crates/ownership/src/agenda.rs
+++ b/crates/ownership/src/agenda.rs
@@ -120,12 +120,9 @@
     let moving = agenda.moves.iter_mut().find(|(m, _)| m.partition == partition);
     if let Some((m, _)) = moving {
         m.standby = Some(standby);
-        return;
-    }
-    if view.moves.get(partition).is_some() || view.is_lost(assignment.owner) {
-        return;
-    }
-    if may_change(&assignment, assignment.owner, view, cx) {
+    } else if view.moves.get(partition).is_some() || view.is_lost(assignment.owner) {
+        // The partition gets its standby once it has an owner that stays.
+    } else if may_change(&assignment, assignment.owner, view, cx) {
         row.assignments[index] = changed(&assignment, assignment.owner, Some(standby));
     } else {
         begin(agenda, new_move(&assignment, assignment.owner, Some(standby), cx), view, cx);
--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -240,7 +240,7 @@
 
     /// Tells owners to serve, until they say that they do.
     fn assign(&mut self, known: Known<'_>, cx: &mut Cx<'_>) {
-        if cx.rules.inherited_marks.is_kept() && !known.seals.are_closed(cx) {
+        if !may_order(known, cx) {
             return;
         }
         let row = &known.row.row;
@@ -270,23 +270,14 @@
     /// Tells standbys to serve while the row cannot be written. The row names them already, so
     /// nothing new has to be agreed.
     fn take_over(&mut self, known: Known<'_>, store: &Store, cx: &mut Cx<'_>) {
-        if cx.rules.inherited_marks.is_kept() && !known.seals.are_closed(cx) {
-            return;
-        }
         let patience = cx.timing().store_patience;
         let waited = self.waiting_since.is_some_and(|since| cx.now >= since + patience);
-        if !waited && !store.is_failing() {
+        if !may_order(known, cx) || !(waited || store.is_failing()) {
             return;
         }
         let row = &known.row.row;
         for a in &row.assignments {
-            let view = view(&self.losses, &self.moves, self.since, known);
-            let Some(standby) = a.standby.filter(|s| !view.is_lost(*s)) else {
-                continue;
-            };
-            let is_free =
-                view.is_claim_ended(a.owner, a, cx) && view.moves.given_up(standby, a).is_none();
-            let Some(to) = addr_of(row, standby).filter(|_| is_free) else {
+            let Some((standby, to)) = self.free_standby(known, a, cx) else {
                 continue;
             };
             let fence = a.fence.takeover();
@@ -302,6 +293,21 @@
         }
     }
 
+    /// Returns the standby of an assignment if it may serve now without a write.
+    fn free_standby(
+        &self,
+        known: Known<'_>,
+        a: &Assignment,
+        cx: &Cx<'_>,
+    ) -> Option<(Session, HostAddr)> {
+        let view = view(&self.losses, &self.moves, self.since, known);
+        let standby = a.standby.filter(|s| !view.is_lost(*s))?;
+        let has_left = view.moves.given_up(standby, a).is_some();
+        let is_free = !has_left && view.is_claim_ended(a.owner, a, cx);
+        let to = addr_of(view.row, standby).filter(|_| is_free)?;
+        Some((standby, to))
+    }
+
     /// Notes that an order is sent now. Returns whether it is due.
     fn note_sent(&mut self, partition: Partition, fence: Fence, cx: &Cx<'_>) -> bool {
         let same = |s: &&mut Sent| (s.partition, s.fence) == (partition, fence);
@@ -330,6 +336,11 @@
     View { row: &row.row, grantor, seals, dead, losses, moves, since }
 }
 
+/// Before the older sets are sealed, the sessions that they ended are not all known.
+fn may_order(known: Known<'_>, cx: &Cx<'_>) -> bool {
+    !cx.rules.inherited_marks.is_kept() || known.seals.are_closed(cx)
+}
+
 fn transfer(row: &CellRow, session: Session, partition: Partition, fence: Fence) -> Transfer {
     Transfer { epoch: row.epoch, session, partition, fence }
 }
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -108,7 +108,7 @@
         cx: &Cx<'_>,
     ) -> bool {
         let known = self.grantors.iter().any(|g| g.addr == from);
-        if epoch != self.epoch || session != self.session || !known {
+        if epoch != self.epoch || session != self.session || !known || sent_at > cx.now {
             return false;
         }
         self.note_ack(from, sent_at);
