--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod requests;
+mod wire_cost;
 
 use std::process::ExitCode;
 
@@ -25,7 +26,7 @@
 struct Measure {
     /// Print this help.
     help: bool,
-    /// The part: admission or requests.
+    /// The part: admission, requests or wire.
     #[options(free, required)]
     part: String,
 }
@@ -39,8 +40,9 @@
     match measure.part.as_str() {
         "admission" => admission::run(),
         "requests" => requests::run(),
+        "wire" => wire_cost::run(),
         other => {
-            eprintln!("found {other:?}, expected admission or requests");
+            eprintln!("found {other:?}, expected admission, requests or wire");
             return ExitCode::FAILURE;
         }
     }
