Let an idle connection make room on a full server

Cause: an idle connection was measured at about 21 KB at each end, so 2,048 of them would pass the memory that a host process may use, while a plain refusal at a lower bound would lock out members that reconnect. Change: the bound is 1,024, and the connection that was idle the longest is closed gracefully in favour of a new one; only if all are in use is the new one refused. A peer that could not be reached is no longer tried twice in a row.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -32,8 +32,8 @@
 /// The path of forwarded requests.
 pub(crate) const FORWARD_PATH: &str = "/forward";
 
-/// How often a connection that turns out to be closing is replaced before the peer counts as
-/// unreachable.
+/// How often a connection is asked for a stream before the peer counts as unreachable. One that
+/// worked and turns out to be over is replaced; one that could not be opened is not.
 const OPEN_ATTEMPTS: usize = 2;
 
 /// Why a call has no reply.
@@ -186,9 +186,12 @@
     async fn ready(&self, to: HostAddr) -> Result<Ready, NoLink> {
         for _ in 0..OPEN_ATTEMPTS {
             let link = self.pool.link(to)?;
-            if let Some((slot, send)) = link.ready(self.pool.settings.clone()).await {
+            if let Some((slot, send)) = link.clone().ready(self.pool.settings.clone()).await {
                 return Ok(Ready { slot, send });
             }
+            if !link.was_up() {
+                break;
+            }
         }
         Err(NoLink::Unreachable)
     }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -41,6 +41,7 @@
     suspect: Notify,
     closing: Notify,
     retired: Cell<bool>,
+    answered: Cell<bool>,
     used_at: Cell<Millis>,
 }
 
@@ -83,6 +84,11 @@
         !self.retired.get() && !matches!(*self.state.borrow(), State::Down)
     }
 
+    /// Returns whether the peer ever answered on this connection.
+    pub(crate) fn was_up(&self) -> bool {
+        self.answered.get()
+    }
+
     /// Returns whether no stream is open.
     pub(crate) fn is_idle(&self) -> bool {
         self.streams.available_permits() == self.max_streams
@@ -110,6 +116,7 @@
             suspect: Notify::new(),
             closing: Notify::new(),
             retired: Cell::new(false),
+            answered: Cell::new(false),
             used_at: Cell::new(settings.clock.now()),
         });
         tokio::task::spawn_local(run(link.clone(), to, settings, traffic));
@@ -238,6 +245,7 @@
     if !pulse::answers(&mut pings, settings.connect_limit).await {
         return "the peer never answered";
     }
+    link.answered.set(true);
     link.state.send_replace(State::Up(send.clone()));
     loop {
         tokio::select! {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,8 +1,9 @@
 //! The server side: accepts connections of other host processes and runs the handlers.
 
+mod peers;
 mod stream;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +19,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
+use self::peers::{Peer, Peers};
 use crate::pulse;
 use crate::settings::{
     Cut, MAX_HEADER_BYTES, SEND_BUFFER_BYTES, STREAM_WINDOW_BYTES, ServerSettings,
@@ -73,6 +75,7 @@
     handlers: Handlers,
     settings: ServerSettings,
     buffered: Semaphore,
+    peers: RefCell<Peers>,
     connections: watch::Sender<usize>,
 }
 
@@ -101,7 +104,8 @@
     let (phase, phase_rx) = watch::channel(Phase::Serving);
     let (connections, connections_rx) = watch::channel(0);
     let buffered = Semaphore::new(settings.max_buffered.min(Semaphore::MAX_PERMITS));
-    let cx = Rc::new(Context { handlers, settings, buffered, connections });
+    let peers = RefCell::default();
+    let cx = Rc::new(Context { handlers, settings, buffered, peers, connections });
     tokio::task::spawn_local(accept(cx, listener, phase_rx));
     let stopping = Cell::new(false);
     Ok(Server { addr: HostAddr(addr), phase, connections: connections_rx, stopping })
@@ -167,17 +171,21 @@
     }
 }
 
-/// Starts to serve a connection unless there are too many.
-fn admit(cx: &Rc<Context>, io: TcpStream, peer: SocketAddr, phase: &watch::Receiver<Phase>) {
-    if *cx.connections.borrow() >= cx.settings.max_connections {
-        info!("wire: connection of {peer} refused, as there are too many");
+/// Starts to serve a connection. If there are too many, the one that was idle the longest makes
+/// room; if none is idle, the new one is closed.
+fn admit(cx: &Rc<Context>, io: TcpStream, addr: SocketAddr, phase: &watch::Receiver<Phase>) {
+    let full = cx.peers.borrow().len() >= cx.settings.max_connections;
+    if full && !cx.peers.borrow_mut().evict_idle() {
+        info!("wire: connection of {addr} refused, as there are too many");
         return;
     }
+    let peer = cx.peers.borrow_mut().add();
     cx.connections.send_modify(|count| *count += 1);
     let (cx, phase) = (cx.clone(), phase.clone());
     tokio::task::spawn_local(async move {
-        let end = run_connection(&cx, io, phase).await;
-        debug!("wire: connection of {peer} ended: {end}");
+        let end = run_connection(&cx, &peer, io, phase).await;
+        debug!("wire: connection of {addr} ended: {end}");
+        cx.peers.borrow_mut().remove(&peer);
         cx.connections.send_modify(|count| *count -= 1);
     });
 }
@@ -185,6 +193,7 @@
 /// Serves one connection and returns why it ended.
 async fn run_connection(
     cx: &Rc<Context>,
+    peer: &Rc<Peer>,
     io: TcpStream,
     mut phase: watch::Receiver<Phase>,
 ) -> String {
@@ -205,7 +214,8 @@
         tokio::select! {
             stream = conn.accept() => match stream {
                 Some(Ok((req, tx))) => {
-                    tokio::task::spawn_local(stream::run(cx.clone(), req, tx));
+                    let running = peer.start_stream();
+                    tokio::task::spawn_local(stream::run(cx.clone(), running, req, tx));
                 }
                 Some(Err(e)) => return e.to_string(),
                 None => return "closed".to_owned(),
@@ -215,6 +225,7 @@
                 Ok(Phase::Stopping) => conn.graceful_shutdown(),
                 Ok(Phase::Cut | Phase::Stopped) | Err(_) => return "broken off".to_owned(),
             },
+            () = peer.evicted() => conn.graceful_shutdown(),
             () = &mut silent => return "the peer stopped answering".to_owned(),
         }
     }
--- a/crates/wire/src/server/stream.rs
+++ b/crates/wire/src/server/stream.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::Context;
+use super::peers::Running;
 use crate::body::{Inbox, ReadError, Then, send, send_body};
 use crate::client::{CALL_PATH, FORWARD_PATH, with_length};
 use crate::codec::{
@@ -49,8 +50,13 @@
     }
 }
 
-/// Serves one stream.
-pub(super) async fn run(cx: Rc<Context>, req: Request<RecvStream>, mut tx: SendResponse<Bytes>) {
+/// Serves one stream; `_running` keeps its connection from being taken for idle.
+pub(super) async fn run(
+    cx: Rc<Context>,
+    _running: Running,
+    req: Request<RecvStream>,
+    mut tx: SendResponse<Bytes>,
+) {
     let (parts, rx) = req.into_parts();
     let inbox = Inbox::new(rx);
     match parts.uri.path() {
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -116,7 +116,7 @@
 impl Default for ServerSettings {
     fn default() -> Self {
         Self {
-            max_connections: 2_048,
+            max_connections: 1_024,
             max_streams: DEFAULT_MAX_STREAMS,
             max_body: 8 * 1024 * 1024,
             max_buffered: 64 * 1024 * 1024,
@@ -129,7 +129,7 @@
 
 impl ServerSettings {
     setters! {
-        /// The number of connections; more are closed at once.
+        /// The number of connections; a new one takes the place of an idle one.
         max_connections: usize,
         /// The number of streams per connection; more are refused as not run.
         max_streams: u32,
