--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -3,6 +3,9 @@
 //! What a backend server says about itself only lowers trust. It is up while it announces itself
 //! and accepts connections; a refused connection counts at once.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -5,6 +5,7 @@
 
 use model::{Epoch, Fence, HostAddr, Incarnation, Millis, Partition, Session};
 
+use crate::agenda::Balance;
 use crate::cx::Cx;
 use crate::grantor::GrantorRole;
 use crate::loss::Losses;
@@ -13,8 +14,8 @@
 use crate::store::Store;
 use crate::view::View;
 use crate::{
-    Assignment, CellRow, Join, Message, Report, Transfer, VersionedRow, agenda, grantor_set,
-    succession,
+    Assignment, CellRow, Join, Message, Report, RouteTable, Transfer, VersionedRow, agenda,
+    grantor_set, succession,
 };
 
 /// Plans are made this many times per renew interval.
@@ -61,6 +62,10 @@
     /// Since when a change of the row has been waiting to be written.
     waiting_since: Option<Millis>,
     planned_at: Option<Millis>,
+    /// When the last moves began.
+    moved_at: Millis,
+    /// The routing table as this coordinator last worked it out.
+    table: RouteTable,
 }
 
 /// Commands.
@@ -76,9 +81,20 @@
             sent: Vec::new(),
             waiting_since: None,
             planned_at: None,
+            moved_at: now,
+            table: RouteTable::default(),
         }
     }
 
+    /// Notes the routing table that follows from the present knowledge. Returns whether it
+    /// differs from the one before. Comparing with what other coordinators sent instead would
+    /// make two of them answer each other without end.
+    pub(crate) fn note_table(&mut self, table: &RouteTable) -> bool {
+        let is_news = self.table != *table;
+        self.table.clone_from(table);
+        is_news
+    }
+
     pub(crate) fn on_join(&mut self, join: &Join) {
         if let Err(i) = self.joins.binary_search_by_key(&join.session, |j| j.session) {
             self.joins.insert(i, join.clone());
@@ -173,8 +189,11 @@
             cx.record(None, "grantors", format!("epoch {} gets other grantors", better.epoch));
             next = better;
         } else if settled && (next != *stored || cx.is_due(self.planned_at, plan_pause)) {
-            let agenda = agenda::next(&view, next, cx);
+            let agenda = agenda::next(&view, next, self.balance(cx), cx);
             self.planned_at = Some(cx.now);
+            if !agenda.moves.is_empty() {
+                self.moved_at = cx.now;
+            }
             next = agenda.row;
             begun = agenda.moves;
         }
@@ -190,6 +209,11 @@
         }
     }
 
+    fn balance(&self, cx: &Cx<'_>) -> Balance {
+        let settled = cx.now.since(self.moved_at) >= cx.timing().balance_interval;
+        if settled { Balance::Due } else { Balance::Early }
+    }
+
     /// Tells owners to serve, until they say that they do.
     fn assign(&mut self, known: Known<'_>, cx: &mut Cx<'_>) {
         if cx.rules.inherited_marks.is_kept() && !known.seals.are_closed(cx) {
