Answer HEAD requests, and take every body that a service may allow

Ruled out: the client library, which reads such an answer as whole. Change: answers to HEAD and of status 204 and 304 are expected to have no body. The limit on forwarded bodies was half of what a configuration may allow for a service; now they are the same.

--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -206,7 +206,7 @@
         match sent {
             Err(_) => Attempted::new(Outcome::Unknown(UnknownReason::Timeout), Connection::Good),
             Ok(Err(error)) => failed(&error),
-            Ok(Ok(answer)) => answered(answer, owner),
+            Ok(Ok(answer)) => answered(answer, owner, &attempt.head.method),
         }
     }
 
@@ -305,7 +305,7 @@
     }
 }
 
-fn answered<S>(answer: awc::ClientResponse<S>, owner: model::HostAddr) -> Attempted
+fn answered<S>(answer: awc::ClientResponse<S>, owner: model::HostAddr, method: &str) -> Attempted
 where
     S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
@@ -317,7 +317,7 @@
     let head = AnswerHead {
         status: answer.status().as_u16(),
         headers: answer_headers(answer.headers()),
-        body_length: body_length(answer.headers()),
+        body_length: body_length(method, answer.status(), answer.headers()),
         owner,
     };
     let body = answer.map(|chunk| chunk.map_err(|_| BodyError::Cut { received: 0 })).boxed_local();
@@ -346,6 +346,16 @@
     )
 }
 
-fn body_length(headers: &awc::http::header::HeaderMap) -> Option<u64> {
+/// Returns the length of the body that follows. Some answers have none, whatever their headers
+/// say about the body that another request would get.
+fn body_length(
+    method: &str,
+    status: awc::http::StatusCode,
+    headers: &awc::http::header::HeaderMap,
+) -> Option<u64> {
+    use awc::http::StatusCode;
+    if method == "HEAD" || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        return Some(0);
+    }
     headers.get("content-length")?.to_str().ok()?.parse().ok()
 }
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -118,7 +118,7 @@
         Self {
             max_connections: 1_024,
             max_streams: DEFAULT_MAX_STREAMS,
-            max_body: 8 * 1024 * 1024,
+            max_body: 16 * 1024 * 1024,
             max_buffered: 64 * 1024 * 1024,
             read_limit: Millis(10_000),
             ping_interval: Millis(15_000),
@@ -133,7 +133,7 @@
         max_connections: usize,
         /// The number of streams per connection; more are refused as not run.
         max_streams: u32,
-        /// The largest body of a request in bytes.
+        /// The largest body of a request in bytes; the default is the most that a service may allow.
         max_body: u64,
         /// The memory for request bodies and calls of all connections in bytes.
         max_buffered: usize,
