Hand over the records of a partition in calls that fit

Cause: records whose kept answers come to more than 4 MiB made one call that is refused before it is sent, so a planned move of such a partition would have lost its records. Change: they go in calls of about 1 MiB, which the receiver already merges. 200 records with answers of 64 KiB, which one call does not hold, go in 13 calls.

--- a/crates/host/src/owner/claims.rs
+++ b/crates/host/src/owner/claims.rs
@@ -3,7 +3,7 @@
 use model::{Fence, HostAddr, Millis, Partition};
 use ownership::{Event, Origin};
 use routing::records::Handed;
-use wire::{Call, Handover, Reply};
+use wire::{Handover, Reply, handover_calls};
 
 use crate::backend::{FenceCheck, Grant, Grants};
 use crate::shared::Cx;
@@ -93,18 +93,20 @@
     };
     let cell = cx.settings.cell.clone();
     let handover = Handover { cell, partition, fence, vouched_from, records };
-    let call = Call::Handover(handover);
-    match cx.client.call(next, call, HANDOVER_TIME_LIMIT).await {
-        Ok(Reply::Done) => true,
-        Ok(other) => {
-            log::warn!("owner: {next} did not take the records of {partition}: {other:?}.");
-            false
-        }
-        Err(error) => {
-            log::warn!("owner: {next} did not take the records of {partition}: {error}.");
-            false
+    for call in handover_calls(handover) {
+        match cx.client.call(next, call, HANDOVER_TIME_LIMIT).await {
+            Ok(Reply::Done) => {}
+            Ok(other) => {
+                log::warn!("owner: {next} did not take the records of {partition}: {other:?}.");
+                return false;
+            }
+            Err(error) => {
+                log::warn!("owner: {next} did not take the records of {partition}: {error}.");
+                return false;
+            }
         }
     }
+    true
 }
 
 /// Tells a backend server that checks fences what it may serve, and until when.
--- a/crates/wire/tests/limits.rs
+++ b/crates/wire/tests/limits.rs
@@ -11,10 +11,16 @@
 use futures_util::future::join_all;
 use h2::client::SendRequest;
 use http::{Request, StatusCode};
-use model::{HostAddr, NotRunReason, Outcome};
+use model::{
+    CellId, Fence, HandedRecord, HostAddr, KeptAnswer, NotRunReason, Outcome, Partition, RecordEnd,
+    RequestId,
+};
 use tokio::net::TcpStream;
 use wire::codec::{MAX_CALL_BYTES, MAX_HEAD_BYTES, encode_call, encode_forward_head};
-use wire::{CallError, Client, ClientSettings, Server, ServerSettings, whole_body};
+use wire::{
+    Call, CallError, Client, ClientSettings, Handover, Server, ServerSettings, handover_calls,
+    whole_body,
+};
 
 /// Starts an echo server that counts its runs.
 fn counting(settings: ServerSettings) -> (Server, Rc<Cell<u32>>) {
@@ -225,36 +231,60 @@
     });
 }
 
+/// Returns a hand-over of records whose kept answers have these sizes.
+fn handover(bodies: &[usize]) -> Handover {
+    let record = |(index, size): (usize, &usize)| HandedRecord {
+        id: RequestId::parse(&format!("01890a5d-ac96-774b-bcce-{index:012x}")).unwrap(),
+        digest: u64::MAX,
+        age: LONG,
+        end: RecordEnd::Answered(KeptAnswer {
+            status: 200,
+            headers: vec![("content-type".to_owned(), b"text/plain".to_vec())],
+            body: vec![0; *size],
+        }),
+    };
+    Handover {
+        cell: CellId { service: head(LONG).service, index: 0 },
+        partition: Partition(1),
+        fence: Fence(2),
+        vouched_from: LONG,
+        records: bodies.iter().enumerate().map(record).collect(),
+    }
+}
+
 #[test]
 fn an_oversized_call_is_not_sent() {
     run(async {
         let server = echo();
         let client = Client::new(ClientSettings::default());
-        let record = |body: usize| model::HandedRecord {
-            id: model::RequestId::parse("01890a5d-ac96-774b-bcce-b302099a8057").unwrap(),
-            digest: 1,
-            age: LONG,
-            end: model::RecordEnd::Answered(model::KeptAnswer {
-                status: 200,
-                headers: vec![],
-                body: vec![0; body],
-            }),
-        };
-        let handover = |body| {
-            wire::Call::Handover(wire::Handover {
-                cell: model::CellId { service: head(LONG).service, index: 0 },
-                partition: model::Partition(1),
-                fence: model::Fence(2),
-                vouched_from: LONG,
-                records: vec![record(body)],
-            })
-        };
+        let call = |size| Call::Handover(handover(&[size]));
 
-        let small = client.call(server.addr(), handover(MAX_CALL_BYTES / 2), LONG).await;
-        let large = client.call(server.addr(), handover(MAX_CALL_BYTES), LONG).await;
+        let small = client.call(server.addr(), call(MAX_CALL_BYTES / 2), LONG).await;
+        let large = client.call(server.addr(), call(MAX_CALL_BYTES), LONG).await;
 
-        assert!(encode_call(handover(MAX_CALL_BYTES)).is_err());
         assert!(small.is_ok());
         assert!(matches!(large, Err(CallError::Codec { .. })));
     });
 }
+
+#[test]
+fn records_are_handed_over_in_calls_that_fit() {
+    let check = |bodies: &[usize], expected_calls: usize| {
+        let whole = handover(bodies);
+        let calls = handover_calls(whole.clone());
+        assert_eq!(calls.len(), expected_calls, "{} records", bodies.len());
+        assert!(calls.iter().all(|call| encode_call(call.clone()).is_ok()));
+        let pieces = calls.into_iter().map(|call| match call {
+            Call::Handover(piece) => piece,
+            other => panic!("{other:?}"),
+        });
+        let merged = pieces.flat_map(|piece| piece.records).collect::<Vec<_>>();
+        assert_eq!(merged, whole.records);
+    };
+
+    check(&[], 1);
+    check(&[10], 1);
+    check(&[64 * 1024; 200], 13);
+    check(&[0; 100_000], 10);
+    assert!(encode_call(Call::Handover(handover(&[64 * 1024; 200]))).is_err());
+}
