Do not take a peer behind a slow link for silent

Cause: a pong that is queued behind several streams' answers on a slow link is late although the peer answers, and the connection was closed with all its streams. Change: bytes that arrive while a ping is on its way count as an answer; a frozen peer sends none.

--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -7,17 +7,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use h2::PingPong;
 use h2::client::{Builder, Connection, SendRequest};
 use log::{debug, info};
 use model::{HostAddr, Millis};
-use snafu::Snafu;
+use snafu::{OptionExt, Snafu};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::meter::{Metered, Traffic};
-use crate::pulse;
+use crate::pulse::Pulse;
 use crate::settings::{
     ClientSettings, MAX_HEADER_BYTES, SEND_BUFFER_BYTES, STREAM_WINDOW_BYTES, connection_window,
 };
@@ -183,9 +182,8 @@
         None => debug!("wire: connecting to {to} was given up"),
         Some(Err(_)) => info!("wire: {to} does not answer"),
         Some(Ok(Err(e))) => info!("wire: cannot connect to {to}: {e}"),
-        Some(Ok(Ok((send, mut conn)))) => {
-            let pings = conn.ping_pong();
-            let watching = watch_over(&link, &settings, send, pings);
+        Some(Ok(Ok(Opened { send, conn, pulse }))) => {
+            let watching = watch_over(&link, &settings, send, pulse);
             let end = tokio::select! {
                 end = conn => end.map_or_else(|e| e.to_string(), |()| "closed by the peer".into()),
                 reason = watching => reason.to_owned(),
@@ -211,9 +209,17 @@
         /// What went wrong.
         source: h2::Error,
     },
+    /// Another part took the pings of the connection.
+    #[snafu(display("the pings of the connection are taken"))]
+    PingsTaken,
 }
 
-type Opened = (SendRequest<Bytes>, Connection<Metered, Bytes>);
+/// A connection on which nothing was received yet.
+struct Opened {
+    send: SendRequest<Bytes>,
+    conn: Connection<Metered, Bytes>,
+    pulse: Pulse,
+}
 
 async fn connect(
     to: SocketAddr,
@@ -222,15 +228,18 @@
 ) -> Result<Opened, OpenError> {
     let io = TcpStream::connect(to).await?;
     io.set_nodelay(true)?;
-    let opened = Builder::new()
+    let io = Metered::new(io, traffic);
+    let own = io.own();
+    let (send, mut conn) = Builder::new()
         .enable_push(false)
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(connection_window(settings.max_streams))
         .max_header_list_size(MAX_HEADER_BYTES)
         .max_send_buffer_size(SEND_BUFFER_BYTES)
-        .handshake(Metered::new(io, traffic))
+        .handshake(io)
         .await?;
-    Ok(opened)
+    let pings = conn.ping_pong().context(PingsTakenSnafu)?;
+    Ok(Opened { send, conn, pulse: Pulse::new(pings, own) })
 }
 
 /// Checks the peer at first, after a timeout and while streams are open. Returns why the
@@ -239,10 +248,9 @@
     link: &Link,
     settings: &ClientSettings,
     send: SendRequest<Bytes>,
-    pings: Option<PingPong>,
+    mut pulse: Pulse,
 ) -> &'static str {
-    let Some(mut pings) = pings else { return "pings are in use" };
-    if !pulse::answers(&mut pings, settings.connect_limit).await {
+    if !pulse.answers(settings.connect_limit).await {
         return "the peer never answered";
     }
     link.answered.set(true);
@@ -262,7 +270,7 @@
                 }
             }
         }
-        if !pulse::answers(&mut pings, settings.ping_limit).await {
+        if !pulse.answers(settings.ping_limit).await {
             return "the peer stopped answering";
         }
         link.state.send_replace(State::Up(send.clone()));
--- a/crates/wire/src/meter.rs
+++ b/crates/wire/src/meter.rs
@@ -1,4 +1,5 @@
-//! Counts the bytes that a client exchanges with its peers, for metrics and measurements.
+//! Counts bytes: of one connection, to see whether its peer lives, and of all connections of a
+//! client, for metrics and measurements.
 
 use std::cell::Cell;
 use std::io;
@@ -22,22 +23,36 @@
     }
 }
 
-/// A connection whose bytes are added to a shared count.
+impl Traffic {
+    fn add(counter: &Cell<Self>, sent: usize, received: usize) {
+        let mut traffic = counter.get();
+        traffic.sent += sent as u64;
+        traffic.received += received as u64;
+        counter.set(traffic);
+    }
+}
+
+/// A connection whose bytes are counted by themselves and with those of others.
 pub(crate) struct Metered {
     io: TcpStream,
-    traffic: Rc<Cell<Traffic>>,
+    own: Rc<Cell<Traffic>>,
+    total: Rc<Cell<Traffic>>,
 }
 
 impl Metered {
-    pub(crate) fn new(io: TcpStream, traffic: Rc<Cell<Traffic>>) -> Self {
-        Self { io, traffic }
+    /// Counts the bytes of `io` also in `total`.
+    pub(crate) fn new(io: TcpStream, total: Rc<Cell<Traffic>>) -> Self {
+        Self { io, own: Rc::default(), total }
+    }
+
+    /// Returns the count of this connection alone.
+    pub(crate) fn own(&self) -> Rc<Cell<Traffic>> {
+        self.own.clone()
     }
 
     fn count(&self, sent: usize, received: usize) {
-        let mut traffic = self.traffic.get();
-        traffic.sent += sent as u64;
-        traffic.received += received as u64;
-        self.traffic.set(traffic);
+        Traffic::add(&self.own, sent, received);
+        Traffic::add(&self.total, sent, received);
     }
 }
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -20,7 +20,8 @@
 use tokio::time::{sleep, timeout};
 
 use self::peers::{Peer, Peers};
-use crate::pulse;
+use crate::meter::Metered;
+use crate::pulse::Pulse;
 use crate::settings::{
     Cut, MAX_HEADER_BYTES, SEND_BUFFER_BYTES, STREAM_WINDOW_BYTES, ServerSettings,
     connection_window,
@@ -200,6 +201,8 @@
     if let Err(e) = io.set_nodelay(true) {
         return e.to_string();
     }
+    let io = Metered::new(io, Rc::default());
+    let traffic = io.own();
     let opening = timeout(cx.settings.read_limit.into(), handshake(cx, io));
     let mut conn = match opening.await {
         Ok(Ok(conn)) => conn,
@@ -208,7 +211,7 @@
     };
     let Some(pings) = conn.ping_pong() else { return "pings are in use".to_owned() };
     let (interval, limit) = (cx.settings.ping_interval, cx.settings.ping_limit);
-    let mut silent = Box::pin(pulse::until_silent(pings, interval, limit));
+    let mut silent = Box::pin(Pulse::new(pings, traffic).until_silent(interval, limit));
     phase.mark_changed();
     loop {
         tokio::select! {
@@ -231,7 +234,7 @@
     }
 }
 
-async fn handshake(cx: &Context, io: TcpStream) -> Result<Connection<TcpStream, Bytes>, h2::Error> {
+async fn handshake(cx: &Context, io: Metered) -> Result<Connection<Metered, Bytes>, h2::Error> {
     Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(connection_window(cx.settings.max_streams))
--- a/crates/wire/tests/common/proxy.rs
+++ b/crates/wire/tests/common/proxy.rs
@@ -2,12 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use model::HostAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 /// How many bytes pass in each direction before the connection is closed.
 #[derive(Clone, Copy)]
@@ -20,12 +22,23 @@
     pub const ALL: Self = Self { requests: usize::MAX, answers: usize::MAX };
 }
 
+/// The most bytes that pass at a time.
+pub const PIECE_BYTES: usize = 16 * 1024;
+
+/// How the proxy treats bytes right now.
+#[derive(Clone)]
+struct LinkState {
+    frozen: Rc<Cell<bool>>,
+    pace: Rc<Cell<Duration>>,
+}
+
 /// A running proxy.
 pub struct Proxy {
     pub addr: HostAddr,
     passed: Rc<Cell<(usize, usize)>>,
     current: Rc<RefCell<Vec<JoinHandle<()>>>>,
     frozen: Rc<Cell<bool>>,
+    pace: Rc<Cell<Duration>>,
 }
 
 impl Proxy {
@@ -37,16 +50,17 @@
         let current = Rc::new(RefCell::new(Vec::new()));
         let (count, tasks) = (passed.clone(), current.clone());
         let frozen = Rc::new(Cell::new(false));
-        let stuck = frozen.clone();
+        let pace = Rc::new(Cell::new(Duration::ZERO));
+        let link = LinkState { frozen: frozen.clone(), pace: pace.clone() };
         let accepting = tokio::task::spawn_local(async move {
             while let Ok((io, _)) = listener.accept().await {
                 let out = TcpStream::connect(to.0).await.unwrap();
-                let pass = pass_all(io, out, allowance, count.clone(), stuck.clone());
+                let pass = pass_all(io, out, allowance, count.clone(), link.clone());
                 tasks.borrow_mut().push(tokio::task::spawn_local(pass));
             }
         });
         current.borrow_mut().push(accepting);
-        Self { addr, passed, current, frozen }
+        Self { addr, passed, current, frozen, pace }
     }
 
     /// Returns the bytes that passed as requests and as answers.
@@ -59,6 +73,11 @@
         self.frozen.set(true);
     }
 
+    /// Passes one piece of [`PIECE_BYTES`] per `pause` in each direction from now on.
+    pub fn slow_down(&self, pause: Duration) {
+        self.pace.set(pause);
+    }
+
     /// Breaks everything off.
     pub fn stop(&self) {
         for task in self.current.borrow_mut().drain(..) {
@@ -72,14 +91,14 @@
     b: TcpStream,
     left: Allowance,
     count: Rc<Cell<(usize, usize)>>,
-    frozen: Rc<Cell<bool>>,
+    link: LinkState,
 ) {
     let ((a_rx, a_tx), (b_rx, b_tx)) = (a.into_split(), b.into_split());
-    let requests = pass(a_rx, b_tx, left.requests, &frozen, |size| {
+    let requests = pass(a_rx, b_tx, left.requests, &link, |size| {
         let (requests, answers) = count.get();
         count.set((requests + size, answers));
     });
-    let answers = pass(b_rx, a_tx, left.answers, &frozen, |size| {
+    let answers = pass(b_rx, a_tx, left.answers, &link, |size| {
         let (requests, answers) = count.get();
         count.set((requests, answers + size));
     });
@@ -94,16 +113,19 @@
     mut rx: OwnedReadHalf,
     mut tx: OwnedWriteHalf,
     mut left: usize,
-    frozen: &Cell<bool>,
+    link: &LinkState,
     count: impl Fn(usize),
 ) {
-    let mut buf = vec![0; 64 * 1024];
+    let mut buf = vec![0; PIECE_BYTES];
     while left > 0 {
         let wanted = left.min(buf.len());
         let Ok(size @ 1..) = rx.read(&mut buf[..wanted]).await else { return };
-        if frozen.get() {
+        if link.frozen.get() {
             std::future::pending::<()>().await;
         }
+        if !link.pace.get().is_zero() {
+            sleep(link.pace.get()).await;
+        }
         if tx.write_all(&buf[..size]).await.is_err() {
             return;
         }
--- a/crates/wire/tests/streams.rs
+++ b/crates/wire/tests/streams.rs
@@ -4,8 +4,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use common::proxy::{Allowance, Proxy};
 use common::{LONG, collect, config_call, echo, head, ran, run, server};
 use futures_util::FutureExt;
 use futures_util::future::join_all;
@@ -326,3 +328,29 @@
         assert!(after.is_ok());
     });
 }
+
+#[test]
+fn a_peer_behind_a_slow_link_is_not_taken_for_silent() {
+    run(async {
+        const STREAMS: usize = 64;
+        const SIZE: usize = 256 * 1024;
+        let taken = Rc::new(Cell::new(0));
+        let server = server(move |_, _| {
+            let body = counted(SIZE, taken.clone());
+            async move { ran(SIZE as u64, body) }.boxed_local()
+        });
+        let proxy = Proxy::start(server.addr(), Allowance::ALL).await;
+        let client = Client::new(ClientSettings::default().ping_interval(Millis(100)));
+        client.call(proxy.addr, config_call(), LONG).await.unwrap();
+        // What all windows hold together takes longer than the limit of a ping.
+        proxy.slow_down(Duration::from_millis(2));
+
+        let receive = async || {
+            let outcome = client.forward(proxy.addr, head(LONG), Bytes::new()).await;
+            collect(unwrap_ran(outcome).1).await.unwrap().len()
+        };
+        let sizes = join_all((0..STREAMS).map(|_| receive())).await;
+
+        assert_eq!(sizes, [SIZE; STREAMS]);
+    });
+}
