Give long jobs of the lower classes only what short work surely leaves

One slot always went to long work, however urgent the rest was, and the demand of one second swings enough to open a second one for half a second and more. Ruled out: stale places in the queue, mended before this. Change: long jobs below the interactive class get no least slot, and leave 1.5 instead of 0.5 times the square root of the demand as headroom.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -15,8 +15,10 @@
 /// The part of the slots that long jobs leave free at least, as a divisor.
 const SHORT_RESERVE_DIVISOR: u32 = 3;
 
-/// Slots that short jobs need beyond their mean demand, per square root of it, as a divisor.
-const HEADROOM_DIVISOR: u64 = 2;
+/// Slots that short jobs need beyond their mean demand, in percent of its square root: beside long
+/// jobs of the interactive class, and beside those of the lower classes, which can wait.
+const HEADROOM_PERCENT: u64 = 50;
+const LOWER_HEADROOM_PERCENT: u64 = 150;
 
 /// Predicted waits are taken this much longer than computed, in percent, because a job that is
 /// started too late is wasted work.
@@ -199,7 +201,8 @@
         let is_lower = priority > Priority::Interactive;
         let fits = self.running.count() < usable;
         let fits_class = !is_lower || self.running.lower() < self.lower_limit();
-        let fits_length = length == Length::Short || self.long_running(now) < self.long_limit(now);
+        let fits_length =
+            length == Length::Short || self.long_running(now) < self.long_limit(priority, now);
         fits && fits_class && fits_length
     }
 
@@ -212,17 +215,22 @@
         self.usable_slots().saturating_sub(self.limits.reserved_slots)
     }
 
-    /// Slots that long jobs may hold: what short jobs leave, and at least one.
-    fn long_limit(&self, now: Millis) -> u32 {
+    /// Slots that long jobs may hold: what short jobs leave. Interactive ones get one in any case.
+    fn long_limit(&self, priority: Priority, now: Millis) -> u32 {
+        let (least, headroom_percent) = match priority {
+            Priority::Interactive => (1, HEADROOM_PERCENT),
+            _ => (0, LOWER_HEADROOM_PERCENT),
+        };
         let usable = self.usable_slots();
-        let reserve = usable.div_ceil(SHORT_RESERVE_DIVISOR).max(self.short_need(now));
-        usable.saturating_sub(reserve).max(1)
+        let need = self.short_need(headroom_percent, now);
+        let reserve = usable.div_ceil(SHORT_RESERVE_DIVISOR).max(need);
+        usable.saturating_sub(reserve).max(least)
     }
 
     /// Slots that short jobs need at the rate at which they are offered.
-    fn short_need(&self, now: Millis) -> u32 {
+    fn short_need(&self, headroom_percent: u64, now: Millis) -> u32 {
         let demand = self.demand.millislots(now);
-        let headroom = (demand * SLOT).isqrt() / HEADROOM_DIVISOR;
+        let headroom = (demand * SLOT).isqrt() * headroom_percent / 100;
         let slots = (demand + headroom).div_ceil(SLOT);
         u32::try_from(slots).unwrap_or(u32::MAX)
     }
@@ -275,7 +283,7 @@
         let usable = u64::from(self.usable_slots()) * SLOT;
         let others = match length {
             Length::Short => u64::from(self.long_running(now)) * SLOT,
-            Length::Long => usable.saturating_sub(u64::from(self.long_limit(now)) * SLOT),
+            Length::Long => usable.saturating_sub(u64::from(self.long_limit(priority, now)) * SLOT),
         };
         let urgent = match priority {
             Priority::Interactive => 0,
