--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Chores: measurements and checks.
 
 mod admission;
+mod placement;
 
 use std::process::ExitCode;
 
@@ -37,6 +38,7 @@
     };
     match measure.part.as_str() {
         "admission" => admission::run(),
+        "placement" => placement::run(),
         other => {
             eprintln!("found {other:?}, expected placement or admission");
             return ExitCode::FAILURE;
