--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -6,7 +6,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -95,6 +95,7 @@
 pub struct Backend {
     client: awc::Client,
     view: RefCell<Option<BackendView>>,
+    last_fence_check: Cell<Option<FenceCheck>>,
 }
 
 /// The stream of an answer's body.
@@ -104,13 +105,18 @@
     /// Makes a client that knows no backend server yet.
     pub fn new() -> Self {
         let limits = Limits { connections: MAX_CONNECTIONS, connect_limit: CONNECT_TIME_LIMIT };
-        Self { client: http_client::client(limits), view: RefCell::new(None) }
+        Self {
+            client: http_client::client(limits),
+            view: RefCell::new(None),
+            last_fence_check: Cell::new(None),
+        }
     }
 
     /// Takes in an announcement. Returns whether the backend server was down before.
     pub fn announced(&self, announcement: &Announcement, now: Millis) -> Change {
         let Announcement { addr, slots, connections, fences, state, .. } = announcement.clone();
         let view = BackendView { addr, slots, connections, fences, state, heard_at: now };
+        self.last_fence_check.set(Some(fences));
         let former = self.view.replace(Some(view));
         match former {
             None => Change::Up,
@@ -197,6 +203,11 @@
         *self.view.borrow()
     }
 
+    /// Returns whether the last backend server that was seen checks fences.
+    pub fn last_fence_check(&self) -> Option<FenceCheck> {
+        self.last_fence_check.get()
+    }
+
     /// Runs one request at the backend server.
     pub async fn run(
         &self,
--- a/crates/host/src/owner/mod.rs
+++ b/crates/host/src/owner/mod.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Notify, oneshot};
 use wire::{AnswerHead, Body, Call, ForwardHead};
 
-use crate::backend::Change;
+use crate::backend::{Change, FenceCheck};
 use crate::shared::Cx;
 
 pub use claims::{quiesce, resume, send_grants, serve, stop_all, take_handover};
@@ -165,10 +165,19 @@
         slots,
         slots_in_use: u32::try_from(cx.owner.running()).unwrap_or(u32::MAX),
         draining: cx.draining.get(),
+        unfenced_grace: unfenced_grace(cx),
         partitions: partition_reports(cx),
     }
 }
 
+/// A backend server that was never seen may check no fences.
+fn unfenced_grace(cx: &Cx) -> Millis {
+    match cx.backend.last_fence_check() {
+        Some(FenceCheck::Checked) => Millis::ZERO,
+        _ => cx.own_service().map_or(Millis::ZERO, |s| s.unfenced_grace),
+    }
+}
+
 /// A moving average over about ten seconds. Shorter ones made the planner move partitions to and
 /// fro, because the counts of one renewal interval differ by chance alone.
 fn partition_reports(cx: &Cx) -> Vec<PartitionReport> {
--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -163,7 +163,9 @@
         for session in sessions {
             let view = view(&self.losses, &self.moves, self.since, known);
             if let Some(reason) = view.loss_reason(session, cx) {
-                self.losses.begin(session, reason, cx);
+                let heard = known.grantor.heard(session).map(|h| h.report.unfenced_grace);
+                let unfenced_grace = heard.unwrap_or(cx.timing().unfenced_grace);
+                self.losses.begin(session, unfenced_grace, reason, cx);
             }
         }
     }
@@ -335,5 +337,6 @@
 
 /// The report of a host process whose backend server has not been seen yet.
 pub(crate) fn empty_report() -> Report {
-    Report { slots: 0, slots_in_use: 0, draining: false, partitions: Vec::new() }
+    let unfenced_grace = Millis::ZERO;
+    Report { slots: 0, slots_in_use: 0, draining: false, unfenced_grace, partitions: Vec::new() }
 }
--- a/crates/ownership/src/loss.rs
+++ b/crates/ownership/src/loss.rs
@@ -18,6 +18,8 @@
 struct Loss {
     session: Session,
     answers: Vec<Answer>,
+    /// How long the partitions wait once the lease is over.
+    unfenced_grace: Millis,
     begun: Millis,
     asked_at: Option<Millis>,
 }
@@ -29,12 +31,20 @@
 /// Commands.
 impl Losses {
     /// Begins to end a session, unless that was begun already.
-    pub(crate) fn begin(&mut self, session: Session, reason: &str, cx: &mut Cx<'_>) {
+    pub(crate) fn begin(
+        &mut self,
+        session: Session,
+        unfenced_grace: Millis,
+        reason: &str,
+        cx: &mut Cx<'_>,
+    ) {
         let Err(index) = self.0.binary_search_by_key(&session, |l| l.session) else {
             return;
         };
         cx.record(None, "lapse", format!("session {session} is ended: {reason}"));
-        self.0.insert(index, Loss { session, answers: Vec::new(), begun: cx.now, asked_at: None });
+        let begun = cx.now;
+        let loss = Loss { session, answers: Vec::new(), unfenced_grace, begun, asked_at: None };
+        self.0.insert(index, loss);
     }
 
     /// Asks the grantors that have not answered yet.
@@ -91,12 +101,12 @@
         let Ok(index) = self.0.binary_search_by_key(&session, |l| l.session) else {
             return false;
         };
-        let answers = &self.0[index].answers;
+        let Loss { answers, unfenced_grace, .. } = &self.0[index];
         if answers.len() < blocking(grantors.len()) {
             return false;
         }
         let last = answers.iter().map(|a| a.over_at).max().unwrap_or(cx.now);
-        let wait = cx.timing().drift_margin + cx.timing().unfenced_grace;
+        let wait = cx.timing().drift_margin + *unfenced_grace;
         !cx.rules.lapse_wait.is_kept() || cx.now >= last + wait
     }
 
@@ -106,6 +116,6 @@
         let Ok(index) = self.0.binary_search_by_key(&session, |l| l.session) else {
             return false;
         };
-        cx.now >= self.0[index].begun + cx.timing().unfenced_grace
+        cx.now >= self.0[index].begun + self.0[index].unfenced_grace
     }
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod config;
 mod failover;
+mod placement;
 mod requests;
 mod wire_cost;
 
@@ -14,10 +15,11 @@
 type Part = (&'static str, fn());
 
 /// All measurements, sorted by name.
-const PARTS: [Part; 5] = [
+const PARTS: [Part; 6] = [
     ("admission", admission::run),
     ("config", config::run),
     ("failover", failover::run),
+    ("placement", placement::run),
     ("requests", requests::run),
     ("wire", wire_cost::run),
 ];
