--- /dev/null
+++ b/crates/admission/tests/backend.rs
@@ -0,0 +1,95 @@
+//! How the queue judges a backend server by what it does, not by what it announces.
+
+use admission::{Action, Finish, Job, Limits, Queue, Verdict};
+use model::{Millis, Priority};
+
+fn queue(slots: u32) -> Queue {
+    Queue::new(Limits::builder(slots).connections(110).build())
+}
+
+fn job(id: u64) -> Job {
+    Job { id, priority: Priority::Interactive, rule: None, time_left: Millis(60_000) }
+}
+
+fn starts(actions: Vec<Action>) -> impl Iterator<Item = u64> {
+    actions.into_iter().filter_map(|action| match action {
+        Action::Start(id) => Some(id),
+        Action::Refuse { .. } => None,
+    })
+}
+
+/// Runs a backend server that takes `real` jobs at a time for one tick each and refuses others.
+/// Returns the slots that the queue uses after 10 s, and the refusals of the last 5 s.
+fn run(announced: u32, real: usize) -> (u32, usize) {
+    let mut queue = queue(announced);
+    let mut sent = Vec::new();
+    let mut refused = 0;
+    for tick in 0..1_000 {
+        let now = Millis(tick * Queue::TICK.0);
+        let offered = tick * 20..(tick + 1) * 20;
+        sent.extend(offered.filter(|&id| queue.offer(job(id), now) == Verdict::Start));
+        sent.extend(starts(queue.tick(now)));
+        while sent.len() > real {
+            refused += usize::from(tick >= 500);
+            let actions = queue.finish(sent.remove(real), Finish::Refused, now);
+            sent.extend(starts(actions));
+        }
+        for id in std::mem::take(&mut sent) {
+            sent.extend(starts(queue.finish(id, Finish::Ran, now + Queue::TICK)));
+        }
+    }
+    (queue.usable_slots(), refused)
+}
+
+#[test]
+fn slots_settle_at_what_the_backend_server_really_takes() {
+    let check = |announced: u32, real: u32| {
+        let (usable, refused) = run(announced, real as usize);
+        assert!((real..=real + 1).contains(&usable), "{announced}, really {real}: {usable}");
+        assert!(refused <= 10, "{announced}, really {real}: {refused} refusals");
+    };
+    check(6, 6);
+    check(6, 3);
+    check(18, 12);
+    check(18, 1);
+}
+
+#[test]
+fn a_backend_server_that_refuses_everything_is_asked_about_once_a_second() {
+    let (usable, refused) = run(18, 0);
+    assert!(usable <= 2 && refused <= 10, "{usable} slots, {refused} refusals");
+}
+
+#[test]
+fn slots_come_back_one_a_second() {
+    let mut queue = queue(6);
+    let verdicts: Vec<Verdict> = (0..6).map(|id| queue.offer(job(id), Millis::ZERO)).collect();
+    (2..6).for_each(|id| assert_eq!(queue.finish(id, Finish::Refused, Millis(10)), []));
+    let usable = [10, 1_009, 1_010, 2_010, 9_000].map(|now| {
+        queue.tick(Millis(now));
+        queue.usable_slots()
+    });
+    assert_eq!((verdicts, usable), (vec![Verdict::Start; 6], [2, 2, 3, 4, 5]));
+}
+
+#[test]
+fn announced_slots_bound_what_is_used() {
+    let mut queue = queue(6);
+    let usable = [4, 18, 0, 6].map(|announced| {
+        queue.set_slots(announced);
+        queue.usable_slots()
+    });
+    assert_eq!(usable, [4, 18, 0, 6]);
+}
+
+#[test]
+fn a_few_failures_are_bad_luck_but_a_row_of_them_makes_the_queue_pause() {
+    let mut queue = queue(6);
+    let verdicts = [1, 2, 3, 4, 5].map(|id| {
+        let verdict = queue.offer(job(id), Millis(1));
+        queue.finish(id, Finish::Failed, Millis(1));
+        verdict
+    });
+    assert_eq!(verdicts[3..], [Verdict::Start, Verdict::Queued]);
+    assert_eq!(queue.tick(Millis(11)), [Action::Start(5)]);
+}
