Leave heavy partitions out of the weight that a move must gain

Cause: a new test failed. Beside one partition of 1,000, a member with twenty partitions of 10 gave none to one with ten, because the mean weight that a move must gain counted the heavy one too. Ruled out: the fair level, which already left it out. Change: level and weight of a fair share are computed together, without partitions that are heavier than a fair share.

--- a/crates/admission/tests/backend.rs
+++ b/crates/admission/tests/backend.rs
@@ -93,3 +93,17 @@
     assert_eq!(verdicts[3..], [Verdict::Start, Verdict::Queued]);
     assert_eq!(queue.tick(Millis(11)), [Action::Start(5)]);
 }
+
+#[test]
+fn a_new_job_does_not_overtake_those_that_wait_for_the_end_of_a_pause() {
+    let mut queue = queue(6);
+    let verdicts = [1, 2, 3].map(|id| {
+        let verdict = queue.offer(job(id), Millis(20 * id));
+        queue.finish(id, Finish::Refused, Millis(20 * id));
+        verdict
+    });
+    assert_eq!(verdicts, [Verdict::Start; 3]);
+    let waits = [queue.offer(job(4), Millis(61)), queue.offer(job(5), Millis(500))];
+    assert_eq!(waits, [Verdict::Queued; 2]);
+    assert_eq!(queue.tick(Millis(501)), [Action::Start(4)]);
+}
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -102,6 +102,24 @@
     check(1, 1, 0);
 }
 
+#[test]
+fn long_jobs_hold_what_the_offered_short_work_leaves() {
+    let check = |offered: u64, priority: Priority, expected: usize| {
+        let mut queue = trained(limits(6));
+        let short = (1_000..1_000 + offered).map(interactive);
+        started(&mut queue, short.map(|j| Job { time_left: Millis::ZERO, ..j }));
+        let long = (100..150).map(|id| job(id, priority, LONG));
+        assert_eq!(started(&mut queue, long).len(), expected, "{offered} {priority:?}");
+    };
+    // Each short job takes 20 ms of a slot, and the demand is that of one second.
+    check(0, Priority::Interactive, 4);
+    check(100, Priority::Interactive, 3);
+    check(300, Priority::Interactive, 1);
+    check(0, Priority::Deferrable, 4);
+    check(100, Priority::Deferrable, 1);
+    check(300, Priority::Deferrable, 0);
+}
+
 #[test]
 fn a_job_that_runs_on_counts_as_long() {
     let mut queue = trained(limits(6));
@@ -189,6 +207,16 @@
     assert_eq!(ticks, [vec![], vec![], vec![(101, NotRunReason::Deadline)]]);
 }
 
+#[test]
+fn a_job_that_can_no_longer_end_in_time_is_not_started() {
+    let mut queue = trained(limits(1));
+    let waits = Job { time_left: Millis(1_000), ..interactive(101) };
+    started(&mut queue, [interactive(100), waits, interactive(102)]);
+    let actions = queue.finish(100, Finish::Ran, LATER + Millis(990));
+    let refused = vec![(101, NotRunReason::Deadline)];
+    assert_eq!((refusals(&actions), starts(&actions)), (refused, vec![102]));
+}
+
 #[test]
 fn the_lowest_class_is_the_first_for_which_the_queue_is_full() {
     let check = |waiting: u64, expected: [bool; 3]| {
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -47,6 +47,15 @@
     }
 }
 
+/// What every member would have if load could be divided at will, apart from partitions that are
+/// too heavy for a fair share. Each of those takes up one member.
+pub(crate) struct Fair {
+    /// The level of each other member.
+    pub(crate) level: Level,
+    /// The mean weight of the other partitions.
+    pub(crate) weight: u64,
+}
+
 /// The state of one plan in the making.
 pub(crate) struct Board<'a> {
     input: &'a Input,
@@ -131,21 +140,22 @@
         taking.min_by_key(|&m| (self.seats[m].level_with(self.seats[m].load + weight), m))
     }
 
-    /// Returns the level that every member would have if load could be divided at will, apart
-    /// from partitions that are too heavy for a fair share. Each of those takes up one member.
-    pub(crate) fn fair_level(&self) -> Level {
+    /// Returns what a fair share is.
+    pub(crate) fn fair(&self) -> Fair {
         let taking = self.seats.iter().filter(|s| s.capacity > 0);
         let (members, mut capacity) = taking.fold((0, 0), |(n, sum), s| (n + 1, sum + s.capacity));
         let one = capacity / u64::max(members, 1);
         let mut load: u64 = self.weights.iter().sum();
+        let mut count = u64::try_from(self.weights.len()).unwrap_or(u64::MAX);
         for weight in self.weights_above(level(load, capacity), one) {
             if level(weight, one) <= level(load, capacity) || capacity <= one {
                 break;
             }
             load -= weight;
             capacity -= one;
+            count -= 1;
         }
-        level(load, capacity)
+        Fair { level: level(load, capacity), weight: load / count.max(1) }
     }
 
     /// Returns the weights that lift a member of this capacity above `least`, heaviest first.
@@ -160,12 +170,6 @@
     pub(crate) fn is_unchanged(&self) -> bool {
         self.changes.is_empty()
     }
-
-    /// Returns the mean weight of a partition.
-    pub(crate) fn mean_weight(&self) -> u64 {
-        let count = u64::try_from(self.weights.len()).unwrap_or(u64::MAX);
-        self.weights.iter().sum::<u64>() / count.max(1)
-    }
 }
 
 /// Commands.
--- a/crates/placement/src/moves.rs
+++ b/crates/placement/src/moves.rs
@@ -22,13 +22,13 @@
 /// Once started, it goes on to half the hysteresis, so that the next small shift starts no new
 /// moves. An idle member by itself is no reason to move: it is where the next hot partition goes.
 pub(crate) fn balance(board: &mut Board<'_>, limits: &Limits) {
-    let fair = board.fair_level();
-    if sources(board, above(fair, limits.hysteresis_percent)).is_empty() {
+    let fair = board.fair();
+    if sources(board, above(fair.level, limits.hysteresis_percent)).is_empty() {
         return;
     }
-    let stop = above(fair, limits.hysteresis_percent / 2);
+    let stop = above(fair.level, limits.hysteresis_percent / 2);
     for _ in 0..limits.moves {
-        let Some(step) = find_move(board, stop) else { return };
+        let Some(step) = find_move(board, stop, fair.weight) else { return };
         board.give(step.partition, step.target);
         standbys::fill_one(board, step.partition);
     }
@@ -38,12 +38,12 @@
     fair.saturating_add(fair / 100 * u64::from(percent))
 }
 
-fn find_move(board: &Board<'_>, stop: Level) -> Option<Move> {
+fn find_move(board: &Board<'_>, stop: Level, mean_weight: u64) -> Option<Move> {
     let target = board.least_loaded(0)?;
     sources(board, stop)
         .into_iter()
         .filter(|&source| source != target)
-        .find_map(|source| best_move(board, source, target))
+        .find_map(|source| best_move(board, source, target, mean_weight))
 }
 
 /// Returns the members above `least`, busiest first.
@@ -55,7 +55,7 @@
     busy
 }
 
-fn best_move(board: &Board<'_>, source: usize, target: usize) -> Option<Move> {
+fn best_move(board: &Board<'_>, source: usize, target: usize, mean_weight: u64) -> Option<Move> {
     let (from, to) = (&board.seats()[source], &board.seats()[target]);
     let gain = |p: usize| {
         let weight = board.weight(p);
@@ -63,7 +63,7 @@
         from.level().saturating_sub(after)
     };
     let part = from.level() / 100 * MIN_GAIN_PERCENT;
-    let usual = from.level_with(board.mean_weight() * MIN_WEIGHT_PERCENT / 100);
+    let usual = from.level_with(mean_weight * MIN_WEIGHT_PERCENT / 100);
     let owned = board.partitions_of(source);
     let moves = owned.map(|p| Move { partition: p, target, gain: gain(p) });
     let best = moves.max_by_key(|m| (m.gain, std::cmp::Reverse(m.partition)));
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -112,6 +112,21 @@
     check(&members, &all, &[]);
 }
 
+#[test]
+fn a_move_that_would_help_is_not_made_within_the_hysteresis() {
+    let members = [member(1, "a"), member(2, "b")];
+    let owned = |owner, standby, count| vec![(10, owner, standby); count];
+    check(&members, &[owned(1, 2, 17), owned(2, 1, 13)].concat(), &[]);
+}
+
+#[test]
+fn a_partition_too_heavy_for_a_fair_share_does_not_hide_the_imbalance_of_the_others() {
+    let members = [member(1, "a"), member(2, "b"), member(3, "c")];
+    let all = [vec![(10, 2, 3); 20], vec![(10, 3, 2); 10], vec![(1_000, 1, 2)]].concat();
+    let moves = [0, 1, 2, 3].map(|p| [own(p, 3), stand_by(p, 1)]);
+    check(&members, &all, &moves.concat());
+}
+
 #[test]
 fn a_member_above_the_hysteresis_gives_the_partition_that_helps_most() {
     let members = [member(1, "a"), member(2, "b")];
