Give back the slot of a request that is dropped as it starts

Cause: after a kill the surviving hosts answered deadline or timeout for a minute. A waiting request whose connection broke just after the queue had started it gave up its place in the queue but not its slot; when all six were gone the backend server got nothing more. Ruled out: the protocol (takeovers were logged 0.2 s after the lapse) and the backend server (its log was empty). Change: such a request ends as given up, which frees the slot and is not held against the backend server; so does one whose caller went away.

--- a/crates/admission/src/job.rs
+++ b/crates/admission/src/job.rs
@@ -63,5 +63,7 @@
         Refused,
         /// It failed in any other way: no connection, a broken answer, a timeout.
         Failed,
+        /// It was given up by this side, which says nothing about the backend server.
+        GivenUp,
     }
 }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -93,6 +93,7 @@
             }
             Finish::Refused => self.slots.refused(self.running.count(), now),
             Finish::Failed => self.slots.failed(now),
+            Finish::GivenUp => {}
         }
         self.start_waiting(now)
     }
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -279,3 +279,15 @@
     assert_eq!(queue.tick(Millis(5)), []);
     assert_eq!((queue.running(), queue.waiting()), (0, 0));
 }
+
+#[test]
+fn a_started_job_that_is_given_up_frees_its_slot_and_is_not_held_against_the_server() {
+    let mut queue = Queue::new(Limits::builder(1).build());
+    assert_eq!(started(&mut queue, [interactive(1)]), [1]);
+    assert_eq!(started(&mut queue, [interactive(2)]), []);
+
+    let actions = queue.finish(1, Finish::GivenUp, LATER);
+
+    assert_eq!(starts(&actions), [2]);
+    assert_eq!(queue.usable_slots(), 1);
+}
--- a/crates/host/src/owner/execute.rs
+++ b/crates/host/src/owner/execute.rs
@@ -83,7 +83,10 @@
             permit.done(Finish::Refused);
             Outcome::NotRun(reason)
         }
-        Outcome::Unknown(reason) => Outcome::Unknown(reason),
+        Outcome::Unknown(reason) => {
+            permit.failed(reason);
+            Outcome::Unknown(reason)
+        }
     }
 }
 
--- a/crates/host/src/owner/permit.rs
+++ b/crates/host/src/owner/permit.rs
@@ -1,7 +1,7 @@
 //! A place at the backend server, from the queue to the end of the answer.
 
 use admission::{Action, Finish, Job, Start, Verdict};
-use model::{Millis, NotRunReason};
+use model::{Millis, NotRunReason, UnknownReason};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use wire::ForwardHead;
@@ -57,7 +57,7 @@
         cancelled
     }
 
-    /// Notes how the request ended. Without this it counts as cut short.
+    /// Notes how the request ended. Without this it counts as given up by this side.
     pub fn done(&mut self, end: Finish) {
         self.stage = Stage::Done;
         self.end = end;
@@ -66,6 +66,15 @@
         }
     }
 
+    /// Notes that the outcome of the request is unknown. After a timeout the backend server may
+    /// still be working on it, so that it is cancelled there.
+    pub fn failed(&mut self, reason: UnknownReason) {
+        self.end = Finish::Failed;
+        if reason != UnknownReason::Timeout {
+            self.stage = Stage::Done;
+        }
+    }
+
     /// Returns whether the request is still on its way or runs.
     pub fn is_open(&self) -> bool {
         self.stage == Stage::Sent
@@ -106,8 +115,16 @@
         if self.kept {
             return;
         }
-        self.cx.owner.waiting.borrow_mut().retain(|(call, _)| *call != self.call);
-        let actions = self.cx.owner.queue.borrow_mut().abandon(self.call, self.cx.now());
+        let still_waits = take_waiting(&self.cx, self.call).is_some();
+        let now = self.cx.now();
+        let mut queue = self.cx.owner.queue.borrow_mut();
+        let actions = if still_waits {
+            queue.abandon(self.call, now)
+        } else {
+            // The queue started the request a moment ago, so its slot has to be given back.
+            queue.finish(self.call, Finish::GivenUp, now)
+        };
+        drop(queue);
         carry_out(&self.cx, actions);
     }
 }
@@ -134,7 +151,7 @@
         Verdict::Queued => wait_for_slot(cx, call).await?,
     }
     let digest = head.digest;
-    Ok(Permit { cx: cx.clone(), call, digest, end: Finish::Failed, stage: Stage::Admitted })
+    Ok(Permit { cx: cx.clone(), call, digest, end: Finish::GivenUp, stage: Stage::Admitted })
 }
 
 async fn wait_for_slot(cx: &Cx, call: u64) -> Result<(), NotRunReason> {
