--- /dev/null
+++ b/crates/papayarill/tests/drain.rs
@@ -0,0 +1,61 @@
+//! A planned stop cuts off no request, and new work stops going to a host that is leaving.
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+use trial::deployment::{Deployment, ZONES, deployment, wait_for};
+use trial::load::Load;
+use trial::process::Program;
+use trial::verdict;
+
+const KEYS: u64 = 48;
+
+/// How long the load runs on its own before and after.
+const MARGIN: Duration = Duration::from_millis(300);
+
+fn program() -> Program {
+    Program(env!("CARGO_BIN_EXE_papayarill").into())
+}
+
+/// Stops one host by SIGTERM and starts another in its place. Callers know of planned stops and
+/// connect elsewhere beforehand.
+async fn replace(deployment: &mut Deployment, index: usize, load: &Load) {
+    let others = deployment.hosts.iter().enumerate().filter(|(i, _)| *i != index);
+    load.set_targets(others.map(|(_, h)| h.callers).collect());
+    let mut leaving = deployment.hosts.remove(index);
+    leaving.process.signal(Signal::TERM);
+    wait_for("the host process to end", || {
+        let ended = leaving.process.has_ended();
+        async move { ended }
+    })
+    .await;
+    let past_runs = leaving.runs().await;
+    deployment.add_host(&leaving.zone);
+    if let Some(host) = deployment.hosts.last_mut() {
+        host.past_runs = past_runs;
+    }
+    deployment.wait_until_served().await;
+    load.set_targets(deployment.hosts.iter().map(|h| h.callers).collect());
+}
+
+#[actix_rt::test]
+async fn a_rolling_restart_fails_no_request() {
+    let mut deployment = deployment(&program(), &ZONES).await;
+    let load = Load::start(deployment.hosts.iter().map(|h| h.callers).collect(), KEYS);
+    tokio::time::sleep(MARGIN).await;
+
+    for _ in 0..ZONES.len() {
+        replace(&mut deployment, 0, &load).await;
+    }
+    tokio::time::sleep(MARGIN).await;
+    let logs = load.stop().await;
+
+    let mut runs = Vec::new();
+    for host in &deployment.hosts {
+        runs.push(host.runs().await);
+    }
+    let none: Vec<String> = Vec::new();
+    assert_eq!(verdict::not_served_at_once(&logs), none);
+    assert_eq!(verdict::repeated_ids(&runs), none);
+    assert_eq!(verdict::double_ownership(&runs), none);
+}
