Check what callers are told against what backend servers ran

Cause of the two faults found on the way: a first request of a service without keys was refused while no member was known, because only requests with a key waited for routes; it waits now. The trial's client took a broken answer for a whole one, as awc alone does; it uses the project's client now.

--- a/crates/host/src/ingress.rs
+++ b/crates/host/src/ingress.rs
@@ -18,6 +18,9 @@
 use crate::routes::{self, Known};
 use crate::shared::Cx;
 
+/// How long a request waits until some backend server of its service is known.
+const MAX_MEMBER_WAIT: Millis = Millis(2_000);
+
 /// Requests that may wait in the actor's mailbox.
 const MAILBOX_CAPACITY: usize = 4_096;
 
@@ -160,7 +163,7 @@
     async fn run(mut self) -> OwnerOutcome {
         self.cx.routes.with_budget(&self.req.service, self.cx, Budget::first_attempt);
         loop {
-            let target = self.target();
+            let target = self.await_target().await;
             let outcome = match target {
                 Some(target) => self.attempt(target).await,
                 None => Outcome::NotRun(NotRunReason::NoOwner),
@@ -242,11 +245,18 @@
         }
     }
 
-    fn target(&self) -> Option<Target> {
+    /// Finds where the next attempt goes. A first request of a service that is not divided by
+    /// key waits until some backend server is known.
+    async fn await_target(&self) -> Option<Target> {
         let Some(partition) = self.req.partition else {
-            let addr = routes::choose(self.cx, &self.req.service)?;
+            let most = self.time_left().min(MAX_MEMBER_WAIT);
+            let addr = routes::await_choice(self.cx, &self.req.service, most).await?;
             return Some(Target { addr, known: None });
         };
+        self.owner(partition)
+    }
+
+    fn owner(&self, partition: Partition) -> Option<Target> {
         let cell = self.cell()?;
         let route = routes::known(self.cx, &cell, partition)?;
         let known = Known { route: Some(route), version: routes::version(self.cx, &cell) };
--- a/crates/host/src/routes.rs
+++ b/crates/host/src/routes.rs
@@ -255,8 +255,21 @@
     }
 }
 
-/// Chooses a backend server for a request that is not divided by key.
-pub fn choose(cx: &Cx, service: &ServiceName) -> Option<HostAddr> {
+/// Chooses a backend server for a request that is not divided by key, and waits for at most
+/// `at_most` while none is known.
+pub async fn await_choice(cx: &Cx, service: &ServiceName, at_most: Millis) -> Option<HostAddr> {
+    let deadline = cx.now() + at_most;
+    loop {
+        let chosen = choose(cx, service);
+        if chosen.is_some() || cx.now() >= deadline {
+            return chosen;
+        }
+        let learned = cx.routes.learned.notified();
+        let _ = tokio::time::timeout(QUESTION_TICK, learned).await;
+    }
+}
+
+fn choose(cx: &Cx, service: &ServiceName) -> Option<HostAddr> {
     refresh_balancer(cx, service);
     let balancers = cx.routes.balancers.borrow();
     let index = balancers.binary_search_by(|b| b.service.cmp(service)).ok()?;
--- /dev/null
+++ b/crates/papayarill/tests/requests.rs
@@ -0,0 +1,217 @@
+//! What callers are told of a request, against what backend servers ran of it.
+
+use bytes::Bytes;
+use rustix::process::Signal;
+use trial::deployment::{
+    Deployment, Host, SERVICE, UNKEYED_SERVICE, ZONES, deployment, start_host, wait_for,
+};
+use trial::http::{self, Seen};
+use trial::process::Program;
+use uuid::Uuid;
+
+const KEY: &str = "/index-board/keys/kp";
+
+/// The size of a large answer, in bytes.
+const LARGE_ANSWER_BYTES: usize = 64 << 20;
+
+fn program() -> Program {
+    Program(env!("CARGO_BIN_EXE_papayarill").into())
+}
+
+fn new_id() -> String {
+    Uuid::now_v7().to_string()
+}
+
+/// Sends a request through a host process; an id makes it a POST.
+async fn ask(host: &Host, path: &str, id: Option<&str>, headers: &[(&str, &str)]) -> Seen {
+    let client = http::client();
+    let url = format!("http://{}{path}", host.callers);
+    let mut req = match id {
+        None => client.get(url),
+        Some(id) => client.post(url).insert_header(("idempotency-key", id)),
+    };
+    for header in headers {
+        req = req.insert_header(*header);
+    }
+    http::send(req, Bytes::new()).await
+}
+
+fn told(seen: &Seen) -> (u16, &str, &str) {
+    (seen.status, &seen.outcome, &seen.reason)
+}
+
+async fn runs_of(deployment: &Deployment, id: &str) -> usize {
+    let mut count = 0;
+    for host in &deployment.hosts {
+        let runs = host.runs().await;
+        count += runs.iter().filter(|r| r.request_id.as_deref() == Some(id)).count();
+    }
+    count
+}
+
+async fn runs_of_key(deployment: &Deployment, key: &str) -> usize {
+    let mut count = 0;
+    for host in &deployment.hosts {
+        count += host.runs().await.iter().filter(|r| r.key == key).count();
+    }
+    count
+}
+
+#[actix_rt::test]
+async fn a_request_id_runs_once_whatever_becomes_of_its_answer() {
+    let deployment = deployment(&program(), &ZONES[..3]).await;
+    let cases: [(&[(&str, &str)], (u16, &str), (u16, &str), usize); 4] = [
+        (&[], (200, "ran"), (200, "ran"), 1),
+        (&[("stand-in-fault", "lose-answer")], (504, "unknown"), (504, "unknown"), 1),
+        (&[("stand-in-fault", "refuse")], (503, "not-run"), (503, "not-run"), 0),
+        (
+            &[("stand-in-run-ms", "3000"), ("papayarill-time-left-ms", "150")],
+            (504, "unknown"),
+            (504, "unknown"),
+            1,
+        ),
+    ];
+    for (headers, first, again, runs) in cases {
+        let id = new_id();
+
+        let seen_first = ask(&deployment.hosts[0], KEY, Some(&id), headers).await;
+        let mut seen_again = Vec::new();
+        for host in &deployment.hosts {
+            seen_again.push(ask(host, KEY, Some(&id), headers).await);
+        }
+
+        assert_eq!((seen_first.status, seen_first.outcome.as_str()), first, "{headers:?}");
+        for seen in &seen_again {
+            assert_eq!((seen.status, seen.outcome.as_str()), again, "{headers:?} {seen:?}");
+            assert!(first.0 != 200 || seen.body == seen_first.body, "{seen:?}");
+        }
+        assert_eq!(runs_of(&deployment, &id).await, runs, "{headers:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_id_that_still_runs_or_is_another_requests_is_refused() {
+    let deployment = deployment(&program(), &ZONES[..3]).await;
+    let id = new_id();
+    let slow = [("stand-in-run-ms", "1500")];
+    let first = ask(&deployment.hosts[0], KEY, Some(&id), &slow);
+    let second = async {
+        wait_for("the first to run", || async { runs_of(&deployment, &id).await == 1 }).await;
+        ask(&deployment.hosts[1], KEY, Some(&id), &slow).await
+    };
+    let (first, second) = futures_util::future::join(first, second).await;
+    let other = ask(&deployment.hosts[2], "/index-board/keys/kp?x=1", Some(&id), &[]).await;
+
+    assert_eq!(told(&first), (200, "ran", ""));
+    assert_eq!(told(&second), (409, "unknown", "running"));
+    assert_eq!(told(&other), (422, "not-run", "id-of-other-request"));
+    assert_eq!(runs_of(&deployment, &id).await, 1);
+}
+
+#[actix_rt::test]
+async fn an_answer_comes_whole_or_not_at_all() {
+    let deployment = deployment(&program(), &ZONES[..3]).await;
+    let size = LARGE_ANSWER_BYTES.to_string();
+    for host in &deployment.hosts {
+        let whole = ask(host, KEY, None, &[("stand-in-answer-bytes", &size)]).await;
+        let broken = [("stand-in-answer-bytes", "100000"), ("stand-in-fault", "break-answer")];
+        let cut = ask(host, KEY, None, &broken).await;
+
+        assert_eq!((whole.status, whole.body.len()), (200, LARGE_ANSWER_BYTES));
+        assert_eq!((cut.status, cut.reason.as_str()), (0, "cut"));
+    }
+}
+
+#[actix_rt::test]
+async fn abandoned_and_late_work_is_cancelled() {
+    let deployment = deployment(&program(), &ZONES[..3]).await;
+    let path = "/index-board/keys/late";
+    let headers = [("stand-in-run-ms", "60000"), ("papayarill-time-left-ms", "200")];
+
+    let late = ask(&deployment.hosts[0], path, None, &headers).await;
+
+    assert_eq!(told(&late), (504, "unknown", "timeout"));
+    wait_for("the run to be cancelled", || async {
+        let mut ended = false;
+        for host in &deployment.hosts {
+            let runs = host.runs().await;
+            ended |= runs.iter().any(|r| r.key == path && r.end.is_some());
+        }
+        ended
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_request_that_crashes_backend_servers_is_quarantined() {
+    let deployment = deployment(&program(), &ZONES).await;
+    let crash = [("stand-in-fault", "crash")];
+    let path = "/index-board/keys/poison";
+
+    wait_for("the request to be quarantined", || async {
+        let seen = ask(&deployment.hosts[0], path, None, &crash).await;
+        assert_ne!(seen.status, 200);
+        seen.status == 422
+    })
+    .await;
+
+    let mut lost = 0;
+    for host in &deployment.hosts {
+        let seen = ask(host, path, None, &crash).await;
+        assert_eq!(told(&seen), (422, "not-run", "quarantined"));
+        let addr = host.backend.address("");
+        lost += usize::from(http::get(addr, "/stand-in/runs").await.is_none());
+    }
+    assert_eq!(lost, 2, "backend servers lost");
+    let innocent = ask(&deployment.hosts[0], "/index-board/keys/poison?x=1", None, &[]).await;
+    assert_eq!(innocent.status, 200);
+}
+
+#[actix_rt::test]
+async fn work_without_a_key_goes_to_all_and_runs_once() {
+    let mut deployment = deployment(&program(), &ZONES[..2]).await;
+    for zone in &ZONES[..3] {
+        let host = start_host(&deployment.program, deployment.platform_addr, UNKEYED_SERVICE, zone);
+        deployment.hosts.push(host);
+    }
+    wait_for("the service to be served", || async {
+        ask(&deployment.hosts[0], "/forecast/outlook", None, &[]).await.status == 200
+    })
+    .await;
+
+    for _ in 0..60 {
+        for host in &deployment.hosts {
+            let seen = ask(host, "/forecast/outlook", None, &[]).await;
+            assert_eq!(seen.status, 200, "{seen:?}");
+        }
+    }
+    let id = new_id();
+    for host in &deployment.hosts {
+        let seen = ask(host, "/forecast/orders", Some(&id), &[]).await;
+        assert_eq!(seen.status, 200, "{seen:?}");
+    }
+
+    for host in &deployment.hosts[2..] {
+        assert!(!host.runs().await.is_empty(), "{} ran nothing", host.zone);
+    }
+    assert_eq!(runs_of(&deployment, &id).await, 1);
+}
+
+#[actix_rt::test]
+async fn a_frozen_backend_server_holds_up_only_its_own_keys() {
+    let deployment = deployment(&program(), &ZONES[..3]).await;
+    deployment.hosts[0].backend.signal(Signal::STOP);
+    let limit = [("papayarill-time-left-ms", "400")];
+
+    let mut served = 0;
+    for key in 0..30 {
+        let path = format!("/{SERVICE}/keys/{key}");
+        let seen = ask(&deployment.hosts[1], &path, None, &limit).await;
+        served += usize::from(seen.status == 200);
+        assert!(seen.status == 200 || seen.outcome != "ran", "{seen:?}");
+    }
+    deployment.hosts[0].backend.signal(Signal::CONT);
+
+    assert!(served >= 10, "only {served} of 30 keys were served");
+    assert!(runs_of_key(&deployment, "/index-board/keys/0").await <= 3);
+}
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -15,6 +15,9 @@
 /// The service of the test deployments.
 pub const SERVICE: &str = "index-board";
 
+/// A service of the test deployments that is not divided by key.
+pub const UNKEYED_SERVICE: &str = "forecast";
+
 /// The partitions of the service.
 pub const PARTITIONS: usize = 48;
 
@@ -38,6 +41,8 @@
 pub struct Host {
     /// The availability zone.
     pub zone: String,
+    /// The service of the backend server.
+    pub service: String,
     /// The host process.
     pub process: Process,
     /// The backend server.
@@ -78,7 +83,16 @@
          reserved-slots: 2\n  drain-deadline-ms: 20000\n  rules:\n  - methods: [GET]\n    \
          path: /keys/*\n    repeatable: true\n    priority: interactive\n    \
          time-limit-ms: 10000\n  - methods: [POST]\n    path: /keys/*\n    repeatable: false\n    \
-         priority: interactive\n    time-limit-ms: 10000\n"
+         priority: interactive\n    time-limit-ms: 10000\n{}",
+        unkeyed_service()
+    )
+}
+
+fn unkeyed_service() -> String {
+    format!(
+        "- name: {UNKEYED_SERVICE}\n  partitions: 16\n  backend-servers: 3\n  slots: 6\n  \
+         connections: 110\n  reserved-slots: 2\n  rules:\n  - methods: [GET]\n    path: /**\n    \
+         repeatable: true\n    priority: interactive\n    time-limit-ms: 10000\n"
     )
 }
 
@@ -103,9 +117,9 @@
 }
 
 /// Starts one host process and its backend server.
-pub fn start_host(program: &Program, platform: SocketAddr, zone: &str) -> Host {
+pub fn start_host(program: &Program, platform: SocketAddr, service: &str, zone: &str) -> Host {
     let settings = format!(
-        "zone: {zone}\nservice: {SERVICE}\nplatform: {platform}\ntest_switches: true\n\
+        "zone: {zone}\nservice: {service}\nplatform: {platform}\ntest_switches: true\n\
          timing:\n  balance_interval_ms: {NO_BALANCING_MS}\n"
     );
     let process = program.spawn(&["serve", "--settings", &process::settings_file(&settings)]);
@@ -116,15 +130,16 @@
         hosts: process.address("hosts="),
         operators: process.address("operators="),
         announce,
-        backend: start_backend(program, announce),
+        backend: start_backend(program, service, announce),
+        service: service.to_owned(),
         process,
         past_runs: Vec::new(),
     }
 }
 
 /// Starts a backend server that announces itself to a host process.
-pub fn start_backend(program: &Program, announce: SocketAddr) -> Process {
-    program.spawn(&["dev", "backend", "--service", SERVICE, "--announce", &announce.to_string()])
+pub fn start_backend(program: &Program, service: &str, announce: SocketAddr) -> Process {
+    program.spawn(&["dev", "backend", "--service", service, "--announce", &announce.to_string()])
 }
 
 impl Host {
@@ -144,7 +159,7 @@
     /// Kills the backend server and starts another one.
     pub async fn replace_backend(&mut self, program: &Program) {
         self.kill_backend().await;
-        self.backend = start_backend(program, self.announce);
+        self.backend = start_backend(program, &self.service, self.announce);
     }
 
     /// Kills the backend server, but keeps what it ran.
@@ -157,7 +172,7 @@
 impl Deployment {
     /// Starts another host.
     pub fn add_host(&mut self, zone: &str) {
-        let host = start_host(&self.program, self.platform_addr, zone);
+        let host = start_host(&self.program, self.platform_addr, SERVICE, zone);
         self.hosts.push(host);
     }
 
--- a/crates/trial/src/http.rs
+++ b/crates/trial/src/http.rs
@@ -4,10 +4,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use model::Millis;
 
 /// How long a server may take to answer.
 const TIME_LIMIT: Duration = Duration::from_secs(20);
 
+/// Limits of the client.
+const LIMITS: http_client::Limits =
+    http_client::Limits { connections: 1_024, connect_limit: Millis(5_000) };
+
 /// The longest answer that is read, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
@@ -39,15 +44,15 @@
     }
 }
 
-/// Returns a client for many requests.
+/// Returns a client for many requests, which takes no broken answer for a whole one.
 pub fn client() -> awc::Client {
-    awc::Client::builder().timeout(TIME_LIMIT).disable_redirects().finish()
+    http_client::client(LIMITS)
 }
 
 /// Sends a request and reads the whole answer.
 pub async fn send(req: awc::ClientRequest, body: Bytes) -> Seen {
-    let Ok(mut answer) = req.send_body(body).await else {
-        return Seen::nothing("not sent");
+    let Ok(mut answer) = req.timeout(TIME_LIMIT).send_body(body).await else {
+        return Seen::nothing("no answer");
     };
     let text = |name: &str| {
         let value = answer.headers().get(name).and_then(|v| v.to_str().ok());
