--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -6,7 +6,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -95,6 +95,7 @@
 pub struct Backend {
     client: awc::Client,
     view: RefCell<Option<BackendView>>,
+    last_fence_check: Cell<Option<FenceCheck>>,
 }
 
 /// The stream of an answer's body.
@@ -104,13 +105,18 @@
     /// Makes a client that knows no backend server yet.
     pub fn new() -> Self {
         let limits = Limits { connections: MAX_CONNECTIONS, connect_limit: CONNECT_TIME_LIMIT };
-        Self { client: http_client::client(limits), view: RefCell::new(None) }
+        Self {
+            client: http_client::client(limits),
+            view: RefCell::new(None),
+            last_fence_check: Cell::new(None),
+        }
     }
 
     /// Takes in an announcement. Returns whether the backend server was down before.
     pub fn announced(&self, announcement: &Announcement, now: Millis) -> Change {
         let Announcement { addr, slots, connections, fences, state, .. } = announcement.clone();
         let view = BackendView { addr, slots, connections, fences, state, heard_at: now };
+        self.last_fence_check.set(Some(fences));
         let former = self.view.replace(Some(view));
         match former {
             None => Change::Up,
@@ -197,6 +203,11 @@
         *self.view.borrow()
     }
 
+    /// Returns whether the last backend server that was seen checks fences.
+    pub fn last_fence_check(&self) -> Option<FenceCheck> {
+        self.last_fence_check.get()
+    }
+
     /// Runs one request at the backend server.
     pub async fn run(
         &self,
@@ -210,7 +221,7 @@
         match sent {
             Err(_) => Attempted::new(Outcome::Unknown(UnknownReason::Timeout), Connection::Good),
             Ok(Err(error)) => failed(&error),
-            Ok(Ok(answer)) => answered(answer, owner),
+            Ok(Ok(answer)) => answered(answer, owner, &attempt.head.method),
         }
     }
 
@@ -309,7 +320,7 @@
     }
 }
 
-fn answered<S>(answer: awc::ClientResponse<S>, owner: model::HostAddr) -> Attempted
+fn answered<S>(answer: awc::ClientResponse<S>, owner: model::HostAddr, method: &str) -> Attempted
 where
     S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
@@ -320,7 +331,7 @@
     let head = AnswerHead {
         status: answer.status().as_u16(),
         headers: answer_headers(answer.headers()),
-        body_length: body_length(answer.headers()),
+        body_length: body_length(method, answer.status(), answer.headers()),
         owner,
     };
     let body = answer.map(|chunk| chunk.map_err(|_| BodyError::Cut { received: 0 })).boxed_local();
@@ -351,6 +362,16 @@
     )
 }
 
-fn body_length(headers: &awc::http::header::HeaderMap) -> Option<u64> {
+/// Returns the length of the body that follows. Some answers have none, whatever their headers
+/// say about the body that another request would get.
+fn body_length(
+    method: &str,
+    status: awc::http::StatusCode,
+    headers: &awc::http::header::HeaderMap,
+) -> Option<u64> {
+    use awc::http::StatusCode;
+    if method == "HEAD" || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        return Some(0);
+    }
     headers.get("content-length")?.to_str().ok()?.parse().ok()
 }
--- a/crates/host/src/owner/claims.rs
+++ b/crates/host/src/owner/claims.rs
@@ -3,7 +3,7 @@
 use model::{Fence, HostAddr, Millis, Partition};
 use ownership::{Event, Origin};
 use routing::records::Handed;
-use wire::{Call, Handover, Reply};
+use wire::{Handover, Reply, handover_calls};
 
 use crate::backend::{FenceCheck, Grant, Grants};
 use crate::shared::Cx;
@@ -11,10 +11,19 @@
 /// How long the next owner may take to take request records over.
 const HANDOVER_TIME_LIMIT: Millis = Millis(1_000);
 
-/// Starts to serve a partition.
+/// Starts to serve a partition, or goes on serving it under a higher fence.
 pub fn serve(cx: &Cx, partition: Partition, fence: Fence, origin: Origin) {
-    let started = cx.owner.records.borrow_mut().start(partition, origin, cx.wall.now());
-    log::info!("owner: Serves partition {partition} under fence {fence}: {started:?}.");
+    let before = cx.owner.note_served(partition, fence);
+    let mut records = cx.owner.records.borrow_mut();
+    // If this host was the last owner itself, its records are whole and nothing was handed over.
+    if before.is_some_and(|from| origin == (Origin::Planned { from })) {
+        records.resume(partition);
+        log::info!("owner: Goes on serving partition {partition} under fence {fence}.");
+    } else {
+        let started = records.start(partition, origin, cx.wall.now());
+        log::info!("owner: Serves partition {partition} under fence {fence}: {started:?}.");
+    }
+    drop(records);
     cx.owner.reopen(partition);
     send_grants(cx);
 }
@@ -41,6 +50,7 @@
 pub fn stop_all(cx: &Cx) {
     log::warn!("owner: Stops serving all partitions.");
     cx.owner.records.borrow_mut().drop_all();
+    cx.owner.served.borrow_mut().clear();
     cx.owner.closing.borrow_mut().clear();
     // Dropping an entry cancels its request.
     let keyed = |i: &super::InFlight| i.partition.is_some();
@@ -97,18 +107,20 @@
     };
     let cell = cx.settings.cell.clone();
     let handover = Handover { cell, partition, fence, vouched_from, records };
-    let call = Call::Handover(handover);
-    match cx.client.call(next, call, HANDOVER_TIME_LIMIT).await {
-        Ok(Reply::Done) => true,
-        Ok(other) => {
-            log::warn!("owner: {next} did not take the records of {partition}: {other:?}.");
-            false
-        }
-        Err(error) => {
-            log::warn!("owner: {next} did not take the records of {partition}: {error}.");
-            false
+    for call in handover_calls(handover) {
+        match cx.client.call(next, call, HANDOVER_TIME_LIMIT).await {
+            Ok(Reply::Done) => {}
+            Ok(other) => {
+                log::warn!("owner: {next} did not take the records of {partition}: {other:?}.");
+                return false;
+            }
+            Err(error) => {
+                log::warn!("owner: {next} did not take the records of {partition}: {error}.");
+                return false;
+            }
         }
     }
+    true
 }
 
 /// Tells a backend server that checks fences what it may serve, and until when.
--- a/crates/host/src/owner/mod.rs
+++ b/crates/host/src/owner/mod.rs
@@ -10,13 +10,13 @@
 
 use admission::{Limits, Quarantine, QuarantineLimits, QuarantineState, Queue};
 use bytes::Bytes;
-use model::{Millis, Outcome, Partition};
+use model::{Fence, Millis, Outcome, Partition};
 use ownership::{PartitionReport, Report};
 use routing::records::{RecordSettings, Records};
 use tokio::sync::{Notify, oneshot};
 use wire::{AnswerHead, Body, Call, ForwardHead};
 
-use crate::backend::Change;
+use crate::backend::{Change, FenceCheck};
 use crate::shared::Cx;
 
 pub use claims::{quiesce, resume, send_grants, serve, stop_all, take_handover};
@@ -42,6 +42,8 @@
     in_flight: RefCell<Vec<InFlight>>,
     closing: RefCell<Vec<Closing>>,
     demand: RefCell<Vec<PartitionDemand>>,
+    /// The last fence under which each partition was served here, sorted by partition.
+    served: RefCell<Vec<(Partition, Fence)>>,
     next_call: Cell<u64>,
     finished: Notify,
 }
@@ -81,6 +83,7 @@
             in_flight: RefCell::new(Vec::new()),
             closing: RefCell::new(Vec::new()),
             demand: RefCell::new(Vec::new()),
+            served: RefCell::new(Vec::new()),
             next_call: Cell::new(1),
             finished: Notify::new(),
         }
@@ -100,6 +103,18 @@
         self.closing.borrow().iter().any(|c| c.partition == partition)
     }
 
+    /// Notes the fence under which a partition is served and returns the one before.
+    fn note_served(&self, partition: Partition, fence: Fence) -> Option<Fence> {
+        let mut served = self.served.borrow_mut();
+        match served.binary_search_by_key(&partition, |(p, _)| *p) {
+            Ok(index) => Some(std::mem::replace(&mut served[index].1, fence)),
+            Err(index) => {
+                served.insert(index, (partition, fence));
+                None
+            }
+        }
+    }
+
     /// Refuses new work of a partition until it is reopened.
     fn close(&self, partition: Partition) -> Closing {
         let closing = Closing { partition, release: self.next_call() };
@@ -165,10 +180,19 @@
         slots,
         slots_in_use: u32::try_from(cx.owner.running()).unwrap_or(u32::MAX),
         draining: cx.draining.get(),
+        unfenced_grace: unfenced_grace(cx),
         partitions: partition_reports(cx),
     }
 }
 
+/// A backend server that was never seen may check no fences.
+fn unfenced_grace(cx: &Cx) -> Millis {
+    match cx.backend.last_fence_check() {
+        Some(FenceCheck::Checked) => Millis::ZERO,
+        _ => cx.own_service().map_or(Millis::ZERO, |s| s.unfenced_grace),
+    }
+}
+
 /// A moving average over about ten seconds. Shorter ones made the planner move partitions to and
 /// fro, because the counts of one renewal interval differ by chance alone.
 fn partition_reports(cx: &Cx) -> Vec<PartitionReport> {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,12 +2,28 @@
 
 mod admission;
 mod config;
+mod failover;
+mod placement;
 mod requests;
+mod wire_cost;
 
 use std::process::ExitCode;
 
 use gumdrop::Options;
 
+/// A measurement: its name, and what prints its table.
+type Part = (&'static str, fn());
+
+/// All measurements, sorted by name.
+const PARTS: [Part; 6] = [
+    ("admission", admission::run),
+    ("config", config::run),
+    ("failover", failover::run),
+    ("placement", placement::run),
+    ("requests", requests::run),
+    ("wire", wire_cost::run),
+];
+
 #[derive(Options)]
 struct Args {
     /// Print this help.
@@ -26,8 +42,8 @@
 struct Measure {
     /// Print this help.
     help: bool,
-    /// The part: admission, config or requests.
-    #[options(free, required)]
+    /// The part; without one the parts are listed.
+    #[options(free)]
     part: String,
 }
 
@@ -37,14 +53,12 @@
         eprintln!("{}", Args::usage());
         return ExitCode::FAILURE;
     };
-    match measure.part.as_str() {
-        "admission" => admission::run(),
-        "config" => config::run(),
-        "requests" => requests::run(),
-        other => {
-            eprintln!("found {other:?}, expected admission, config or requests");
-            return ExitCode::FAILURE;
-        }
-    }
+    let Ok(index) = PARTS.binary_search_by(|(name, _)| (*name).cmp(&measure.part)) else {
+        let names: Vec<&str> = PARTS.iter().map(|(name, _)| *name).collect();
+        eprintln!("found {:?}, expected one of {}", measure.part, names.join(", "));
+        return ExitCode::FAILURE;
+    };
+    let (_, run) = PARTS[index];
+    run();
     ExitCode::SUCCESS
 }
