Refuse answers whose end is not stated, and read no body where there is none

Cause: an HTTP/1.1 answer without length and chunks ends with its connection; awc gives it as an empty body, so a caller would get 200 and nothing. A 304 that states a length made awc wait for a body, and the answer counted as cut. Ruled out: HTTP/1.0 answers and cut chunks, which were errors already. Change: `http_client::body_end` tells from the head where a body ends; answers of unknown end are an unknown outcome, bodiless ones are not read further. The platform's client uses http-client as well, in place of a judgement of its own. Connections are closed after 2 s without use, before servers do. Conclusion: backend servers have to state a length or send chunks.

--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -13,7 +13,7 @@
 use awc::error::SendRequestError;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use http_client::{Limits, Sent};
+use http_client::{BodyEnd, Limits, Sent};
 use model::{Fence, Millis, NotRunReason, Outcome, Partition, UnknownReason};
 use serde::{Deserialize, Serialize};
 use wire::{AnswerHead, BodyError, ForwardHead};
@@ -27,6 +27,9 @@
 /// How long a connection to the backend server may take.
 const CONNECT_TIME_LIMIT: Millis = Millis(500);
 
+/// How long a connection to the backend server is kept without a request.
+const IDLE_LIMIT: Millis = Millis(2_000);
+
 /// The most connections to one backend server, whatever it announces.
 const MAX_CONNECTIONS: usize = 1_024;
 
@@ -99,7 +102,11 @@
 impl Backend {
     /// Makes a client that knows no backend server yet.
     pub fn new() -> Self {
-        let limits = Limits { connections: MAX_CONNECTIONS, connect_limit: CONNECT_TIME_LIMIT };
+        let limits = Limits {
+            connections: MAX_CONNECTIONS,
+            connect_limit: CONNECT_TIME_LIMIT,
+            idle_limit: IDLE_LIMIT,
+        };
         Self { client: http_client::client(limits), view: RefCell::new(None) }
     }
 
@@ -206,7 +213,7 @@
         match sent {
             Err(_) => Attempted::new(Outcome::Unknown(UnknownReason::Timeout), Connection::Good),
             Ok(Err(error)) => failed(&error),
-            Ok(Ok(answer)) => answered(answer, owner),
+            Ok(Ok(answer)) => answered(answer, &attempt.head.method, owner),
         }
     }
 
@@ -305,22 +312,30 @@
     }
 }
 
-fn answered<S>(answer: awc::ClientResponse<S>, owner: model::HostAddr) -> Attempted
+fn answered<S>(answer: awc::ClientResponse<S>, method: &str, owner: model::HostAddr) -> Attempted
 where
     S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
-    let refused =
-        answer.status().as_u16() == 503 && answer.headers().contains_key("papayarill-refused");
-    if refused {
+    let (status, headers) = (answer.status(), answer.headers());
+    if status.as_u16() == 503 && headers.contains_key("papayarill-refused") {
         return Attempted::new(Outcome::NotRun(NotRunReason::BackendRefused), Connection::Good);
     }
+    let end = http_client::body_end(method, status, headers);
+    if end == BodyEnd::Unknown {
+        log::warn!("backend: An answer states neither its length nor chunks; it is dropped.");
+        return Attempted::new(Outcome::Unknown(UnknownReason::AnswerCut), Connection::Good);
+    }
     let head = AnswerHead {
-        status: answer.status().as_u16(),
-        headers: answer_headers(answer.headers()),
-        body_length: body_length(answer.headers()),
+        status: status.as_u16(),
+        headers: answer_headers(headers),
+        body_length: end.length(),
         owner,
     };
-    let body = answer.map(|chunk| chunk.map_err(|_| BodyError::Cut { received: 0 })).boxed_local();
+    let body = match end {
+        // A head may state a length although no body follows, as with 304; awc would wait for it.
+        BodyEnd::Length(0) => wire::whole_body(Bytes::new()),
+        _ => answer.map(|piece| piece.map_err(|_| BodyError::Cut { received: 0 })).boxed_local(),
+    };
     Attempted::new(Outcome::Ran((head, body)), Connection::Good)
 }
 
@@ -345,7 +360,3 @@
             | "host"
     )
 }
-
-fn body_length(headers: &awc::http::header::HeaderMap) -> Option<u64> {
-    headers.get("content-length")?.to_str().ok()?.parse().ok()
-}
--- a/crates/host/src/backend/tests.rs
+++ b/crates/host/src/backend/tests.rs
@@ -4,7 +4,9 @@
 use std::net::{SocketAddr, TcpListener};
 use std::thread;
 
+use actix_rt::System;
 use bytes::Bytes;
+use futures_util::TryStreamExt;
 use model::{HostAddr, Millis, NotRunReason, Outcome, Priority, ServiceName, UnknownReason};
 use wire::ForwardHead;
 
@@ -44,16 +46,16 @@
     }
 }
 
-fn attempt(addr: SocketAddr) -> Attempted {
-    let head = head();
+async fn attempt(addr: SocketAddr, method: &str) -> Attempted {
+    let head = ForwardHead { method: method.into(), ..head() };
     let attempt = Attempt { addr, call: 1, fence: None, head: &head, time_left: head.time_left };
-    actix_rt::System::new().block_on(Backend::new().run(attempt, Bytes::new(), HostAddr(addr)))
+    Backend::new().run(attempt, Bytes::new(), HostAddr(addr)).await
 }
 
 #[test]
 fn only_a_request_that_was_not_sent_was_not_run() {
     let check = |addr, expected: Outcome<u16>, connection| {
-        let attempted = attempt(addr);
+        let attempted = System::new().block_on(attempt(addr, "POST"));
         assert_eq!(attempted.outcome.map(|(head, _)| head.status), expected);
         assert_eq!(attempted.connection, connection);
     };
@@ -69,3 +71,39 @@
     let down = b"HTTP/1.1 503 Down\r\ncontent-length: 0\r\n\r\n";
     check(answer_with(down), Outcome::Ran(503), Connection::Good);
 }
+
+/// What became of an answer: its stated length and the bytes that came, or `None` if they are not
+/// known to be whole.
+type Seen = Option<(Option<u64>, String)>;
+
+async fn receive(addr: SocketAddr, method: &str) -> Seen {
+    let Outcome::Ran((head, body)) = attempt(addr, method).await.outcome else {
+        return None;
+    };
+    let pieces: Result<Vec<Bytes>, _> = body.try_collect().await;
+    let text = String::from_utf8(pieces.ok()?.concat()).ok()?;
+    Some((head.body_length, text))
+}
+
+#[test]
+fn an_answer_is_whole_or_no_answer() {
+    let check = |method: &str, bytes: &'static [u8], expected: Option<(Option<u64>, &str)>| {
+        let seen = System::new().block_on(receive(answer_with(bytes), method));
+        let expected = expected.map(|(length, text)| (length, text.to_owned()));
+        assert_eq!(seen, expected, "{method} {}", String::from_utf8_lossy(bytes));
+    };
+    check("GET", b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfull", Some((Some(4), "full")));
+    check("GET", b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf", None);
+    let chunked: &[u8] =
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n";
+    check("GET", chunked, Some((None, "full")));
+    check("GET", &chunked[..chunked.len() - 5], None);
+    // Only the end of the connection ends these bodies, so nobody can tell whether they are whole.
+    check("GET", b"HTTP/1.1 200 OK\r\n\r\nhalf", None);
+    check("GET", b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf", None);
+    check("GET", b"HTTP/1.0 200 OK\r\n\r\nhalf", None);
+    // These have no body, whatever length their head states.
+    check("HEAD", b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n", Some((Some(0), "")));
+    check("GET", b"HTTP/1.1 304 Same\r\ncontent-length: 4\r\n\r\n", Some((Some(0), "")));
+    check("POST", b"HTTP/1.1 204 None\r\n\r\n", Some((Some(0), "")));
+}
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -7,9 +7,47 @@
 mod whole;
 
 use awc::error::{ConnectError, SendRequestError};
+use awc::http::StatusCode;
+use awc::http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use awc::{Client, Connector};
 use model::Millis;
 
+/// Where the body of an answer ends, by its head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// After so many bytes.
+    Length(u64),
+    /// With the last chunk.
+    Chunks,
+    /// With the connection, so nobody can tell whether the body is whole. awc takes it for empty.
+    Unknown,
+}
+
+impl BodyEnd {
+    /// Returns the length in bytes, if the head states it.
+    pub fn length(self) -> Option<u64> {
+        match self {
+            Self::Length(bytes) => Some(bytes),
+            Self::Chunks | Self::Unknown => None,
+        }
+    }
+}
+
+/// Tells where the body of an answer to a request with this method ends.
+pub fn body_end(method: &str, status: StatusCode, headers: &HeaderMap) -> BodyEnd {
+    let bodiless = status.is_informational()
+        || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if bodiless || method == "HEAD" {
+        // The length in such a head is that of a body which is not sent.
+        return BodyEnd::Length(0);
+    }
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return BodyEnd::Chunks;
+    }
+    let length = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    length.map_or(BodyEnd::Unknown, BodyEnd::Length)
+}
+
 /// Limits of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -17,6 +55,10 @@
     pub connections: usize,
     /// The time for making one connection.
     pub connect_limit: Millis,
+    /// How long a connection is kept without a request. It should be shorter than what servers
+    /// keep: a request on a connection that the server closes at the same moment gets no answer,
+    /// and nobody can tell whether it ran.
+    pub idle_limit: Millis,
 }
 
 /// Makes a client without a time limit for answers, without headers of its own and without
@@ -26,7 +68,8 @@
     let connector = Connector::new()
         .connector(whole::service())
         .limit(limits.connections)
-        .timeout(limits.connect_limit.into());
+        .timeout(limits.connect_limit.into())
+        .conn_keep_alive(limits.idle_limit.into());
     Client::builder()
         .connector(connector)
         .disable_timeout()
--- a/crates/http-client/tests/truth.rs
+++ b/crates/http-client/tests/truth.rs
@@ -2,7 +2,7 @@
 
 use awc::Client;
 use awc::error::SendRequestError;
-use http_client::{Limits, Sent, client, sent};
+use http_client::{BodyEnd, Limits, Sent, body_end, client, sent};
 use model::Millis;
 use stand_ins::backend::{Backend, BackendSettings, Fences, start};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -13,7 +13,7 @@
 }
 
 fn strict() -> Client {
-    client(Limits { connections: 10, connect_limit: Millis(10_000) })
+    client(Limits { connections: 10, connect_limit: Millis(10_000), idle_limit: Millis(2_000) })
 }
 
 /// What a request came to.
@@ -103,6 +103,27 @@
     });
 }
 
+/// awc takes bodies that end with their connection for empty, so the head has to be looked at.
+#[test]
+fn the_head_tells_where_the_body_ends() {
+    let check = |method: &'static str, head: &str, expected: BodyEnd| {
+        run(async {
+            let url = raw_server(format!("HTTP/1.1 {head}\r\n\r\n").into_bytes()).await;
+            let answer = strict().request(method.parse().unwrap(), url).send().await.unwrap();
+            let found = body_end(method, answer.status(), answer.headers());
+            assert_eq!(found, expected, "{method} {head}");
+        });
+    };
+    check("GET", "200 OK", BodyEnd::Unknown);
+    check("GET", "200 OK\r\nconnection: close", BodyEnd::Unknown);
+    check("POST", "404 None", BodyEnd::Unknown);
+    check("GET", "200 OK\r\ncontent-length: 4", BodyEnd::Length(4));
+    check("GET", "200 OK\r\ntransfer-encoding: chunked", BodyEnd::Chunks);
+    check("GET", "204 None", BodyEnd::Length(0));
+    check("GET", "304 Same\r\ncontent-length: 4", BodyEnd::Length(0));
+    check("HEAD", "200 OK\r\ncontent-length: 4", BodyEnd::Length(0));
+}
+
 #[test]
 fn a_redirect_is_an_answer_like_any_other() {
     run(async {
@@ -138,7 +159,11 @@
 fn connections_are_used_again() {
     run(async {
         let server = backend();
-        let client = client(Limits { connections: 1, connect_limit: Millis(10_000) });
+        let client = client(Limits {
+            connections: 1,
+            connect_limit: Millis(10_000),
+            idle_limit: Millis(2_000),
+        });
         for _ in 0..100 {
             let seen = get(&client, format!("http://{}/", server.addr())).await;
             assert!(matches!(seen, Seen::Whole(200, _)));
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -5,26 +5,28 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use awc::error::SendRequestError;
 use awc::http::StatusCode;
-use awc::http::header::{CONTENT_LENGTH, ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH};
-use awc::{Client, ClientRequest, Connector};
+use awc::http::header::{ETAG, HeaderMap, IF_MATCH, IF_NONE_MATCH};
+use awc::{Client, ClientRequest};
 use bytes::Bytes;
+use http_client::{BodyEnd, Limits, Sent};
 use model::{Millis, RowVersion};
 
 use crate::error::{
     FailedSnafu, MalformedSnafu, StatusSnafu, TimeoutSnafu, UnknownSnafu, UnreachableSnafu,
 };
-use crate::{ReadError, WriteError, nothing_was_sent};
+use crate::{ReadError, WriteError};
 
 /// The longest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
 
-/// How long a connection without requests is kept. A request on a connection that the platform
-/// closes at the same moment has an unknown outcome, so this side closes first.
-const MAX_IDLE: Duration = Duration::from_secs(2);
+/// The most connections to the platform.
+const MAX_CONNECTIONS: usize = 8;
+
+/// How long a connection to the platform is kept without a request.
+const MAX_IDLE: Millis = Millis(2_000);
 
 /// The connections to the platform.
 #[derive(Clone)]
@@ -53,12 +55,14 @@
 
 impl Http {
     pub(crate) fn new(base: SocketAddr, time_limit: Millis) -> Self {
-        let connector = Connector::new().conn_keep_alive(MAX_IDLE);
-        let client = Client::builder()
-            .connector(connector)
-            .timeout(time_limit.into())
-            .disable_redirects()
-            .finish();
+        let limits = Limits {
+            connections: MAX_CONNECTIONS,
+            // A connection that takes too long must end before the whole request does, so that it
+            // counts as not sent.
+            connect_limit: Millis(time_limit.0 / 2),
+            idle_limit: MAX_IDLE,
+        };
+        let client = http_client::client(limits);
         Self { base, client, time_limit }
     }
 
@@ -137,33 +141,25 @@
 }
 
 fn exchange(req: ClientRequest, body: Bytes) -> impl Future<Output = Result<Answer, Broken>> {
+    let method = req.get_method().clone();
     let response = req.send_body(body);
     async move {
         let mut response = response.await.map_err(broken)?;
+        let end = http_client::body_end(method.as_str(), response.status(), response.headers());
+        if end == BodyEnd::Unknown {
+            return Err(Broken::Sent("the answer does not say where it ends".to_owned()));
+        }
         let body = response.body().limit(MAX_ANSWER_BYTES).await;
         let body = body.map_err(|e| Broken::Sent(e.to_string()))?;
-        let (status, headers) = (response.status(), response.headers().clone());
-        // awc takes a body for whole that ended early with its connection, so the length that the
-        // platform states has to be compared here.
-        if length_of(&headers) != Some(body.len()) {
-            return Err(Broken::Sent(format!("the answer broke off after {} bytes", body.len())));
-        }
-        Ok(Answer { status, headers, body })
+        Ok(Answer { status: response.status(), headers: response.headers().clone(), body })
     }
 }
 
-fn length_of(headers: &HeaderMap) -> Option<usize> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 /// Tells how far a request came.
 fn broken(error: SendRequestError) -> Broken {
-    if nothing_was_sent(&error) {
-        return Broken::NotSent(error.to_string());
-    }
-    match error {
-        SendRequestError::Timeout => Broken::Late,
-        _ => Broken::Sent(error.to_string()),
+    match http_client::sent(&error) {
+        Sent::No => Broken::NotSent(error.to_string()),
+        Sent::Maybe => Broken::Sent(error.to_string()),
     }
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,9 +9,7 @@
 mod head;
 mod http;
 mod row_doc;
-mod sent;
 
 pub use client::Platform;
 pub use error::{ReadError, RowError, WriteError};
 pub use row_doc::{MAX_GRANTORS, MAX_MEMBERS, MAX_PARTITION, MAX_UNSEALED, decode_row, encode_row};
-pub use sent::nothing_was_sent;
