--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -15,12 +15,17 @@
 /// The part of the slots that long jobs leave free at least, as a divisor.
 const SHORT_RESERVE_DIVISOR: u32 = 3;
 
-/// Slots that short jobs need beyond their mean demand, per square root of it, as a divisor.
-const HEADROOM_DIVISOR: u64 = 2;
+/// Slots that short jobs need beyond their mean demand, in percent of its square root: beside long
+/// jobs of the interactive class, and beside those of the lower classes, which can wait.
+const HEADROOM_PERCENT: u64 = 50;
+const LOWER_HEADROOM_PERCENT: u64 = 150;
+
+/// Jobs of new rules that run at a time, interactive ones apart.
+const UNKNOWN_LIMIT: u32 = 1;
 
 /// Predicted waits are taken this much longer than computed, in percent, because a job that is
 /// started too late is wasted work.
-const WAIT_MARGIN_PERCENT: u64 = 125;
+const WAIT_MARGIN_PERCENT: u64 = 200;
 
 /// The shortest and the longest time after which a refused caller is told to try again.
 const RETRY_AFTER: (Millis, Millis) = (Millis(50), Millis(10_000));
@@ -59,7 +64,7 @@
     /// Offers a job. After `Start` and after `Queued` followed by [`Action::Start`], the caller
     /// must report [`Queue::finish`] once.
     pub fn offer(&mut self, job: Job, now: Millis) -> Verdict {
-        let length = self.length_of(job.rule);
+        let length = self.length_of(job.priority, job.rule);
         let expected = self.estimates.expected(job.rule);
         if length == Length::Short {
             self.demand.offer(expected, now);
@@ -88,6 +93,7 @@
             }
             Finish::Refused => self.slots.refused(self.running.count(), now),
             Finish::Failed => self.slots.failed(now),
+            Finish::GivenUp => {}
         }
         self.start_waiting(now)
     }
@@ -133,7 +139,7 @@
         let mut actions = Vec::new();
         while let Some((priority, length)) = self.waiting.next(|p, l| self.may_start(p, l, now)) {
             let Some(waiter) = self.waiting.pop(priority, length) else { break };
-            let actual = self.length_of(waiter.rule);
+            let actual = self.length_of(priority, waiter.rule);
             let expected = self.estimates.expected(waiter.rule);
             if actual != length {
                 // The rule turned out otherwise while the job waited.
@@ -183,8 +189,14 @@
         self.slots.usable().min(self.limits.connections)
     }
 
-    fn length_of(&self, rule: Option<u32>) -> Length {
-        if self.estimates.is_long(rule) { Length::Long } else { Length::Short }
+    fn length_of(&self, priority: Priority, rule: Option<u32>) -> Length {
+        if self.estimates.is_long(rule) {
+            Length::Long
+        } else if priority == Priority::Interactive || self.estimates.is_known(rule) {
+            Length::Short
+        } else {
+            Length::Unknown
+        }
     }
 
     fn starts_at_once(&self, priority: Priority, length: Length, now: Millis) -> bool {
@@ -199,8 +211,15 @@
         let is_lower = priority > Priority::Interactive;
         let fits = self.running.count() < usable;
         let fits_class = !is_lower || self.running.lower() < self.lower_limit();
-        let fits_length = length == Length::Short || self.long_running(now) < self.long_limit(now);
-        fits && fits_class && fits_length
+        fits && fits_class && self.fits_length(priority, length, now)
+    }
+
+    fn fits_length(&self, priority: Priority, length: Length, now: Millis) -> bool {
+        match length {
+            Length::Short => true,
+            Length::Long => self.long_running(now) < self.long_limit(priority, now),
+            Length::Unknown => self.running.unknown() < UNKNOWN_LIMIT,
+        }
     }
 
     fn long_running(&self, now: Millis) -> u32 {
@@ -212,17 +231,22 @@
         self.usable_slots().saturating_sub(self.limits.reserved_slots)
     }
 
-    /// Slots that long jobs may hold: what short jobs leave, and at least one.
-    fn long_limit(&self, now: Millis) -> u32 {
+    /// Slots that long jobs may hold: what short jobs leave. Interactive ones get one in any case.
+    fn long_limit(&self, priority: Priority, now: Millis) -> u32 {
+        let (least, headroom_percent) = match priority {
+            Priority::Interactive => (1, HEADROOM_PERCENT),
+            _ => (0, LOWER_HEADROOM_PERCENT),
+        };
         let usable = self.usable_slots();
-        let reserve = usable.div_ceil(SHORT_RESERVE_DIVISOR).max(self.short_need(now));
-        usable.saturating_sub(reserve).max(1)
+        let need = self.short_need(headroom_percent, now);
+        let reserve = usable.div_ceil(SHORT_RESERVE_DIVISOR).max(need);
+        usable.saturating_sub(reserve).max(least)
     }
 
     /// Slots that short jobs need at the rate at which they are offered.
-    fn short_need(&self, now: Millis) -> u32 {
+    fn short_need(&self, headroom_percent: u64, now: Millis) -> u32 {
         let demand = self.demand.millislots(now);
-        let headroom = (demand * SLOT).isqrt() / HEADROOM_DIVISOR;
+        let headroom = (demand * SLOT).isqrt() * headroom_percent / 100;
         let slots = (demand + headroom).div_ceil(SLOT);
         u32::try_from(slots).unwrap_or(u32::MAX)
     }
@@ -275,7 +299,8 @@
         let usable = u64::from(self.usable_slots()) * SLOT;
         let others = match length {
             Length::Short => u64::from(self.long_running(now)) * SLOT,
-            Length::Long => usable.saturating_sub(u64::from(self.long_limit(now)) * SLOT),
+            Length::Long => usable.saturating_sub(u64::from(self.long_limit(priority, now)) * SLOT),
+            Length::Unknown => usable.saturating_sub(u64::from(UNKNOWN_LIMIT) * SLOT),
         };
         let urgent = match priority {
             Priority::Interactive => 0,
--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -117,7 +117,6 @@
     pub(crate) fn on_released(&mut self, transfer: &Transfer, handed_over: bool) {
         if transfer.epoch == self.epoch {
             self.moves.on_released(transfer, handed_over);
-            self.moves.hasten(transfer.partition);
         }
     }
 
@@ -135,8 +134,12 @@
         self.losses.ask(self.epoch, &known.row.row.grantors, cx);
         self.follow_moves(known, cx);
         self.change_row(known, store, cx);
-        self.moves.ask(&known.row.row, cx);
         self.assign(known, cx);
+        let sent = &self.sent;
+        let is_acked = |a: &Assignment| {
+            sent.iter().any(|s| s.acked && (s.partition, s.fence) == (a.partition, a.fence))
+        };
+        self.moves.ask(&known.row.row, is_acked, cx);
         self.take_over(known, store, cx);
     }
 
@@ -160,7 +163,9 @@
         for session in sessions {
             let view = view(&self.losses, &self.moves, self.since, known);
             if let Some(reason) = view.loss_reason(session, cx) {
-                self.losses.begin(session, reason, cx);
+                let heard = known.grantor.heard(session).map(|h| h.report.unfenced_grace);
+                let unfenced_grace = heard.unwrap_or(cx.timing().unfenced_grace);
+                self.losses.begin(session, unfenced_grace, reason, cx);
             }
         }
     }
@@ -168,8 +173,9 @@
     fn follow_moves(&mut self, known: Known<'_>, cx: &mut Cx<'_>) {
         let mut moves = std::mem::take(&mut self.moves);
         let is_lost = |s| view(&self.losses, &self.moves, self.since, known).is_lost(s);
-        moves.follow(&known.row.row, is_lost, cx);
+        let over = moves.follow(&known.row.row, is_lost, cx);
         self.moves = moves;
+        self.sent.retain(|s| !over.contains(&s.partition));
     }
 
     fn change_row(&mut self, known: Known<'_>, store: &mut Store, cx: &mut Cx<'_>) {
@@ -182,7 +188,8 @@
             return;
         }
         let mut begun = Vec::new();
-        let settled = cx.now >= self.since + cx.timing().term || !stored.assignments.is_empty();
+        // A new coordinator hears from all members before it plans with them.
+        let settled = cx.now >= self.since + cx.timing().silence_limit;
         let better = grantor_set::next_row(&view, cx).filter(|_| settled && next == *stored);
         let plan_pause = Millis(cx.timing().renew_interval.0 / PLANS_PER_INTERVAL);
         if let Some(better) = better {
@@ -198,8 +205,8 @@
             begun = agenda.moves;
         }
         let provenance = provenance(stored, &next, &self.moves);
-        for (new, reason) in begun {
-            self.sent.retain(|s| s.partition != new.partition);
+        // While the store is down, nobody is asked to let go of what could not be given away.
+        for (new, reason) in begun.into_iter().filter(|_| !store.is_failing()) {
             self.moves.begin(new, reason, cx);
         }
         if next != *stored {
@@ -222,9 +229,8 @@
         let row = &known.row.row;
         for a in &row.assignments {
             let view = view(&self.losses, &self.moves, self.since, known);
-            let is_leaving = view.moves.get(a.partition).is_some_and(|m| m.owner != a.owner);
             let has_left = view.moves.given_up(a.owner, a).is_some();
-            if is_leaving || has_left || view.is_lost(a.owner) {
+            if view.moves.is_leaving(a) || has_left || view.is_lost(a.owner) {
                 continue;
             }
             let Some(to) = addr_of(row, a.owner) else {
@@ -261,7 +267,8 @@
             let Some(standby) = a.standby.filter(|s| !view.is_lost(*s)) else {
                 continue;
             };
-            let is_free = view.is_over(a.owner, cx) && view.moves.given_up(standby, a).is_none();
+            let is_free =
+                view.is_claim_ended(a.owner, a, cx) && view.moves.given_up(standby, a).is_none();
             let Some(to) = addr_of(row, standby).filter(|_| is_free) else {
                 continue;
             };
@@ -330,5 +337,6 @@
 
 /// The report of a host process whose backend server has not been seen yet.
 pub(crate) fn empty_report() -> Report {
-    Report { slots: 0, slots_in_use: 0, draining: false, partitions: Vec::new() }
+    let unfenced_grace = Millis::ZERO;
+    Report { slots: 0, slots_in_use: 0, draining: false, unfenced_grace, partitions: Vec::new() }
 }
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -46,6 +46,9 @@
         pub slots_in_use: u32,
         /// Whether the member is leaving and wants no partitions.
         pub draining: bool,
+        /// How long the member's partitions wait after its lease ended without its consent. It
+        /// is zero if its backend server checks fences, because then a late request is refused.
+        pub unfenced_grace: Millis,
         /// The busiest partitions, sorted by partition.
         pub partitions: Vec<PartitionReport>,
     }
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -47,6 +47,15 @@
     }
 }
 
+/// What every member would have if load could be divided at will, apart from partitions that are
+/// too heavy for a fair share. Each of those takes up one member.
+pub(crate) struct Fair {
+    /// The level of each other member.
+    pub(crate) level: Level,
+    /// The mean weight of the other partitions.
+    pub(crate) weight: u64,
+}
+
 /// The state of one plan in the making.
 pub(crate) struct Board<'a> {
     input: &'a Input,
@@ -131,10 +140,35 @@
         taking.min_by_key(|&m| (self.seats[m].level_with(self.seats[m].load + weight), m))
     }
 
-    /// Returns the level that every member would have if load could be divided at will.
-    pub(crate) fn mean_level(&self) -> Level {
-        let capacity = self.seats.iter().map(|s| s.capacity).sum();
-        level(self.weights.iter().sum(), capacity)
+    /// Returns what a fair share is.
+    pub(crate) fn fair(&self) -> Fair {
+        let taking = self.seats.iter().filter(|s| s.capacity > 0);
+        let (members, mut capacity) = taking.fold((0, 0), |(n, sum), s| (n + 1, sum + s.capacity));
+        let one = capacity / u64::max(members, 1);
+        let mut load: u64 = self.weights.iter().sum();
+        let mut count = u64::try_from(self.weights.len()).unwrap_or(u64::MAX);
+        for weight in self.weights_above(level(load, capacity), one) {
+            if level(weight, one) <= level(load, capacity) || capacity <= one {
+                break;
+            }
+            load -= weight;
+            capacity -= one;
+            count -= 1;
+        }
+        Fair { level: level(load, capacity), weight: load / count.max(1) }
+    }
+
+    /// Returns the weights that lift a member of this capacity above `least`, heaviest first.
+    fn weights_above(&self, least: Level, capacity: u64) -> Vec<u64> {
+        let weights = self.weights.iter().copied();
+        let mut heavy: Vec<u64> = weights.filter(|&w| level(w, capacity) > least).collect();
+        heavy.sort_unstable_by_key(|&w| std::cmp::Reverse(w));
+        heavy
+    }
+
+    /// Returns whether the plan has no changes yet.
+    pub(crate) fn is_unchanged(&self) -> bool {
+        self.changes.is_empty()
     }
 }
 
--- a/crates/wire/src/twin/ownership.rs
+++ b/crates/wire/src/twin/ownership.rs
@@ -39,6 +39,7 @@
     slots: u32,
     slots_in_use: u32,
     draining: bool,
+    unfenced_grace: u64,
     partitions: Vec<WirePartitionReport>,
 });
 twin!(struct WireRenew = Renew {
--- a/crates/wire/tests/common/values.rs
+++ b/crates/wire/tests/common/values.rs
@@ -179,6 +179,7 @@
             slots: self.small(),
             slots_in_use: self.small(),
             draining: self.flag(),
+            unfenced_grace: self.millis(),
             partitions: self.list(|d| PartitionReport {
                 partition: d.partition(),
                 millirequests_per_second: d.number(),
