--- a/crates/host/src/owner/claims.rs
+++ b/crates/host/src/owner/claims.rs
@@ -11,10 +11,19 @@
 /// How long the next owner may take to take request records over.
 const HANDOVER_TIME_LIMIT: Millis = Millis(1_000);
 
-/// Starts to serve a partition.
+/// Starts to serve a partition, or goes on serving it under a higher fence.
 pub fn serve(cx: &Cx, partition: Partition, fence: Fence, origin: Origin) {
-    let started = cx.owner.records.borrow_mut().start(partition, origin, cx.wall.now());
-    log::info!("owner: Serves partition {partition} under fence {fence}: {started:?}.");
+    let before = cx.owner.note_served(partition, fence);
+    let mut records = cx.owner.records.borrow_mut();
+    // If this host was the last owner itself, its records are whole and nothing was handed over.
+    if before.is_some_and(|from| origin == (Origin::Planned { from })) {
+        records.resume(partition);
+        log::info!("owner: Goes on serving partition {partition} under fence {fence}.");
+    } else {
+        let started = records.start(partition, origin, cx.wall.now());
+        log::info!("owner: Serves partition {partition} under fence {fence}: {started:?}.");
+    }
+    drop(records);
     cx.owner.reopen(partition);
     send_grants(cx);
 }
@@ -41,6 +50,7 @@
 pub fn stop_all(cx: &Cx) {
     log::warn!("owner: Stops serving all partitions.");
     cx.owner.records.borrow_mut().drop_all();
+    cx.owner.served.borrow_mut().clear();
     cx.owner.closing.borrow_mut().clear();
     // Dropping an entry cancels its request.
     let keyed = |i: &super::InFlight| i.partition.is_some();
