--- /dev/null
+++ b/crates/papayarill/tests/config_spread.rs
@@ -0,0 +1,105 @@
+//! An accepted configuration comes into force on every host process and never goes back, also
+//! around an outage of the platform and a restart.
+
+use std::cell::RefCell;
+
+use model::{ConfigVersion, Millis, WriterTag};
+use platform::Platform;
+use trial::deployment::{self, Deployment, SERVICE, ZONES, deployment, wait_for};
+use trial::http;
+use trial::process::Program;
+
+const PLATFORM_TIME_LIMIT: Millis = Millis(5_000);
+const OUTAGE: &str = "{\"outage\": true}";
+const NO_FAULT: &str = "{}";
+
+fn program() -> Program {
+    Program(env!("CARGO_BIN_EXE_papayarill").into())
+}
+
+/// Accepts the next version, which has other slots.
+async fn accept(deployment: &Deployment, based_on: u64) {
+    let platform = Platform::new(deployment.platform_addr, PLATFORM_TIME_LIMIT);
+    let slots = format!("slots: {}\n", 7 + based_on);
+    let yaml = deployment::config().replacen("slots: 6\n", &slots, 1);
+    let base = Some(ConfigVersion(based_on));
+    let version = platform.apply_config(base, &yaml, WriterTag(100 + based_on)).await;
+    assert_eq!(version.ok(), Some(ConfigVersion(based_on + 1)));
+}
+
+/// The highest version that each host has shown so far.
+struct Watch(RefCell<Vec<u64>>);
+
+impl Watch {
+    fn new() -> Self {
+        Self(RefCell::new(vec![1; 3]))
+    }
+
+    /// Takes in that a host was replaced by a new one, which is the last one now.
+    fn replace(&self, host: usize) {
+        let mut highest = self.0.borrow_mut();
+        highest.remove(host);
+        highest.push(0);
+    }
+
+    /// Looks at every host once, checks that none went back, and returns what they showed.
+    async fn look(&self, deployment: &Deployment) -> Vec<u64> {
+        for (index, host) in deployment.hosts.iter().enumerate() {
+            let Some(status) = host.status().await else { continue };
+            let before = std::mem::replace(&mut self.0.borrow_mut()[index], status.config_version);
+            assert!(status.config_version >= before, "{} went back", host.operators);
+        }
+        self.0.borrow().clone()
+    }
+
+    async fn wait_for_all(&self, deployment: &Deployment, version: u64) {
+        let all = async || self.look(deployment).await.iter().all(|v| *v == version);
+        wait_for("the version to be in force", all).await;
+    }
+}
+
+/// Sends one request through a host and returns its outcome.
+async fn outcome(deployment: &Deployment, host: usize) -> String {
+    let url = format!("http://{}/{SERVICE}/keys/1", deployment.hosts[host].callers);
+    let seen = http::send(http::client().get(url), "".into()).await;
+    seen.outcome
+}
+
+#[actix_rt::test]
+async fn accepted_versions_come_into_force_everywhere() {
+    let deployment = deployment(&program(), &ZONES[..3]).await;
+    let watch = Watch::new();
+    for version in 2..=4 {
+        accept(&deployment, version - 1).await;
+        watch.wait_for_all(&deployment, version).await;
+    }
+    assert_eq!(outcome(&deployment, 0).await, "ran");
+}
+
+#[actix_rt::test]
+async fn an_outage_and_a_restart_between_accept_and_spread_lose_nothing() {
+    let mut deployment = deployment(&program(), &ZONES[..3]).await;
+    let watch = Watch::new();
+
+    accept(&deployment, 1).await;
+    deployment.platform_faults(OUTAGE).await;
+
+    // Hosts that have a configuration go on to serve.
+    for host in 0..3 {
+        assert_eq!(outcome(&deployment, host).await, "ran");
+    }
+    watch.look(&deployment).await;
+
+    // One that starts now cannot know what is in force.
+    let replaced = usize::from(deployment.coordinator().await == 0);
+    deployment.hosts.remove(replaced).process.kill();
+    deployment.add_host(ZONES[replaced]);
+    watch.replace(replaced);
+    assert_eq!(outcome(&deployment, 2).await, "not-run");
+    assert_eq!(watch.look(&deployment).await[2], 0);
+
+    deployment.platform_faults(NO_FAULT).await;
+    watch.wait_for_all(&deployment, 2).await;
+    deployment.wait_until_served().await;
+    assert_eq!(outcome(&deployment, 2).await, "ran");
+}
