Give calls a connection of their own

Cause: a lease renewal waited behind the answers that a slow link still held. Ruled out: smaller windows, which bound the answers' own speed between regions. Change: a client keeps a connection for calls and one for requests per peer, each kind with its own bound.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -3,6 +3,7 @@
 //! What a caller is told depends on whether anything was handed to a connection. Up to that
 //! point every failure is "not run"; after it only the peer can say so.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,10 +33,6 @@
 /// The path of forwarded requests.
 pub(crate) const FORWARD_PATH: &str = "/forward";
 
-/// How often a connection is asked for a stream before the peer counts as unreachable. One that
-/// worked and turns out to be over is replaced; one that could not be opened is not.
-const OPEN_ATTEMPTS: usize = 2;
-
 /// Why a call has no reply.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -85,17 +82,19 @@
 
 /// Sends calls and requests to other host processes. Clones share their connections.
 ///
+/// Calls have connections of their own: on a slow link the answers to forwarded requests would
+/// delay a lease renewal by more than the lease.
+///
 /// Must be used inside a local task set, such as an actix system.
 #[derive(Clone)]
 pub struct Client {
-    pool: Rc<Pool>,
+    calls: Rc<Pool>,
+    forwards: Rc<Pool>,
+    traffic: Rc<Cell<Traffic>>,
 }
 
 /// A stream that may be opened at once.
-struct Ready {
-    slot: Slot,
-    send: SendRequest<Bytes>,
-}
+type Ready = (Slot, SendRequest<Bytes>);
 
 /// A stream whose request is under way.
 struct Started {
@@ -108,12 +107,12 @@
 impl Client {
     /// Returns the bytes exchanged with all peers so far.
     pub fn traffic(&self) -> Traffic {
-        self.pool.traffic.get()
+        self.traffic.get()
     }
 
     /// Returns the number of connections that are open or being opened.
     pub fn connections(&self) -> usize {
-        self.pool.size()
+        self.calls.size() + self.forwards.size()
     }
 }
 
@@ -121,12 +120,16 @@
 impl Client {
     /// Makes a client without connections.
     pub fn new(settings: ClientSettings) -> Self {
-        Self { pool: Rc::new(Pool::new(settings)) }
+        let settings = Rc::new(settings);
+        let traffic = Rc::default();
+        let pool = || Rc::new(Pool::new(Rc::clone(&settings), Rc::clone(&traffic)));
+        Self { calls: pool(), forwards: pool(), traffic: Rc::clone(&traffic) }
     }
 
     /// Makes peers unreachable, for tests of partitions. Running streams to them break.
     pub fn cut(&self, cut: Cut) {
-        self.pool.cut(cut);
+        self.calls.cut(cut.clone());
+        self.forwards.cut(cut);
     }
 
     /// Asks `to` and waits at most `time_limit` for the reply.
@@ -139,7 +142,9 @@
         let frame = encode_call(call).context(CodecSnafu)?;
         let deadline = Instant::now() + Duration::from(time_limit);
         let timed_out = CallError::TimedOut { to, limit: time_limit };
-        let Ok(ready) = timeout_at(deadline, self.ready(to)).await else { return Err(timed_out) };
+        let Ok(ready) = timeout_at(deadline, self.calls.ready(to)).await else {
+            return Err(timed_out);
+        };
         let started = ready
             .and_then(|ready| start(ready, CALL_PATH))
             .map_err(|reason| not_sent(to, reason))?;
@@ -162,7 +167,7 @@
         body: Bytes,
     ) -> Outcome<(AnswerHead, Body)> {
         let deadline = Instant::now() + Duration::from(head.time_left);
-        let ready = match timeout_at(deadline, self.ready(to)).await {
+        let ready = match timeout_at(deadline, self.forwards.ready(to)).await {
             Ok(Ok(ready)) => ready,
             Ok(Err(reason)) => return Outcome::NotRun(not_run(reason)),
             Err(_) => return Outcome::NotRun(NotRunReason::Deadline),
@@ -181,20 +186,6 @@
             Err(reason) => Outcome::NotRun(not_run(reason)),
         }
     }
-
-    /// Waits for a stream to `to`. Nothing is sent.
-    async fn ready(&self, to: HostAddr) -> Result<Ready, NoLink> {
-        for _ in 0..OPEN_ATTEMPTS {
-            let link = self.pool.link(to)?;
-            if let Some((slot, send)) = link.clone().ready(self.pool.settings.clone()).await {
-                return Ok(Ready { slot, send });
-            }
-            if !link.was_up() {
-                break;
-            }
-        }
-        Err(NoLink::Unreachable)
-    }
 }
 
 fn not_sent(to: HostAddr, reason: NoLink) -> CallError {
@@ -212,15 +203,15 @@
 }
 
 /// Opens the stream. An error means that nothing was handed to the connection.
-fn start(mut ready: Ready, path: &'static str) -> Result<Started, NoLink> {
+fn start((slot, mut send): Ready, path: &'static str) -> Result<Started, NoLink> {
     let mut req = Request::new(());
     *req.method_mut() = Method::POST;
     *req.uri_mut() = http::Uri::from_static(path);
-    match ready.send.send_request(req, false) {
-        Ok((answer, tx)) => Ok(Started { slot: ready.slot, answer, tx }),
+    match send.send_request(req, false) {
+        Ok((answer, tx)) => Ok(Started { slot, answer, tx }),
         Err(e) => {
             debug!("wire: stream was not opened: {e}");
-            ready.slot.retire();
+            slot.retire();
             Err(NoLink::Unreachable)
         }
     }
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -1,14 +1,21 @@
-//! The connections of a client: at most one in use per peer, and not more than a bound.
+//! The connections that a client uses for one purpose: at most one in use per peer, and not more
+//! than a bound.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use bytes::Bytes;
+use h2::client::SendRequest;
 use model::HostAddr;
 
-use crate::link::Link;
+use crate::link::{Link, Slot};
 use crate::meter::Traffic;
 use crate::settings::{ClientSettings, Cut};
 
+/// How often a connection is asked for a stream before the peer counts as unreachable. One that
+/// worked and turns out to be over is replaced; one that could not be opened is not.
+const OPEN_ATTEMPTS: usize = 2;
+
 /// Why there is no connection to a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoLink {
@@ -18,10 +25,10 @@
     PoolFull,
 }
 
-/// The connections of one client.
+/// The connections of one client for one purpose.
 pub(crate) struct Pool {
-    pub(crate) settings: Rc<ClientSettings>,
-    pub(crate) traffic: Rc<Cell<Traffic>>,
+    settings: Rc<ClientSettings>,
+    traffic: Rc<Cell<Traffic>>,
     links: RefCell<Vec<(HostAddr, Rc<Link>)>>,
     cut: RefCell<Cut>,
 }
@@ -35,13 +42,9 @@
 }
 
 impl Pool {
-    pub(crate) fn new(settings: ClientSettings) -> Self {
-        Self {
-            settings: Rc::new(settings),
-            traffic: Rc::default(),
-            links: RefCell::default(),
-            cut: RefCell::default(),
-        }
+    /// Makes a pool without connections that adds its bytes to `traffic`.
+    pub(crate) fn new(settings: Rc<ClientSettings>, traffic: Rc<Cell<Traffic>>) -> Self {
+        Self { settings, traffic, links: RefCell::default(), cut: RefCell::default() }
     }
 
     /// Returns how many connections are open or being opened.
@@ -49,8 +52,22 @@
         self.links.borrow().iter().filter(|(_, link)| link.is_usable()).count()
     }
 
+    /// Waits for a stream to `to`. Nothing is sent.
+    pub(crate) async fn ready(&self, to: HostAddr) -> Result<(Slot, SendRequest<Bytes>), NoLink> {
+        for _ in 0..OPEN_ATTEMPTS {
+            let link = self.link(to)?;
+            if let Some(ready) = link.clone().ready(self.settings.clone()).await {
+                return Ok(ready);
+            }
+            if !link.was_up() {
+                break;
+            }
+        }
+        Err(NoLink::Unreachable)
+    }
+
     /// Returns the connection to `to`, which may still be opening.
-    pub(crate) fn link(&self, to: HostAddr) -> Result<Rc<Link>, NoLink> {
+    fn link(&self, to: HostAddr) -> Result<Rc<Link>, NoLink> {
         if self.cut.borrow().covers(to) {
             return Err(NoLink::Unreachable);
         }
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -94,7 +94,7 @@
         ping_limit: Millis,
         /// The time after which an unused connection is closed.
         idle_limit: Millis,
-        /// The number of connections that are kept, one per peer.
+        /// The number of connections that are kept for calls, and again for requests.
         max_connections: usize,
         /// The number of streams per connection; more wait. At most the peer's own limit.
         max_streams: u32,
