--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -6,7 +6,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use futures_util::StreamExt;
 use http_client::{Limits, Sent};
 use model::{Fence, Millis, NotRunReason, Outcome, Partition, UnknownReason};
+use routing::outcome;
 use serde::{Deserialize, Serialize};
 use wire::{AnswerHead, BodyError, ForwardHead};
 
@@ -30,6 +31,9 @@
 /// The most connections to one backend server, whatever it announces.
 const MAX_CONNECTIONS: usize = 1_024;
 
+/// The prefix of the headers that only host processes may set.
+pub const OWN_HEADER_PREFIX: &str = "papayarill-";
+
 /// Whether a backend server refuses work whose fence is too low or whose grant is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -91,6 +95,7 @@
 pub struct Backend {
     client: awc::Client,
     view: RefCell<Option<BackendView>>,
+    last_fence_check: Cell<Option<FenceCheck>>,
 }
 
 /// The stream of an answer's body.
@@ -100,13 +105,18 @@
     /// Makes a client that knows no backend server yet.
     pub fn new() -> Self {
         let limits = Limits { connections: MAX_CONNECTIONS, connect_limit: CONNECT_TIME_LIMIT };
-        Self { client: http_client::client(limits), view: RefCell::new(None) }
+        Self {
+            client: http_client::client(limits),
+            view: RefCell::new(None),
+            last_fence_check: Cell::new(None),
+        }
     }
 
     /// Takes in an announcement. Returns whether the backend server was down before.
     pub fn announced(&self, announcement: &Announcement, now: Millis) -> Change {
         let Announcement { addr, slots, connections, fences, state, .. } = announcement.clone();
         let view = BackendView { addr, slots, connections, fences, state, heard_at: now };
+        self.last_fence_check.set(Some(fences));
         let former = self.view.replace(Some(view));
         match former {
             None => Change::Up,
@@ -193,6 +203,11 @@
         *self.view.borrow()
     }
 
+    /// Returns whether the last backend server that was seen checks fences.
+    pub fn last_fence_check(&self) -> Option<FenceCheck> {
+        self.last_fence_check.get()
+    }
+
     /// Runs one request at the backend server.
     pub async fn run(
         &self,
@@ -309,10 +324,9 @@
 where
     S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
-    let refused =
-        answer.status().as_u16() == 503 && answer.headers().contains_key("papayarill-refused");
-    if refused {
-        return Attempted::new(Outcome::NotRun(NotRunReason::BackendRefused), Connection::Good);
+    let refused = answer.headers().get(outcome::REFUSED_HEADER).map(|v| v.as_bytes());
+    if let Some(reason) = outcome::refusal(answer.status().as_u16(), refused) {
+        return Attempted::new(Outcome::NotRun(reason), Connection::Good);
     }
     let head = AnswerHead {
         status: answer.status().as_u16(),
@@ -324,9 +338,11 @@
     Attempted::new(Outcome::Ran((head, body)), Connection::Good)
 }
 
-/// Leaves out the headers that are about the connection and not about the answer.
+/// Leaves out the headers of the connection, and those by which the system tells outcomes.
 fn answer_headers(headers: &awc::http::header::HeaderMap) -> Vec<(String, Vec<u8>)> {
-    let kept = headers.iter().filter(|(name, _)| !is_hop_header(name.as_str()));
+    let kept = headers.iter().filter(|(name, _)| {
+        !is_hop_header(name.as_str()) && !name.as_str().starts_with(OWN_HEADER_PREFIX)
+    });
     kept.map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec())).collect()
 }
 
