--- a/xtask/src/wire_cost.rs
+++ b/xtask/src/wire_cost.rs
@@ -231,6 +231,7 @@
         slots: 6,
         slots_in_use: 4,
         draining: false,
+        unfenced_grace: Millis::ZERO,
         partitions: (0..partitions).map(partition).collect(),
     };
     let renew = Renew { epoch: Epoch(40), session: session(), sent_at: Millis(86_400_000), report };
