Let one slow request not hold up the others of its connection

After a timeout new streams waited for the peer to answer a ping, also when other answers had been arriving all the while. They now wait only if nothing was received since the slow one was opened.

--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -42,12 +42,14 @@
     retired: Cell<bool>,
     answered: Cell<bool>,
     used_at: Cell<Millis>,
+    traffic: Rc<Cell<Traffic>>,
 }
 
 /// The right to one stream of a connection. Dropping it tells when the connection was last used.
 pub(crate) struct Slot {
     link: Rc<Link>,
     settings: Rc<ClientSettings>,
+    received_before: u64,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -58,8 +60,14 @@
 }
 
 impl Slot {
-    /// Has the peer checked, because it did not answer in time. New streams wait for the result.
+    /// Has the peer checked, because it did not answer in time. New streams wait for the result if
+    /// nothing at all was received since this one was opened; otherwise a slow request would hold
+    /// up the others.
     pub(crate) fn suspect(&self) {
+        self.link.suspect.notify_one();
+        if self.link.traffic.get().received != self.received_before {
+            return;
+        }
         self.link.state.send_if_modified(|state| {
             let was_up = matches!(state, State::Up(_));
             if was_up {
@@ -67,7 +75,6 @@
             }
             was_up
         });
-        self.link.suspect.notify_one();
     }
 
     /// Takes the connection out of use for new streams.
@@ -105,7 +112,7 @@
     pub(crate) fn open(
         to: HostAddr,
         settings: Rc<ClientSettings>,
-        traffic: Rc<Cell<Traffic>>,
+        total: Rc<Cell<Traffic>>,
     ) -> Rc<Self> {
         let max_streams = settings.max_streams as usize;
         let link = Rc::new(Self {
@@ -117,8 +124,9 @@
             retired: Cell::new(false),
             answered: Cell::new(false),
             used_at: Cell::new(settings.clock.now()),
+            traffic: Rc::default(),
         });
-        tokio::task::spawn_local(run(link.clone(), to, settings, traffic));
+        tokio::task::spawn_local(run(link.clone(), to, settings, total));
         link
     }
 
@@ -141,8 +149,9 @@
     ) -> Option<(Slot, SendRequest<Bytes>)> {
         let permit = self.streams.clone().acquire_owned().await.ok()?;
         self.used_at.set(settings.clock.now());
-        let slot = Slot { link: self, settings, _permit: permit };
-        let send = slot.link.wait_until_up().await?;
+        let send = self.wait_until_up().await?;
+        let received_before = self.traffic.get().received;
+        let slot = Slot { link: self, settings, received_before, _permit: permit };
         match send.ready().await {
             Ok(send) => Some((slot, send)),
             Err(e) => {
@@ -167,13 +176,8 @@
 }
 
 /// Opens the connection and keeps it until it is idle, broken or closed.
-async fn run(
-    link: Rc<Link>,
-    to: HostAddr,
-    settings: Rc<ClientSettings>,
-    traffic: Rc<Cell<Traffic>>,
-) {
-    let opening = connect(to.0, &settings, traffic);
+async fn run(link: Rc<Link>, to: HostAddr, settings: Rc<ClientSettings>, total: Rc<Cell<Traffic>>) {
+    let opening = connect(to.0, &settings, link.traffic.clone(), total);
     let opened = tokio::select! {
         () = link.closing.notified() => None,
         opened = timeout(Duration::from(settings.connect_limit), opening) => Some(opened),
@@ -224,12 +228,12 @@
 async fn connect(
     to: SocketAddr,
     settings: &ClientSettings,
-    traffic: Rc<Cell<Traffic>>,
+    own: Rc<Cell<Traffic>>,
+    total: Rc<Cell<Traffic>>,
 ) -> Result<Opened, OpenError> {
     let io = TcpStream::connect(to).await?;
     io.set_nodelay(true)?;
-    let io = Metered::new(io, traffic);
-    let own = io.own();
+    let io = Metered::new(io, own.clone(), total);
     let (send, mut conn) = Builder::new()
         .enable_push(false)
         .initial_window_size(STREAM_WINDOW_BYTES)
--- a/crates/wire/src/meter.rs
+++ b/crates/wire/src/meter.rs
@@ -40,14 +40,9 @@
 }
 
 impl Metered {
-    /// Counts the bytes of `io` also in `total`.
-    pub(crate) fn new(io: TcpStream, total: Rc<Cell<Traffic>>) -> Self {
-        Self { io, own: Rc::default(), total }
-    }
-
-    /// Returns the count of this connection alone.
-    pub(crate) fn own(&self) -> Rc<Cell<Traffic>> {
-        self.own.clone()
+    /// Counts the bytes of `io` in `own`, which is for this connection alone, and in `total`.
+    pub(crate) fn new(io: TcpStream, own: Rc<Cell<Traffic>>, total: Rc<Cell<Traffic>>) -> Self {
+        Self { io, own, total }
     }
 
     fn count(&self, sent: usize, received: usize) {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -201,8 +201,8 @@
     if let Err(e) = io.set_nodelay(true) {
         return e.to_string();
     }
-    let io = Metered::new(io, Rc::default());
-    let traffic = io.own();
+    let traffic = Rc::default();
+    let io = Metered::new(io, Rc::clone(&traffic), Rc::default());
     let opening = timeout(cx.settings.read_limit.into(), handshake(cx, io));
     let mut conn = match opening.await {
         Ok(Ok(conn)) => conn,
