--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -177,27 +177,36 @@
 
 /// Opens the connection and keeps it until it is idle, broken or closed.
 async fn run(link: Rc<Link>, to: HostAddr, settings: Rc<ClientSettings>, total: Rc<Cell<Traffic>>) {
-    let opening = connect(to.0, &settings, link.traffic.clone(), total);
-    let opened = tokio::select! {
-        () = link.closing.notified() => None,
-        opened = timeout(Duration::from(settings.connect_limit), opening) => Some(opened),
+    let end = tokio::select! {
+        () = link.closing.notified() => "closed on demand".to_owned(),
+        end = open_and_keep(&link, to, &settings, total) => end,
     };
-    match opened {
-        None => debug!("wire: connecting to {to} was given up"),
-        Some(Err(_)) => info!("wire: {to} does not answer"),
-        Some(Ok(Err(e))) => info!("wire: cannot connect to {to}: {e}"),
-        Some(Ok(Ok(Opened { send, conn, pulse }))) => {
-            let watching = watch_over(&link, &settings, send, pulse);
-            let end = tokio::select! {
-                end = conn => end.map_or_else(|e| e.to_string(), |()| "closed by the peer".into()),
-                reason = watching => reason.to_owned(),
-            };
-            debug!("wire: connection to {to} ended: {end}");
-        }
+    if link.was_up() {
+        debug!("wire: connection to {to} ended: {end}");
+    } else {
+        info!("wire: cannot connect to {to}: {end}");
     }
     link.state.send_replace(State::Down);
 }
 
+/// Returns why there is no connection, or no more.
+async fn open_and_keep(
+    link: &Link,
+    to: HostAddr,
+    settings: &ClientSettings,
+    total: Rc<Cell<Traffic>>,
+) -> String {
+    let connecting = connect(to.0, settings, link.traffic.clone(), total);
+    match timeout(Duration::from(settings.connect_limit), connecting).await {
+        Err(_) => "no answer in time".to_owned(),
+        Ok(Err(e)) => e.to_string(),
+        Ok(Ok(Opened { send, conn, pulse })) => tokio::select! {
+            end = conn => end.map_or_else(|e| e.to_string(), |()| "closed by the peer".to_owned()),
+            end = watch_over(link, settings, send, pulse) => end.to_owned(),
+        },
+    }
+}
+
 /// Why a connection was not opened.
 #[derive(Debug, Snafu)]
 enum OpenError {
@@ -254,29 +263,43 @@
     send: SendRequest<Bytes>,
     mut pulse: Pulse,
 ) -> &'static str {
-    if !pulse.answers(settings.connect_limit).await {
-        return "the peer never answered";
+    let mut limit = settings.connect_limit;
+    loop {
+        if !pulse.answers(limit).await {
+            return "the peer does not answer";
+        }
+        link.answered.set(true);
+        link.state.send_replace(State::Up(send.clone()));
+        limit = settings.ping_limit;
+        if wait_for_check(link, settings).await == Next::Close {
+            link.retire();
+            return "idle";
+        }
     }
-    link.answered.set(true);
-    link.state.send_replace(State::Up(send.clone()));
+}
+
+/// What is due on a connection.
+#[derive(PartialEq, Eq)]
+enum Next {
+    /// The peer has to be checked.
+    Check,
+    /// Nobody needs the connection any more.
+    Close,
+}
+
+/// Waits until something is due.
+async fn wait_for_check(link: &Link, settings: &ClientSettings) -> Next {
     loop {
         tokio::select! {
-            () = link.closing.notified() => return "closed on demand",
-            () = link.suspect.notified() => {}
-            () = sleep(settings.ping_interval.into()) => {
-                if link.is_idle() {
-                    let idle = settings.clock.now().since(link.used_at());
-                    if link.retired.get() || idle >= settings.idle_limit {
-                        link.retired.set(true);
-                        return "idle";
-                    }
-                    continue;
-                }
-            }
+            () = link.suspect.notified() => return Next::Check,
+            () = sleep(settings.ping_interval.into()) => {}
         }
-        if !pulse.answers(settings.ping_limit).await {
-            return "the peer stopped answering";
+        if !link.is_idle() {
+            return Next::Check;
+        }
+        let idle = settings.clock.now().since(link.used_at());
+        if link.retired.get() || idle >= settings.idle_limit {
+            return Next::Close;
         }
-        link.state.send_replace(State::Up(send.clone()));
     }
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -196,7 +196,7 @@
     cx: &Rc<Context>,
     peer: &Rc<Peer>,
     io: TcpStream,
-    mut phase: watch::Receiver<Phase>,
+    phase: watch::Receiver<Phase>,
 ) -> String {
     if let Err(e) = io.set_nodelay(true) {
         return e.to_string();
@@ -211,7 +211,21 @@
     };
     let Some(pings) = conn.ping_pong() else { return "pings are in use".to_owned() };
     let (interval, limit) = (cx.settings.ping_interval, cx.settings.ping_limit);
-    let mut silent = Box::pin(Pulse::new(pings, traffic).until_silent(interval, limit));
+    tokio::select! {
+        end = serve_streams(cx, peer, conn, phase) => end,
+        () = Pulse::new(pings, traffic).until_silent(interval, limit) => {
+            "the peer stopped answering".to_owned()
+        }
+    }
+}
+
+/// Starts a task for each stream until the connection has to end.
+async fn serve_streams(
+    cx: &Rc<Context>,
+    peer: &Rc<Peer>,
+    mut conn: Connection<Metered, Bytes>,
+    mut phase: watch::Receiver<Phase>,
+) -> String {
     phase.mark_changed();
     loop {
         tokio::select! {
@@ -229,7 +243,6 @@
                 Ok(Phase::Cut | Phase::Stopped) | Err(_) => return "broken off".to_owned(),
             },
             () = peer.evicted() => conn.graceful_shutdown(),
-            () = &mut silent => return "the peer stopped answering".to_owned(),
         }
     }
 }
