--- a/xtask/src/wire_cost.rs
+++ b/xtask/src/wire_cost.rs
@@ -9,6 +9,7 @@
 use std::sync::mpsc;
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use futures_util::{FutureExt, StreamExt};
 use model::{
     CellId, ConfigVersion, Epoch, Fence, HostAddr, Incarnation, Millis, Outcome, Partition,
@@ -26,6 +27,9 @@
 /// Messages of one kind that are sent for one row.
 const MESSAGES: u32 = 5_000;
 
+/// Requests that are under way at the same time for one of the rows; it divides [`MESSAGES`].
+const CONCURRENT: u32 = 50;
+
 /// Connections that are opened for the row about memory.
 const CONNECTIONS: usize = 1_000;
 
@@ -50,12 +54,12 @@
     let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime starts");
     let rows = LocalSet::new().block_on(&runtime, measure_all(to));
     println!(
-        "{:<34}{:>9}{:>9}{:>11}{:>11}",
+        "{:<42}{:>9}{:>9}{:>11}{:>11}",
         "message", "sent B", "recv B", "client us", "server us"
     );
     for row in rows {
         println!(
-            "{:<34}{:>9.1}{:>9.1}{:>11.1}{:>11.1}",
+            "{:<42}{:>9.1}{:>9.1}{:>11.1}{:>11.1}",
             row.name, row.sent, row.received, row.client_us, row.server_us
         );
     }
@@ -107,8 +111,9 @@
         rows.push(measure_call(&client, to, name, &call).await);
     }
     for (request, answer) in [(0, 0), (0, 1_024), (1_024, 1_024), (0, 16_384), (0, 262_144)] {
-        rows.push(measure_forward(&client, to, request, answer).await);
+        rows.push(measure_forward(&client, to, request, answer, 1).await);
     }
+    rows.push(measure_forward(&client, to, 0, 1_024, CONCURRENT).await);
     rows
 }
 
@@ -156,7 +161,13 @@
     row(name, &before, &read(client))
 }
 
-async fn measure_forward(client: &Client, to: HostAddr, request: usize, answer: u32) -> Row {
+async fn measure_forward(
+    client: &Client,
+    to: HostAddr,
+    request: usize,
+    answer: u32,
+    concurrent: u32,
+) -> Row {
     let body = Bytes::from(vec![0; request]);
     let send = async || {
         let outcome = client.forward(to, forward_head(answer), body.clone()).await;
@@ -167,10 +178,14 @@
     };
     send().await;
     let before = read(client);
-    for _ in 0..MESSAGES {
-        send().await;
-    }
-    row(format!("forward, {request} to {answer} bytes"), &before, &read(client))
+    join_all((0..concurrent).map(|_| async {
+        for _ in 0..MESSAGES / concurrent {
+            send().await;
+        }
+    }))
+    .await;
+    let name = format!("forward, {request} to {answer} bytes, {concurrent} at once");
+    row(name, &before, &read(client))
 }
 
 /// Returns the memory that an idle connection takes at both ends together, in bytes.
