--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -10,6 +10,10 @@
 use awc::{Client, Connector};
 use model::Millis;
 
+/// How long an unused connection is kept. Servers commonly close theirs after 5 s; a request that
+/// is sent while they do so may have run or not.
+const MAX_IDLE: Millis = Millis(2_000);
+
 /// Limits of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -26,6 +30,7 @@
     let connector = Connector::new()
         .connector(whole::service())
         .limit(limits.connections)
+        .conn_keep_alive(MAX_IDLE.into())
         .timeout(limits.connect_limit.into());
     Client::builder()
         .connector(connector)
--- a/crates/wire/tests/limits.rs
+++ b/crates/wire/tests/limits.rs
@@ -3,18 +3,21 @@
 mod common;
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use common::values::Draw;
 use common::{LONG, collect, config_call, echo, head, ran, run, server_with};
 use futures_util::FutureExt;
 use futures_util::future::join_all;
 use h2::client::SendRequest;
 use http::{Request, StatusCode};
 use model::{
-    CellId, Fence, HandedRecord, HostAddr, KeptAnswer, NotRunReason, Outcome, Partition, RecordEnd,
-    RequestId,
+    CellId, Fence, HandedRecord, HostAddr, KeptAnswer, Millis, NotRunReason, Outcome, Partition,
+    RecordEnd, RequestId,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use wire::codec::{MAX_CALL_BYTES, MAX_HEAD_BYTES, encode_call, encode_forward_head};
 use wire::{
@@ -90,6 +93,48 @@
     });
 }
 
+#[test]
+fn bytes_that_are_no_protocol_do_no_harm() {
+    run(async {
+        let (server, runs) = counting(ServerSettings::default());
+        let mut draw = Draw::new(11);
+        for _ in 0..50 {
+            let mut io = TcpStream::connect(server.addr().0).await.unwrap();
+            let length = draw.below(2_000);
+            let preface: &[u8] =
+                if draw.below(2) == 0 { b"" } else { b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" };
+            // The server may close the connection before all is written.
+            let _ = io.write_all(&[preface, &draw.bytes(length)].concat()).await;
+        }
+
+        let client = Client::new(ClientSettings::default());
+        let outcome = client.forward(server.addr(), head(LONG), Bytes::new()).await;
+
+        assert!(matches!(outcome, Outcome::Ran(_)));
+        assert_eq!(runs.get(), 1);
+    });
+}
+
+#[test]
+fn peers_that_keep_the_server_waiting_are_sent_away() {
+    run(async {
+        let (server, runs) = counting(ServerSettings::default().read_limit(Millis(50)));
+
+        let mut mute = TcpStream::connect(server.addr().0).await.unwrap();
+        // The server greets first; the end of the connection follows.
+        let ended = mute.read_to_end(&mut Vec::new()).await;
+        let req = Request::post("http://peer/forward").body(()).unwrap();
+        let mut send = raw(server.addr()).await.ready().await.unwrap();
+        let (answer, mut tx) = send.send_request(req, false).unwrap();
+        tx.send_data(framed(5, b"1234").into(), false).unwrap();
+        let status = answer.await.map(|answer| answer.status());
+
+        assert!(ended.is_ok() || ended.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset));
+        assert_eq!(status.unwrap(), StatusCode::REQUEST_TIMEOUT);
+        assert_eq!(runs.get(), 0);
+    });
+}
+
 #[test]
 fn requests_beyond_the_memory_for_them_are_not_run() {
     run(async {
