--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -7,6 +7,7 @@
 use futures_util::stream::{self, LocalBoxStream};
 use h2::{Reason, RecvStream, SendStream};
 use snafu::Snafu;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 /// The body of an answer in pieces. An error ends it, and then the answer is not whole.
 pub type Body = LocalBoxStream<'static, Result<Bytes, BodyError>>;
@@ -130,10 +131,34 @@
     }
 }
 
+/// Memory for what is being received, shared by all streams of a server.
+pub(crate) struct Budget<'a> {
+    left: &'a Semaphore,
+    taken: Option<SemaphorePermit<'a>>,
+}
+
+impl<'a> Budget<'a> {
+    pub(crate) fn new(left: &'a Semaphore) -> Self {
+        Self { left, taken: None }
+    }
+
+    /// Takes memory for a piece, which is given back when the budget is dropped.
+    fn take(&mut self, size: usize) -> Result<(), ReadError> {
+        let size = u32::try_from(size).map_err(|_| ReadError::TooLarge)?;
+        let permit = self.left.try_acquire_many(size).map_err(|_| ReadError::NoMemory)?;
+        match &mut self.taken {
+            Some(taken) => taken.merge(permit),
+            None => self.taken = Some(permit),
+        }
+        Ok(())
+    }
+}
+
 /// Receives one stream, and gives the sender room only for what was taken out.
-pub(crate) struct Inbox {
+pub(crate) struct Inbox<'a> {
     rx: RecvStream,
     buf: BytesMut,
+    budget: Option<Budget<'a>>,
 }
 
 /// Why a frame could not be received.
@@ -149,9 +174,14 @@
     NoMemory,
 }
 
-impl Inbox {
+impl<'a> Inbox<'a> {
     pub(crate) fn new(rx: RecvStream) -> Self {
-        Self { rx, buf: BytesMut::new() }
+        Self { rx, buf: BytesMut::new(), budget: None }
+    }
+
+    /// Counts what is received against a budget.
+    pub(crate) fn within(self, budget: Budget<'a>) -> Self {
+        Self { budget: Some(budget), ..self }
     }
 
     /// Receives a length in four bytes and a frame of that length.
@@ -165,46 +195,56 @@
         Ok(self.buf.split_to(length).freeze())
     }
 
-    /// Receives the rest of the stream; `on_piece` is told the size of each piece and may refuse.
+    /// Receives the rest of the stream, with the memory that the stream took from its budget.
     pub(crate) async fn rest(
         mut self,
         limit: usize,
-        mut on_piece: impl FnMut(usize) -> Result<(), ReadError>,
-    ) -> Result<Bytes, ReadError> {
-        let mut size = self.buf.len();
+    ) -> Result<(Bytes, Option<Budget<'a>>), ReadError> {
         loop {
             if self.buf.len() > limit {
                 return Err(ReadError::TooLarge);
             }
-            on_piece(size)?;
-            match self.more().await? {
-                Some(more) => size = more,
-                None => return Ok(self.buf.freeze()),
+            if self.more().await? == More::End {
+                return Ok((self.buf.freeze(), self.budget));
             }
         }
     }
 
-    /// Turns the rest of the stream into a body; `guard` lives as long as the body.
-    pub(crate) fn into_body<G: 'static>(self, guard: G) -> Body {
-        let start = Receiving { inbox: self, held: 0, received: 0, _guard: guard };
-        stream::unfold(Some(start), |state| async move { next_received(state?).await })
-            .boxed_local()
-    }
-
     async fn fill(&mut self, wanted: usize) -> Result<(), ReadError> {
         while self.buf.len() < wanted {
-            self.more().await?.ok_or(ReadError::Short)?;
+            if self.more().await? == More::End {
+                return Err(ReadError::Short);
+            }
         }
         Ok(())
     }
 
-    /// Adds the next piece to the buffer and returns its size, or `None` at the end.
-    async fn more(&mut self) -> Result<Option<usize>, ReadError> {
-        let Some(data) = self.rx.data().await else { return Ok(None) };
+    /// Adds the next piece to the buffer.
+    async fn more(&mut self) -> Result<More, ReadError> {
+        let Some(data) = self.rx.data().await else { return Ok(More::End) };
         let data = data.map_err(ReadError::Broken)?;
+        if let Some(budget) = &mut self.budget {
+            budget.take(data.len())?;
+        }
         self.buf.extend_from_slice(&data);
         release(&mut self.rx, data.len());
-        Ok(Some(data.len()))
+        Ok(More::Piece)
+    }
+}
+
+/// What came next on a stream.
+#[derive(PartialEq, Eq)]
+enum More {
+    Piece,
+    End,
+}
+
+impl Inbox<'static> {
+    /// Turns the rest of the stream into a body; `guard` lives as long as the body.
+    pub(crate) fn into_body<G: 'static>(self, guard: G) -> Body {
+        let start = Receiving { inbox: self, held: 0, received: 0, _guard: guard };
+        stream::unfold(Some(start), |state| async move { next_received(state?).await })
+            .boxed_local()
     }
 }
 
@@ -215,7 +255,7 @@
 
 /// A body that is being received. The sender gets room for a piece when the next one is wanted.
 struct Receiving<G> {
-    inbox: Inbox,
+    inbox: Inbox<'static>,
     held: usize,
     received: u64,
     _guard: G,
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -256,8 +256,8 @@
     let status = answer.status();
     ensure!(status == StatusCode::OK, RefusedSnafu { to, status: status.as_u16() });
     let inbox = Inbox::new(answer.into_body());
-    let frame = match inbox.rest(MAX_CALL_BYTES, |_| Ok(())).await {
-        Ok(frame) => frame,
+    let frame = match inbox.rest(MAX_CALL_BYTES).await {
+        Ok((frame, _)) => frame,
         Err(ReadError::Broken(e)) => return Err(broken(e)),
         Err(e) => return BrokenSnafu { to, reason: format!("{e:?}") }.fail(),
     };
@@ -305,7 +305,9 @@
     Outcome::Unknown(UnknownReason::ConnectionLost)
 }
 
-async fn read_outcome(answer: Response<RecvStream>) -> Result<(Outcome<AnswerHead>, Inbox), Lost> {
+async fn read_outcome(
+    answer: Response<RecvStream>,
+) -> Result<(Outcome<AnswerHead>, Inbox<'static>), Lost> {
     let status = answer.status();
     if status != StatusCode::OK {
         // The server answers with another status only if it did not take the request.
--- a/crates/wire/src/server/stream.rs
+++ b/crates/wire/src/server/stream.rs
@@ -9,12 +9,11 @@
 use http::{Request, Response, StatusCode};
 use log::debug;
 use model::{NotRunReason, Outcome};
-use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::{Instant, timeout};
 
 use super::Context;
 use super::peers::Running;
-use crate::body::{Inbox, ReadError, Then, send, send_body};
+use crate::body::{Budget, Inbox, ReadError, Then, send, send_body};
 use crate::client::{CALL_PATH, FORWARD_PATH, with_length};
 use crate::codec::{
     CodecError, MAX_CALL_BYTES, MAX_HEAD_BYTES, decode_call, decode_forward_head, encode_outcome,
@@ -58,7 +57,7 @@
     mut tx: SendResponse<Bytes>,
 ) {
     let (parts, rx) = req.into_parts();
-    let inbox = Inbox::new(rx);
+    let inbox = Inbox::new(rx).within(Budget::new(&cx.buffered));
     match parts.uri.path() {
         CALL_PATH => run_call(&cx, inbox, &mut tx).await,
         FORWARD_PATH => run_forward(&cx, inbox, &mut tx).await,
@@ -75,12 +74,11 @@
     }
 }
 
-async fn run_call(cx: &Context, inbox: Inbox, tx: &mut SendResponse<Bytes>) {
+async fn run_call(cx: &Context, inbox: Inbox<'_>, tx: &mut SendResponse<Bytes>) {
     let work = async {
-        let reading = read_whole(&cx.buffered, inbox, MAX_CALL_BYTES);
-        let (frame, permits) = in_time(cx, reading).await?;
+        let (frame, budget) = in_time(cx, inbox.rest(MAX_CALL_BYTES)).await?;
         let call = decode_call(&frame)?;
-        drop((frame, permits));
+        drop((frame, budget));
         let reply = (cx.handlers.on_call)(call).await;
         Ok::<_, Refusal>(encode_reply(reply)?)
     };
@@ -93,13 +91,13 @@
     }
 }
 
-async fn run_forward(cx: &Context, inbox: Inbox, tx: &mut SendResponse<Bytes>) {
+async fn run_forward(cx: &Context, inbox: Inbox<'_>, tx: &mut SendResponse<Bytes>) {
     let work = async {
         let started = Instant::now();
-        let (mut head, body, permits) = in_time(cx, read_request(cx, inbox)).await?;
+        let (mut head, body, budget) = in_time(cx, read_request(cx, inbox)).await?;
         head.time_left = head.time_left - started.elapsed().into();
         let outcome = (cx.handlers.on_forward)(head, body).await;
-        drop(permits);
+        drop(budget);
         Ok(outcome)
     };
     let Some(result) = unless_reset(tx, work).await else { return };
@@ -123,37 +121,23 @@
     }
 }
 
-/// Receives the rest of a stream, taking memory from `budget` as it comes.
-async fn read_whole(
-    budget: &Semaphore,
-    inbox: Inbox,
-    limit: usize,
-) -> Result<(Bytes, Vec<SemaphorePermit<'_>>), ReadError> {
-    let mut permits = Vec::new();
-    let take = |size: usize| {
-        let size = u32::try_from(size).map_err(|_| ReadError::TooLarge)?;
-        permits.push(budget.try_acquire_many(size).map_err(|_| ReadError::NoMemory)?);
-        Ok(())
-    };
-    let frame = inbox.rest(limit, take).await?;
-    Ok((frame, permits))
-}
+type ReceivedRequest<'a> = (ForwardHead, Bytes, Option<Budget<'a>>);
 
 async fn read_request<'a>(
-    cx: &'a Context,
-    mut inbox: Inbox,
-) -> Result<(ForwardHead, Bytes, Vec<SemaphorePermit<'a>>), Refusal> {
+    cx: &Context,
+    mut inbox: Inbox<'a>,
+) -> Result<ReceivedRequest<'a>, Refusal> {
     let frame = inbox.frame(MAX_HEAD_BYTES).await?;
     let head = decode_forward_head(&frame)?;
     if head.body_length > cx.settings.max_body {
         return Err(Refusal::Bad(StatusCode::PAYLOAD_TOO_LARGE));
     }
     let limit = usize::try_from(head.body_length).unwrap_or(usize::MAX);
-    let (body, permits) = read_whole(&cx.buffered, inbox, limit).await?;
+    let (body, budget) = inbox.rest(limit).await?;
     if body.len() != limit {
         return Err(Refusal::Bad(StatusCode::BAD_REQUEST));
     }
-    Ok((head, body, permits))
+    Ok((head, body, budget))
 }
 
 fn refuse(tx: &mut SendResponse<Bytes>, status: StatusCode) {
--- a/crates/wire/tests/limits.rs
+++ b/crates/wire/tests/limits.rs
@@ -137,18 +137,25 @@
 
 #[test]
 fn requests_beyond_the_memory_for_them_are_not_run() {
-    run(async {
-        let (server, runs) = counting(ServerSettings::default().max_buffered(1_000));
-        let client = Client::new(ClientSettings::default());
-        let body = Bytes::from(vec![0; 1_001]);
+    let check = |memory, size, expected_run: bool| {
+        run(async {
+            let (server, runs) = counting(ServerSettings::default().max_buffered(memory));
+            let client = Client::new(ClientSettings::default());
+            let body = Bytes::from(vec![0; size]);
 
-        let outcome = client.forward(server.addr(), head(LONG), body).await;
-        let small = client.forward(server.addr(), head(LONG), Bytes::new()).await;
+            let outcome = client.forward(server.addr(), head(LONG), body).await;
+            let called = client.call(server.addr(), config_call(), LONG).await;
 
-        assert!(matches!(outcome, Outcome::NotRun(NotRunReason::Overloaded)));
-        assert!(matches!(small, Outcome::Ran(_)), "the memory is given back");
-        assert_eq!(runs.get(), 1);
-    });
+            let refused = matches!(outcome, Outcome::NotRun(NotRunReason::Overloaded));
+            assert_eq!((refused, runs.get()), (!expected_run, u32::from(expected_run)), "{size}");
+            assert_eq!(called.is_ok(), memory > 10, "the memory is given back");
+        });
+    };
+
+    check(1_000, 0, true);
+    check(1_000, 800, true);
+    check(1_000, 1_001, false);
+    check(1, 0, false);
 }
 
 #[test]
