Use all slots of a backend server

Cause: the queue of a host process starts with the limits of an unknown backend server, one slot and one connection, and an announcement raised only the slots, so every backend server ran one request at a time. With one slow answer under way, requests to the same owner waited 5 s in papayarill dev and were refused with 503 deadline, also when sent to the owner itself. Ruled out: the hop between host processes, as the owner's own listener showed the same. Change: an announcement replaces all limits.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -122,6 +122,12 @@
         self.slots.announce(announced);
     }
 
+    /// Takes in all limits, for example those of a backend server that was not known before.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.set_slots(limits.slots);
+        self.limits = limits;
+    }
+
     /// Refuses all that waits, and all that is offered until [`Queue::open`], for this reason.
     pub fn close(&mut self, reason: NotRunReason, now: Millis) -> Vec<Action> {
         self.closed = Some(reason);
--- a/crates/admission/tests/backend.rs
+++ b/crates/admission/tests/backend.rs
@@ -82,6 +82,18 @@
     assert_eq!(usable, [4, 18, 0, 6]);
 }
 
+#[test]
+fn a_queue_that_knew_no_backend_server_uses_all_slots_of_the_first() {
+    let mut queue = queue(1);
+    let limits = Limits::builder(6).connections(110).reserved_slots(2).build();
+
+    queue.set_limits(limits);
+    let verdicts: Vec<Verdict> = (0..7).map(|id| queue.offer(job(id), Millis::ZERO)).collect();
+
+    assert_eq!(verdicts[..6], [Verdict::Start; 6]);
+    assert_eq!(verdicts[6], Verdict::Queued);
+}
+
 #[test]
 fn a_few_failures_are_bad_luck_but_a_row_of_them_makes_the_queue_pause() {
     let mut queue = queue(6);
--- a/crates/host/src/owner/mod.rs
+++ b/crates/host/src/owner/mod.rs
@@ -209,7 +209,12 @@
         cx.feed(ownership::Event::Reported(report(cx)));
         send_grants(cx);
     }
-    cx.owner.queue.borrow_mut().set_slots(view.slots);
+    let reserved_slots = cx.own_service().map_or(0, |service| service.reserved_slots);
+    let limits = Limits::builder(view.slots)
+        .connections(view.connections)
+        .reserved_slots(reserved_slots)
+        .build();
+    cx.owner.queue.borrow_mut().set_limits(limits);
     tick(cx);
 }
 
