Make long answers of the backend server stand-in cheap

Cause: an answer was filled byte by byte, which in a debug build kept the one thread of the stand-in busy and delayed other requests by up to 1.2 s. Change: pieces are cut from one shared block.

--- a/crates/stand-ins/src/backend.rs
+++ b/crates/stand-ins/src/backend.rs
@@ -15,6 +15,7 @@
 
 use actix_web::dev::{Extensions, ServerHandle};
 use actix_web::{App, HttpServer, web};
+use bytes::Bytes;
 use model::{Clock, Millis};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::Notify;
@@ -115,6 +116,7 @@
     fences: Fences,
     clock: Clock,
     on_crash: Arc<dyn Fn() + Send + Sync>,
+    filling: Bytes,
     state: Mutex<State>,
     changed: Notify,
 }
@@ -130,6 +132,7 @@
             fences: settings.fences,
             clock: settings.clock.clone(),
             on_crash: settings.on_crash.clone(),
+            filling: work::filling_block(),
             state: Mutex::new(State::new(settings.slots, settings.fences, cold_until)),
             changed: Notify::new(),
         }
--- a/crates/stand-ins/src/backend/work.rs
+++ b/crates/stand-ins/src/backend/work.rs
@@ -27,7 +27,7 @@
 const COLD_FACTOR: u64 = 4;
 
 /// A letter for each offset modulo this prime, so that a lost or doubled piece shows.
-const PATTERN_PERIOD: u64 = 23;
+const FILLING_PERIOD: usize = 23;
 
 /// The fault that a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,10 +67,15 @@
 
 /// Returns the byte of an answer's filling at `offset`.
 pub fn filling(offset: u64) -> u8 {
-    let step = u8::try_from(offset % PATTERN_PERIOD).unwrap_or(0);
+    let step = u8::try_from(offset % FILLING_PERIOD as u64).unwrap_or(0);
     b'a' + step
 }
 
+/// Returns filling that is long enough for a piece from any offset.
+pub(super) fn filling_block() -> Bytes {
+    (0..(PIECE_BYTES + FILLING_PERIOD) as u64).map(filling).collect()
+}
+
 /// Handles any request that is not for a control endpoint.
 pub async fn handle(cx: web::Data<Shared>, req: HttpRequest, body: Bytes) -> HttpResponse {
     let parsed = read_ask(&req).and_then(|ask| Ok((ask, read_wishes(&req)?)));
@@ -162,6 +167,7 @@
     let size = wishes.answer_bytes.unwrap_or(0).max(first.len());
     let pieces = Pieces {
         first: Bytes::from(first),
+        filling: cx.filling.clone(),
         at: 0,
         size,
         break_at: (wishes.fault == Some(Fault::BreakAnswer)).then_some(size / 2),
@@ -174,6 +180,7 @@
 /// An answer on its way out: one line of JSON, then filling.
 struct Pieces {
     first: Bytes,
+    filling: Bytes,
     at: usize,
     size: usize,
     break_at: Option<usize>,
@@ -194,15 +201,21 @@
         tokio::task::yield_now().await;
         return Some((Err(std::io::ErrorKind::BrokenPipe.into()), pieces));
     }
-    let end = pieces.break_at.unwrap_or(pieces.size).min(pieces.at + PIECE_BYTES);
-    let piece = (pieces.at..end).map(|at| pieces.byte(at)).collect();
-    pieces.at = end;
+    let end = pieces.break_at.unwrap_or(pieces.size);
+    let piece = pieces.next_bytes(end - pieces.at);
+    pieces.at += piece.len();
     Some((Ok(piece), pieces))
 }
 
 impl Pieces {
-    fn byte(&self, at: usize) -> u8 {
-        self.first.get(at).copied().unwrap_or_else(|| filling(at as u64))
+    /// Returns the next bytes, at most `limit` of them.
+    fn next_bytes(&self, limit: usize) -> Bytes {
+        if self.at < self.first.len() {
+            let end = self.first.len().min(self.at + limit);
+            return self.first.slice(self.at..end);
+        }
+        let start = self.at % FILLING_PERIOD;
+        self.filling.slice(start..start + limit.min(PIECE_BYTES))
     }
 }
 
