--- a/crates/host/src/owner/mod.rs
+++ b/crates/host/src/owner/mod.rs
@@ -10,7 +10,7 @@
 
 use admission::{Limits, Quarantine, QuarantineLimits, QuarantineState, Queue};
 use bytes::Bytes;
-use model::{Millis, Outcome, Partition};
+use model::{Fence, Millis, Outcome, Partition};
 use ownership::{PartitionReport, Report};
 use routing::records::{RecordSettings, Records};
 use tokio::sync::{Notify, oneshot};
@@ -42,6 +42,8 @@
     in_flight: RefCell<Vec<InFlight>>,
     closing: RefCell<Vec<Closing>>,
     demand: RefCell<Vec<PartitionDemand>>,
+    /// The last fence under which each partition was served here, sorted by partition.
+    served: RefCell<Vec<(Partition, Fence)>>,
     next_call: Cell<u64>,
     finished: Notify,
 }
@@ -81,6 +83,7 @@
             in_flight: RefCell::new(Vec::new()),
             closing: RefCell::new(Vec::new()),
             demand: RefCell::new(Vec::new()),
+            served: RefCell::new(Vec::new()),
             next_call: Cell::new(1),
             finished: Notify::new(),
         }
@@ -100,6 +103,18 @@
         self.closing.borrow().iter().any(|c| c.partition == partition)
     }
 
+    /// Notes the fence under which a partition is served and returns the one before.
+    fn note_served(&self, partition: Partition, fence: Fence) -> Option<Fence> {
+        let mut served = self.served.borrow_mut();
+        match served.binary_search_by_key(&partition, |(p, _)| *p) {
+            Ok(index) => Some(std::mem::replace(&mut served[index].1, fence)),
+            Err(index) => {
+                served.insert(index, (partition, fence));
+                None
+            }
+        }
+    }
+
     /// Refuses new work of a partition until it is reopened.
     fn close(&self, partition: Partition) -> Closing {
         let closing = Closing { partition, release: self.next_call() };
--- a/crates/ownership/src/rescue.rs
+++ b/crates/ownership/src/rescue.rs
@@ -27,11 +27,16 @@
         }
     }
 
-    /// Notes the former runs of this very process.
+    /// Notes the former runs of this very process, and forgets the dead that the row forgot.
     pub(crate) fn follow(&mut self, row: &CellRow, cx: &Cx<'_>) {
         for grantor in grantors(row) {
             self.on_answer(&grantor, cx.own_addr(), cx.settings.incarnation);
         }
+        let is_named = |i: Incarnation| {
+            let member = row.members.iter().any(|m| m.session.incarnation == i);
+            member || grantors(row).iter().any(|g| g.incarnation == i)
+        };
+        self.dead.retain(|i| is_named(*i));
     }
 
     /// Notes which run of a host process answered at an address when a grantor was asked for.
@@ -45,11 +50,14 @@
         from: HostAddr,
         sealed: Epoch,
         answered: Incarnation,
+        cx: &Cx<'_>,
     ) {
         let older = row.unsealed.iter().filter(|s| s.epoch == sealed).flat_map(|s| &s.grantors);
         let current = row.grantors.iter().filter(|_| row.epoch == sealed);
         for grantor in older.chain(current) {
-            self.on_answer(grantor, from, answered);
+            if grantor.incarnation != cx.settings.incarnation {
+                self.on_answer(grantor, from, answered);
+            }
         }
     }
 
@@ -88,13 +96,27 @@
 
     /// Returns whether so many grantors are dead that no lease can be had.
     pub(crate) fn is_needed(&self, row: &CellRow) -> bool {
-        let dead = row.grantors.iter().filter(|g| self.dead.contains(&g.incarnation)).count();
-        dead >= blocking(row.grantors.len())
+        self.is_broken(&row.grantors)
+    }
+
+    /// Returns the row with this process as the only grantor.
+    ///
+    /// Older sets that are broken as well leave the row, so that a process that restarts again
+    /// and again does not make it grow. Sealing the present set covers them: all its marks are
+    /// lost, so every claim is ended, and the same time is waited out.
+    pub(crate) fn next_row(&self, row: &CellRow, session: Session, cx: &Cx<'_>) -> CellRow {
+        let mut kept = row.clone();
+        kept.unsealed.retain(|s| !self.is_broken(&s.grantors));
+        replace(&kept, session, cx)
+    }
+
+    fn is_broken(&self, grantors: &[Grantor]) -> bool {
+        let dead = grantors.iter().filter(|g| self.dead.contains(&g.incarnation)).count();
+        dead >= blocking(grantors.len())
     }
 }
 
-/// Returns the row with this process as the only grantor.
-pub(crate) fn next_row(row: &CellRow, session: Session, cx: &Cx<'_>) -> CellRow {
+fn replace(row: &CellRow, session: Session, cx: &Cx<'_>) -> CellRow {
     let (addr, zone) = (cx.own_addr(), &cx.settings.zone);
     let mut next = grantor_set::replace_grantors(row, vec![grantor_entry(session, addr, zone)]);
     if let Err(i) = next.members.binary_search_by_key(&session, |m| m.session) {
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -7,8 +7,8 @@
 use std::collections::VecDeque;
 
 use model::{
-    CellId, Epoch, Fence, HostAddr, Incarnation, Millis, Partition, RowVersion, ServiceName,
-    Session, WriterTag, ZoneName,
+    CellId, ConfigVersion, Epoch, Fence, HostAddr, Incarnation, Millis, Partition, RowVersion,
+    ServiceName, Session, WriterTag, ZoneName,
 };
 use ownership::{
     Assignment, CellRow, Command, Event, Grantor, MemberEntry, Message, Node, NodeSettings, Report,
@@ -52,6 +52,7 @@
     pub offset: Millis,
     /// How many milliseconds per second this host's clock runs ahead.
     pub rate: u64,
+    pub draining: bool,
     pub drained: bool,
     inbox: Vec<Packet>,
     runs: u64,
@@ -107,6 +108,10 @@
     pub served: Vec<Fence>,
     pub violation: Option<String>,
     pub writes: u32,
+    /// Whether released partitions become quiet at once.
+    pub quiesces: bool,
+    pub resumed: u32,
+    pub config_known: Vec<(usize, ConfigVersion)>,
     pub keeps_log: bool,
     pub log: Log,
     rules: Rules,
@@ -215,6 +220,9 @@
             served: vec![Fence(0); partitions as usize],
             violation: None,
             writes: 0,
+            quiesces: true,
+            resumed: 0,
+            config_known: Vec::new(),
             keeps_log: true,
             log: Log::default(),
             rules,
@@ -229,6 +237,7 @@
                 group: 0,
                 offset: Millis(OFFSET_STEP_MS * index as u64),
                 rate: 0,
+                draining: false,
                 drained: false,
                 inbox: Vec::new(),
                 runs: 0,
@@ -286,7 +295,8 @@
             };
             self.deliver(packet);
         }
-        self.fail("messages never cease".to_owned());
+        let last: Vec<String> = self.queue.iter().map(|p| format!("{p:?}")).take(4).collect();
+        self.fail(format!("messages never cease: {last:?}"));
     }
 
     pub fn pause(&mut self, index: usize) {
@@ -305,6 +315,12 @@
         self.hosts[index].inbox.clear();
     }
 
+    pub fn drain(&mut self, index: usize) {
+        self.hosts[index].draining = true;
+        self.feed(index, Event::Drain);
+        self.settle();
+    }
+
     /// Starts a new run of the host process at the same address.
     pub fn restart(&mut self, index: usize) {
         self.hosts[index].runs += 1;
@@ -312,6 +328,7 @@
         self.hosts[index].node = self.fresh_node(index, self.hosts[index].runs);
         self.hosts[index].state = State::Running;
         self.hosts[index].drained = false;
+        self.hosts[index].draining = false;
         self.report(index, 4);
     }
 
@@ -363,6 +380,7 @@
                 self.queue.push_back(Packet { from, to: from, event });
             }
             Command::Serve { partition, fence, .. } => self.note_served(partition, fence),
+            Command::Quiesce { .. } if !self.quiesces => {}
             Command::Quiesce { partition, fence, .. } => {
                 let event = Event::Quiesced { partition, fence, handed_over: true };
                 self.queue.push_back(Packet { from, to: from, event });
@@ -374,7 +392,9 @@
                     self.log.0.push((self.now, index, text));
                 }
             }
-            Command::Resume { .. } | Command::StopAll | Command::ConfigKnown { .. } => {}
+            Command::Resume { .. } => self.resumed += 1,
+            Command::ConfigKnown { version, .. } => self.note_config(index, version),
+            Command::StopAll => {}
         }
     }
 
@@ -408,6 +428,12 @@
         }
     }
 
+    fn note_config(&mut self, index: usize, version: ConfigVersion) {
+        if !self.config_known.contains(&(index, version)) {
+            self.config_known.push((index, version));
+        }
+    }
+
     /// Returns 0 in an orderly world, or else a number below `bound`.
     fn random(&mut self, bound: usize) -> usize {
         let Some(state) = &mut self.disorder else {
