--- a/crates/host/src/ingress.rs
+++ b/crates/host/src/ingress.rs
@@ -1,6 +1,8 @@
 //! What a host does as ingress: it finds the owner, passes the request on over at most one hop,
 //! and decides after each attempt whether another one is allowed.
 
+use std::time::Duration;
+
 use actix::{Actor, Context, Handler, Message, ResponseFuture};
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -21,6 +23,12 @@
 /// How long a request waits until some backend server of its service is known.
 const MAX_MEMBER_WAIT: Millis = Millis(2_000);
 
+/// How long an owner may take before it is checked whether it still is the owner.
+const SUPERSEDED_AFTER: Duration = Duration::from_millis(250);
+
+/// How long an answer may be on its way after its sender was superseded.
+const LATE_ANSWER_GRACE: Duration = Duration::from_millis(100);
+
 /// Requests that may wait in the actor's mailbox.
 const MAILBOX_CAPACITY: usize = 4_096;
 
@@ -279,7 +287,10 @@
             owner::run(self.cx, head, body).await
         } else {
             metrics::counter!("papayarill_hops_total").increment(1);
-            self.cx.client.forward(target.addr, head, body).await
+            tokio::select! {
+                outcome = self.cx.client.forward(target.addr, head, body) => outcome,
+                () = self.superseded(target) => Outcome::Unknown(UnknownReason::ConnectionLost),
+            }
         };
         if target.known.is_none() {
             routes::finished(self.cx, &self.req.service, target.addr, started_at, &outcome);
@@ -287,6 +298,27 @@
         outcome
     }
 
+    /// Resolves when another owner is known than the one that the request was sent to. A planned
+    /// move shows only after the former owner has answered, so the former owner is frozen or cut
+    /// off, and waiting for it would hold the request up until its deadline.
+    async fn superseded(&self, target: Target) {
+        let (Some(before), Some(cell)) = (target.known, self.cell()) else {
+            return std::future::pending().await;
+        };
+        let Some(partition) = self.req.partition else {
+            return std::future::pending().await;
+        };
+        tokio::time::sleep(SUPERSEDED_AFTER).await;
+        let unmarked = Known { version: None, ..before };
+        let time_left = self.time_left();
+        let route = routes::await_newer(self.cx, &cell, partition, unmarked, time_left).await;
+        if route == Route::Same {
+            std::future::pending::<()>().await;
+        }
+        // An answer that was sent before the move may still be on its way.
+        tokio::time::sleep(LATE_ANSWER_GRACE).await;
+    }
+
     fn head(&self, time_left: Millis) -> ForwardHead {
         let req = &self.req;
         ForwardHead {
--- a/crates/trial/src/http.rs
+++ b/crates/trial/src/http.rs
@@ -10,8 +10,11 @@
 const TIME_LIMIT: Duration = Duration::from_secs(20);
 
 /// Limits of the client.
-const LIMITS: http_client::Limits =
-    http_client::Limits { connections: 1_024, connect_limit: Millis(5_000) };
+const LIMITS: http_client::Limits = http_client::Limits {
+    connections: 1_024,
+    connect_limit: Millis(5_000),
+    idle_limit: Millis(2_000),
+};
 
 /// The longest answer that is read, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
--- a/crates/wire/tests/limits.rs
+++ b/crates/wire/tests/limits.rs
@@ -3,23 +3,26 @@
 mod common;
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use common::values::Draw;
 use common::{LONG, collect, config_call, echo, head, ran, run, server_with};
 use futures_util::FutureExt;
 use futures_util::future::join_all;
 use h2::client::SendRequest;
 use http::{Request, StatusCode};
 use model::{
-    CellId, Fence, HandedRecord, HostAddr, KeptAnswer, NotRunReason, Outcome, Partition, RecordEnd,
-    RequestId,
+    CellId, Fence, HandedRecord, HostAddr, KeptAnswer, Millis, NotRunReason, Outcome, Partition,
+    RecordEnd, RequestId,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use wire::codec::{MAX_CALL_BYTES, MAX_HEAD_BYTES, encode_call, encode_forward_head};
 use wire::{
-    Call, CallError, Client, ClientSettings, Handover, Server, ServerSettings, handover_calls,
-    whole_body,
+    Call, CallError, Client, ClientSettings, Handlers, Handover, Server, ServerSettings,
+    handover_calls, serve, whole_body,
 };
 
 /// Starts an echo server that counts its runs.
@@ -91,21 +94,70 @@
 }
 
 #[test]
-fn requests_beyond_the_memory_for_them_are_not_run() {
+fn bytes_that_are_no_protocol_do_no_harm() {
     run(async {
-        let (server, runs) = counting(ServerSettings::default().max_buffered(1_000));
-        let client = Client::new(ClientSettings::default());
-        let body = Bytes::from(vec![0; 1_001]);
+        let (server, runs) = counting(ServerSettings::default());
+        let mut draw = Draw::new(11);
+        for _ in 0..50 {
+            let mut io = TcpStream::connect(server.addr().0).await.unwrap();
+            let length = draw.below(2_000);
+            let preface: &[u8] =
+                if draw.below(2) == 0 { b"" } else { b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" };
+            // The server may close the connection before all is written.
+            let _ = io.write_all(&[preface, &draw.bytes(length)].concat()).await;
+        }
 
-        let outcome = client.forward(server.addr(), head(LONG), body).await;
-        let small = client.forward(server.addr(), head(LONG), Bytes::new()).await;
+        let client = Client::new(ClientSettings::default());
+        let outcome = client.forward(server.addr(), head(LONG), Bytes::new()).await;
 
-        assert!(matches!(outcome, Outcome::NotRun(NotRunReason::Overloaded)));
-        assert!(matches!(small, Outcome::Ran(_)), "the memory is given back");
+        assert!(matches!(outcome, Outcome::Ran(_)));
         assert_eq!(runs.get(), 1);
     });
 }
 
+#[test]
+fn peers_that_keep_the_server_waiting_are_sent_away() {
+    run(async {
+        let (server, runs) = counting(ServerSettings::default().read_limit(Millis(50)));
+
+        let mut mute = TcpStream::connect(server.addr().0).await.unwrap();
+        // The server greets first; the end of the connection follows.
+        let ended = mute.read_to_end(&mut Vec::new()).await;
+        let req = Request::post("http://peer/forward").body(()).unwrap();
+        let mut send = raw(server.addr()).await.ready().await.unwrap();
+        let (answer, mut tx) = send.send_request(req, false).unwrap();
+        tx.send_data(framed(5, b"1234").into(), false).unwrap();
+        let status = answer.await.map(|answer| answer.status());
+
+        assert!(ended.is_ok() || ended.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset));
+        assert_eq!(status.unwrap(), StatusCode::REQUEST_TIMEOUT);
+        assert_eq!(runs.get(), 0);
+    });
+}
+
+#[test]
+fn requests_beyond_the_memory_for_them_are_not_run() {
+    let check = |memory, size, expected_run: bool| {
+        run(async {
+            let (server, runs) = counting(ServerSettings::default().max_buffered(memory));
+            let client = Client::new(ClientSettings::default());
+            let body = Bytes::from(vec![0; size]);
+
+            let outcome = client.forward(server.addr(), head(LONG), body).await;
+            let called = client.call(server.addr(), config_call(), LONG).await;
+
+            let refused = matches!(outcome, Outcome::NotRun(NotRunReason::Overloaded));
+            assert_eq!((refused, runs.get()), (!expected_run, u32::from(expected_run)), "{size}");
+            assert_eq!(called.is_ok(), memory > 10, "the memory is given back");
+        });
+    };
+
+    check(1_000, 0, true);
+    check(1_000, 800, true);
+    check(1_000, 1_001, false);
+    check(1, 0, false);
+}
+
 #[test]
 fn headers_beyond_the_limit_are_refused() {
     run(async {
@@ -138,6 +190,31 @@
     });
 }
 
+#[test]
+fn calls_have_a_bound_of_their_own() {
+    run(async {
+        let on_call = Rc::new(|_| std::future::pending().boxed_local());
+        let on_forward = Rc::new(|_, _| std::future::pending().boxed_local());
+        let handlers = Handlers { on_call, on_forward };
+        let stuck = serve(common::listener(), handlers).unwrap();
+        let (to, other) = (stuck.addr(), echo());
+        let client = Client::new(ClientSettings::default().max_connections(1));
+        let calling = client.clone();
+        tokio::task::spawn_local(async move {
+            calling.call(to, config_call(), LONG).await.unwrap_err();
+        });
+        while client.connections() == 0 {
+            tokio::task::yield_now().await;
+        }
+
+        let called = client.call(other.addr(), config_call(), LONG).await;
+        let forwarded = client.forward(other.addr(), head(LONG), Bytes::new()).await;
+
+        assert!(matches!(called, Err(CallError::TooManyConnections { .. })));
+        assert!(matches!(forwarded, Outcome::Ran(_)));
+    });
+}
+
 #[test]
 fn a_client_keeps_a_bounded_number_of_connections() {
     run(async {
@@ -149,12 +226,10 @@
         let Outcome::Ran((_, first)) = forward(addrs[0]).await else { panic!("not run") };
         let Outcome::Ran((_, second)) = forward(addrs[1]).await else { panic!("not run") };
         let third = forward(addrs[2]).await;
-        let called = client.call(addrs[2], config_call(), LONG).await;
         collect(first).await.unwrap();
         let after = forward(addrs[2]).await;
 
         assert!(matches!(third, Outcome::NotRun(NotRunReason::Overloaded)));
-        assert!(matches!(called, Err(CallError::TooManyConnections { .. })));
         assert!(matches!(after, Outcome::Ran(_)), "an idle connection makes room");
         assert_eq!(client.connections(), 2);
         assert_eq!(collect(second).await, Ok(Bytes::from_static(b"x")));
