Tell slow keys apart under one rule

A job that is offered with its key counts as long if the last job of that key was, or if one of them runs on.

--- a/crates/admission/src/estimates.rs
+++ b/crates/admission/src/estimates.rs
@@ -3,6 +3,9 @@
 use hdrhistogram::Histogram;
 use model::Millis;
 
+use crate::running::Kind;
+use crate::slow_keys::SlowKeys;
+
 /// The longest span that is told apart.
 const LONGEST_MS: u64 = 600_000;
 
@@ -74,24 +77,35 @@
 pub(crate) struct Estimates {
     all: Option<Times>,
     rules: Vec<(u32, Times)>, // Sorted by rule.
+    slow_keys: SlowKeys,
     bound: Millis,
 }
 
 impl Estimates {
     pub(crate) fn new() -> Self {
-        Self { all: Times::new(), rules: Vec::new(), bound: Millis(u64::MAX) }
+        Self {
+            all: Times::new(),
+            rules: Vec::new(),
+            slow_keys: SlowKeys::default(),
+            bound: Millis(u64::MAX),
+        }
     }
 
     /// Takes in the time that a job took.
-    pub(crate) fn record(&mut self, rule: Option<u32>, span: Millis) {
+    pub(crate) fn record(&mut self, kind: Kind, span: Millis, now: Millis) {
         if let Some(all) = &mut self.all {
             all.record(span);
             let short = all.quantile(SHORT_QUANTILE).0;
             self.bound = LEAST_BOUND.max(Millis(short * LONG_FACTOR));
         }
-        if let Some(times) = rule.and_then(|r| self.rule_mut(r)) {
+        if let Some(times) = kind.rule.and_then(|r| self.rule_mut(r)) {
             times.record(span);
         }
+        match kind.key {
+            Some(key) if span > self.bound => self.slow_keys.add(key, span, now),
+            Some(key) => self.slow_keys.remove(key),
+            None => {}
+        }
     }
 
     fn rule_mut(&mut self, rule: u32) -> Option<&mut Times> {
@@ -109,10 +123,18 @@
 
 /// Queries.
 impl Estimates {
-    /// Returns how long a job of this rule is expected to take.
-    pub(crate) fn expected(&self, rule: Option<u32>) -> Millis {
-        let times = self.times(rule).filter(|t| !t.histogram.is_empty()).or(self.all.as_ref());
-        times.map_or(FIRST_GUESS, |t| t.mean)
+    /// Returns how long a job of this kind is expected to take.
+    pub(crate) fn expected(&self, kind: Kind) -> Millis {
+        if let Some(span) = kind.key.and_then(|key| self.slow_keys.span(key)) {
+            return span;
+        }
+        let times = self.times(kind.rule).filter(|t| !t.histogram.is_empty());
+        times.map_or(self.usual(), |t| t.mean)
+    }
+
+    /// Returns how long a job takes that nothing is known about.
+    pub(crate) fn usual(&self) -> Millis {
+        self.all.as_ref().map_or(FIRST_GUESS, |t| t.mean)
     }
 
     /// Returns whether enough jobs of this rule have ended to tell how long they are.
@@ -120,10 +142,11 @@
         self.times(rule).is_some_and(|t| t.histogram.len() >= MIN_SAMPLES)
     }
 
-    /// Returns whether jobs of this rule are long.
-    pub(crate) fn is_long(&self, rule: Option<u32>) -> bool {
-        let times = self.times(rule).filter(|_| self.is_known(rule));
-        times.is_some_and(|t| t.quantile(RULE_QUANTILE) > self.bound)
+    /// Returns whether jobs of this kind are long.
+    pub(crate) fn is_long(&self, kind: Kind) -> bool {
+        let times = self.times(kind.rule).filter(|_| self.is_known(kind.rule));
+        let by_rule = times.is_some_and(|t| t.quantile(RULE_QUANTILE) > self.bound);
+        by_rule || kind.key.is_some_and(|key| self.slow_keys.span(key).is_some())
     }
 
     /// Returns the time from which on a job counts as long, whatever its rule.
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,6 +11,7 @@
 mod queue;
 mod running;
 mod slots;
+mod slow_keys;
 mod waiting;
 
 pub use job::{Action, Finish, Job, Verdict};
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -4,7 +4,7 @@
 
 use crate::demand::Demand;
 use crate::estimates::Estimates;
-use crate::running::{Length, Run, Running};
+use crate::running::{Kind, Length, Run, Running};
 use crate::slots::Slots;
 use crate::waiting::{Waiter, Waiting};
 use crate::{Action, Finish, Job, Limits, Verdict};
@@ -64,21 +64,32 @@
     /// Offers a job. After `Start` and after `Queued` followed by [`Action::Start`], the caller
     /// must report [`Queue::finish`] once.
     pub fn offer(&mut self, job: Job, now: Millis) -> Verdict {
-        let length = self.length_of(job.priority, job.rule);
-        let expected = self.estimates.expected(job.rule);
+        self.offer_kind(job, Kind { rule: job.rule, key: None }, now)
+    }
+
+    /// Offers a job like [`Queue::offer`], with the hash of its rule and key, so that a key whose
+    /// requests are slow is told apart from others under the same rule.
+    pub fn offer_keyed(&mut self, job: Job, key: u64, now: Millis) -> Verdict {
+        self.offer_kind(job, Kind { rule: job.rule, key: Some(key) }, now)
+    }
+
+    fn offer_kind(&mut self, job: Job, kind: Kind, now: Millis) -> Verdict {
+        let length = self.length_of(job.priority, kind, now);
+        let expected = self.estimates.expected(kind);
         if length == Length::Short {
             self.demand.offer(expected, now);
         }
-        if let Some(verdict) = self.refusal(&job, length, now) {
+        if let Some(verdict) = self.refusal(&job, length, expected, now) {
             return verdict;
         }
-        self.offered += 1;
         if self.starts_at_once(job.priority, length, now) {
-            self.start(job.id, job.priority, job.rule, length, now);
+            let Job { id, priority, .. } = job;
+            self.running.add(Run { id, priority, kind, length, started_at: now });
             return Verdict::Start;
         }
+        self.offered += 1;
         let deadline = now + job.time_left;
-        let waiter = Waiter { id: job.id, rule: job.rule, deadline, expected, order: self.offered };
+        let waiter = Waiter { id: job.id, kind, deadline, expected, order: self.offered };
         self.waiting.insert(job.priority, length, waiter);
         Verdict::Queued
     }
@@ -88,7 +99,7 @@
         let Some(run) = self.running.remove(id) else { return Vec::new() };
         match finish {
             Finish::Ran => {
-                self.estimates.record(run.rule, now.since(run.started_at));
+                self.estimates.record(run.kind, now.since(run.started_at), now);
                 self.slots.ran();
             }
             Finish::Refused => self.slots.refused(self.running.count(), now),
@@ -138,8 +149,8 @@
         let mut actions = Vec::new();
         while let Some((priority, length)) = self.waiting.next(|p, l| self.may_start(p, l, now)) {
             let Some(waiter) = self.waiting.pop(priority, length) else { break };
-            let actual = self.length_of(priority, waiter.rule);
-            let expected = self.estimates.expected(waiter.rule);
+            let actual = self.length_of(priority, waiter.kind, now);
+            let expected = self.estimates.expected(waiter.kind);
             if actual != length {
                 // The rule turned out otherwise while the job waited.
                 self.waiting.insert(priority, actual, Waiter { expected, ..waiter });
@@ -150,22 +161,12 @@
                 actions.push(refuse(waiter.id, NotRunReason::Deadline, retry_after));
                 continue;
             }
-            self.start(waiter.id, priority, waiter.rule, length, now);
-            actions.push(Action::Start(waiter.id));
+            let Waiter { id, kind, .. } = waiter;
+            self.running.add(Run { id, priority, kind, length, started_at: now });
+            actions.push(Action::Start(id));
         }
         actions
     }
-
-    fn start(
-        &mut self,
-        id: u64,
-        priority: Priority,
-        rule: Option<u32>,
-        length: Length,
-        now: Millis,
-    ) {
-        self.running.add(Run { id, priority, rule, length, started_at: now });
-    }
 }
 
 /// Queries.
@@ -188,16 +189,21 @@
         self.slots.usable().min(self.limits.connections)
     }
 
-    fn length_of(&self, priority: Priority, rule: Option<u32>) -> Length {
-        if self.estimates.is_long(rule) {
+    fn length_of(&self, priority: Priority, kind: Kind, now: Millis) -> Length {
+        if self.estimates.is_long(kind) || self.is_slow_now(kind, now) {
             Length::Long
-        } else if priority == Priority::Interactive || self.estimates.is_known(rule) {
+        } else if priority == Priority::Interactive || self.estimates.is_known(kind.rule) {
             Length::Short
         } else {
             Length::Unknown
         }
     }
 
+    fn is_slow_now(&self, kind: Kind, now: Millis) -> bool {
+        let bound = self.estimates.bound();
+        kind.key.is_some_and(|key| self.running.is_slow(key, bound, now))
+    }
+
     fn starts_at_once(&self, priority: Priority, length: Length, now: Millis) -> bool {
         !self.waiting.has_ahead(priority, length) && self.may_start(priority, length, now)
     }
@@ -253,7 +259,7 @@
 
 /// Refusals.
 impl Queue {
-    fn refusal(&self, job: &Job, length: Length, now: Millis) -> Option<Verdict> {
+    fn refusal(&self, job: &Job, length: Length, expected: Millis, now: Millis) -> Option<Verdict> {
         if let Some(reason) = self.closed {
             return Some(refused(reason, self.retry_after(Millis::ZERO, now)));
         }
@@ -267,7 +273,7 @@
         if self.waiting() >= self.places(job.priority) {
             return Some(refused(NotRunReason::Overloaded, self.retry_after(wait, now)));
         }
-        let needed = wait + self.estimates.expected(job.rule);
+        let needed = wait + expected;
         if needed > job.time_left {
             let excess = needed - job.time_left;
             return Some(refused(NotRunReason::Deadline, self.retry_after(excess, now)));
@@ -287,7 +293,7 @@
 
     fn predicted_wait(&self, priority: Priority, length: Length, now: Millis) -> Millis {
         let ahead = self.waiting.work_ahead(priority, length);
-        let next = self.estimates.expected(None);
+        let next = self.estimates.usual();
         let work = (ahead + next).0 * SLOT;
         let wait = work / self.capacity(priority, length, now);
         Millis(wait * WAIT_MARGIN_PERCENT / 100) + self.slots.pause_left(now)
--- a/crates/admission/src/running.rs
+++ b/crates/admission/src/running.rs
@@ -7,11 +7,18 @@
 pub(crate) struct Run {
     pub(crate) id: u64,
     pub(crate) priority: Priority,
-    pub(crate) rule: Option<u32>,
+    pub(crate) kind: Kind,
     pub(crate) length: Length,
     pub(crate) started_at: Millis,
 }
 
+/// What tells which earlier jobs a job is like.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Kind {
+    pub(crate) rule: Option<u32>,
+    pub(crate) key: Option<u64>,
+}
+
 /// Whether a job is expected to hold its slot for much longer than others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Length {
@@ -61,6 +68,12 @@
         let is_long = |r: &&Run| r.length == Length::Long || now.since(r.started_at) > bound;
         count(self.runs.iter().filter(is_long))
     }
+
+    /// Returns whether a job of this key has run past `bound`.
+    pub(crate) fn is_slow(&self, key: u64, bound: Millis, now: Millis) -> bool {
+        let mut alike = self.runs.iter().filter(|r| r.kind.key == Some(key));
+        alike.any(|r| now.since(r.started_at) > bound)
+    }
 }
 
 fn count<'a>(runs: impl Iterator<Item = &'a Run>) -> u32 {
--- a/crates/admission/src/waiting.rs
+++ b/crates/admission/src/waiting.rs
@@ -4,7 +4,7 @@
 
 use model::{Millis, Priority};
 
-use crate::running::Length;
+use crate::running::{Kind, Length};
 
 const CLASSES: [Priority; 3] = [Priority::Interactive, Priority::Deferrable, Priority::Internal];
 
@@ -14,7 +14,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Waiter {
     pub(crate) id: u64,
-    pub(crate) rule: Option<u32>,
+    pub(crate) kind: Kind,
     pub(crate) deadline: Millis,
     /// Expected time in its slot.
     pub(crate) expected: Millis,
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -130,6 +130,36 @@
     assert_eq!(starts(&queue.finish(100, Finish::Ran, later)), [200]);
 }
 
+#[test]
+fn a_key_counts_as_long_if_its_last_job_was() {
+    let check = |spans: &[u64], expected: usize| {
+        let mut queue = trained(limits(6));
+        for span in spans {
+            queue.offer_keyed(interactive(1_000), 7, LATER);
+            queue.finish(1_000, Finish::Ran, LATER + Millis(*span));
+        }
+        let later = LATER + Millis(10_000);
+        for id in 100..110 {
+            queue.offer_keyed(interactive(id), 7, later);
+        }
+        assert_eq!(queue.running(), expected, "{spans:?}");
+    };
+    check(&[20], 6);
+    check(&[5_000], 4);
+    check(&[20, 5_000], 4);
+    check(&[5_000, 20], 6);
+}
+
+#[test]
+fn a_key_is_long_while_one_of_its_jobs_runs_on() {
+    let mut queue = trained(limits(6));
+    queue.offer_keyed(interactive(99), 7, LATER);
+    let later = LATER + Millis(5_000);
+    let verdicts = [100, 101, 102, 103].map(|id| queue.offer_keyed(interactive(id), 7, later));
+    assert_eq!(verdicts, [Verdict::Start, Verdict::Start, Verdict::Start, Verdict::Queued]);
+    assert_eq!(queue.offer_keyed(interactive(104), 8, later), Verdict::Start);
+}
+
 #[test]
 fn new_rules_of_the_lower_classes_run_one_at_a_time() {
     let check = |priority: Priority, expected: usize| {
--- a/xtask/src/admission.rs
+++ b/xtask/src/admission.rs
@@ -40,6 +40,10 @@
 const DEFERRABLE_RULE: u32 = 2;
 const INTERNAL_RULE: u32 = 3;
 
+/// The keys of short work and of stragglers, where they differ.
+const SHORT_KEYS: (u64, u64) = (1_000, 11_000);
+const SLOW_KEYS: (u64, u64) = (1, 60);
+
 /// Prints all tables.
 pub fn run() {
     for (name, slots) in DEPLOYMENTS {
@@ -58,6 +62,7 @@
         time_limit: Millis(10_000),
         load,
         swing: Swing::Steady,
+        keys: None,
     }
 }
 
@@ -67,6 +72,10 @@
     Stream { mean_ms, load, rule: Some(rule), ..short(load) }
 }
 
+fn keyed(stream: Stream, keys: (u64, u64)) -> Stream {
+    Stream { keys: Some(keys), ..stream }
+}
+
 fn crest(load: f64) -> Stream {
     Stream { time_limit: Millis(500), swing: Swing::Crest, ..short(load) }
 }
@@ -101,8 +110,13 @@
             let base = outcomes(policy, slots, &[short(load)]);
             let base_p99 = base[0].p(99.0);
             print_straggler_line(load, policy, "none", &base, base_p99);
-            for (name, rule) in [("own rule", LONG_RULE), ("hidden", SHORT_RULE)] {
-                let streams = [short(load), stragglers(load, rule)];
+            let long = |rule| stragglers(load, rule);
+            let mixes = [
+                ("own rule", [short(load), long(LONG_RULE)]),
+                ("slow keys", [keyed(short(load), SHORT_KEYS), keyed(long(SHORT_RULE), SLOW_KEYS)]),
+                ("hidden", [short(load), long(SHORT_RULE)]),
+            ];
+            for (name, streams) in mixes {
                 let got = outcomes(policy, slots, &streams);
                 print_straggler_line(load, policy, name, &got, base_p99);
             }
@@ -144,7 +158,7 @@
                 println!(
                     "  {peak:>4}x  {:<6}  {name:<10}  {goodput:>9.0}  {:>5.2}  {:>6}  {:>6}  {:>8.2}",
                     format!("{policy:?}"),
-                    goodput / at_one,
+                    if at_one > 0.0 { goodput / at_one } else { 0.0 },
                     got[0].p(50.0),
                     got[0].p(99.0),
                     got[0].refused_percent(),
--- a/xtask/src/admission/load.rs
+++ b/xtask/src/admission/load.rs
@@ -16,6 +16,8 @@
     /// Slots that the stream keeps busy, as a share of all; see [`Swing`].
     pub(super) load: f64,
     pub(super) swing: Swing,
+    /// The keys of the requests, from the first to the last; none if the queue is not told.
+    pub(super) keys: Option<(u64, u64)>,
 }
 
 /// How the load of a stream changes over the run.
@@ -54,6 +56,7 @@
     pub(super) server: usize,
     pub(super) span: Millis,
     pub(super) job: Job,
+    pub(super) key: Option<u64>,
 }
 
 /// Draws all arrivals of a run, sorted by time.
@@ -86,13 +89,19 @@
             return;
         }
         let span = Millis((exponential(rng) * stream.mean_ms).round().max(1.0) as u64);
-        let server = rng.random_range(0..super::SERVERS);
+        let key = stream.keys.map(|(first, last)| rng.random_range(first..=last));
+        let server = key.map_or_else(|| rng.random_range(0..super::SERVERS), server_of);
         let Stream { priority, rule, time_limit, .. } = *stream;
         let job = Job { id: 0, priority, rule, time_left: time_limit };
-        arrivals.push(Arrival { at: Millis(at as u64), stream: index, server, span, job });
+        arrivals.push(Arrival { at: Millis(at as u64), stream: index, server, span, job, key });
     }
 }
 
+/// A key is always served by the same backend server.
+fn server_of(key: u64) -> usize {
+    key as usize % super::SERVERS
+}
+
 fn exponential(rng: &mut StdRng) -> f64 {
     -(1.0 - rng.random::<f64>()).ln()
 }
--- a/xtask/src/admission/sim.rs
+++ b/xtask/src/admission/sim.rs
@@ -121,7 +121,10 @@
         let arrival = &self.arrivals[id];
         self.outcomes[arrival.stream].offered += 1;
         let verdict = match &mut self.servers[arrival.server] {
-            Server::Queue(queue) => queue.offer(arrival.job, self.now),
+            Server::Queue(queue) => match arrival.key {
+                Some(key) => queue.offer_keyed(arrival.job, key, self.now),
+                None => queue.offer(arrival.job, self.now),
+            },
             Server::Fifo { free: 0, waiting } => {
                 waiting.push_back(id);
                 Verdict::Queued
