Reckon the demand for short work without the long jobs of its rule

Cause: with stragglers on keys of their own under the rule of short work, long jobs were refused by their time limit of 10 s: 5.17% at a short load of 0.35 on 6 x 6 slots, 19.39% at 0.42, and 6.58% at 0.42 on 6 x 18 slots. The mean time of the rule holds the stragglers, so short work seemed to need twice the slots that it did. Ruled out: the time limit alone, as a rule of their own at the same load lost 4.66% and 0.00%. Change: demand counts each short job with the mean of its rule's times up to the bound.

--- a/crates/admission/src/estimates.rs
+++ b/crates/admission/src/estimates.rs
@@ -42,20 +42,23 @@
 struct Times {
     histogram: Histogram<u16>,
     mean: Millis,
+    /// The mean of the times up to the bound between short and long.
+    short_mean: Millis,
 }
 
 impl Times {
     fn new() -> Option<Self> {
         let histogram = Histogram::new_with_bounds(1, LONGEST_MS, SIGNIFICANT_DIGITS).ok()?;
-        Some(Self { histogram, mean: FIRST_GUESS })
+        Some(Self { histogram, mean: FIRST_GUESS, short_mean: FIRST_GUESS })
     }
 
-    fn record(&mut self, span: Millis) {
+    fn record(&mut self, span: Millis, bound: Millis) {
         self.histogram.saturating_record(span.0.max(1));
         if self.histogram.len() >= HALVE_AT {
             self.halve();
         }
         self.mean = round_up(self.histogram.mean());
+        self.short_mean = self.mean_up_to(bound);
     }
 
     fn halve(&mut self) {
@@ -67,6 +70,16 @@
         self.histogram = halved;
     }
 
+    fn mean_up_to(&self, bound: Millis) -> Millis {
+        let buckets = self.histogram.iter_recorded();
+        let short = buckets.take_while(|b| b.value_iterated_to() <= bound.0);
+        let (sum, count) = short.fold((0, 0), |(sum, count), b| {
+            let n = u64::from(b.count_at_value());
+            (sum + b.value_iterated_to() * n, count + n)
+        });
+        if count == 0 { self.mean } else { Millis(sum.div_ceil(count)) }
+    }
+
     fn quantile(&self, quantile: f64) -> Millis {
         Millis(self.histogram.value_at_quantile(quantile))
     }
@@ -94,12 +107,13 @@
     /// Takes in the time that a job took.
     pub(crate) fn record(&mut self, kind: Kind, span: Millis, now: Millis) {
         if let Some(all) = &mut self.all {
-            all.record(span);
+            all.record(span, self.bound);
             let short = all.quantile(SHORT_QUANTILE).0;
             self.bound = LEAST_BOUND.max(Millis(short * LONG_FACTOR));
         }
+        let bound = self.bound;
         if let Some(times) = kind.rule.and_then(|r| self.rule_mut(r)) {
-            times.record(span);
+            times.record(span, bound);
         }
         match kind.key {
             Some(key) if span > self.slow_bound() => self.slow_keys.add(key, span, now),
@@ -132,6 +146,12 @@
         times.map_or(self.usual(), |t| t.mean)
     }
 
+    /// Returns how long a short job of this rule is expected to take.
+    pub(crate) fn expected_short(&self, rule: Option<u32>) -> Millis {
+        let times = self.times(rule).filter(|t| !t.histogram.is_empty()).or(self.all.as_ref());
+        times.map_or(FIRST_GUESS, |t| t.short_mean)
+    }
+
     /// Returns how long a job takes that nothing is known about.
     pub(crate) fn usual(&self) -> Millis {
         self.all.as_ref().map_or(FIRST_GUESS, |t| t.mean)
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -77,7 +77,7 @@
         let length = self.length_of(job.priority, kind, now);
         let expected = self.estimates.expected(kind);
         if length == Length::Short {
-            self.demand.offer(expected, now);
+            self.demand.offer(self.estimates.expected_short(job.rule), now);
         }
         if let Some(verdict) = self.refusal(&job, length, expected, now) {
             return verdict;
