--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -150,6 +150,28 @@
     check(&[5_000, 20], 6);
 }
 
+#[test]
+fn slow_keys_are_remembered_up_to_a_bound() {
+    let is_long = |queue: &mut Queue, key: u64| {
+        let later = LATER + Millis(1_000_000);
+        let verdicts = [1, 2, 3, 4, 5].map(|id| queue.offer_keyed(interactive(id), key, later));
+        verdicts[4] == Verdict::Queued
+    };
+    let slow = |keys: u64| {
+        let mut queue = trained(limits(6));
+        // One long job in ten, so that the rule itself stays short.
+        for id in 0..10 * keys {
+            let (key, span) = if id % 10 == 0 { (id / 10, 5_000) } else { (1_000_000, 20) };
+            let now = LATER + Millis(100 * id);
+            queue.offer_keyed(interactive(1_000 + id), key, now);
+            queue.finish(1_000 + id, Finish::Ran, now + Millis(span));
+        }
+        queue
+    };
+    let found = [(256, 0), (257, 0), (257, 256)].map(|(keys, key)| is_long(&mut slow(keys), key));
+    assert_eq!(found, [true, false, true]);
+}
+
 #[test]
 fn a_key_is_long_while_one_of_its_jobs_runs_on() {
     let mut queue = trained(limits(6));
