Tell ends that say nothing of load from refusals and failures

A cancelled job or one refused for its fence must neither lower the slots nor pause the queue. A job that was given up after a long time still shows that its key is slow.

--- a/crates/admission/src/job.rs
+++ b/crates/admission/src/job.rs
@@ -59,9 +59,12 @@
     pub enum Finish {
         /// The backend server ran it.
         Ran,
-        /// The backend server refused it before running it.
+        /// The backend server refused it for its load, before running it.
         Refused,
-        /// It failed in any other way: no connection, a broken answer, a timeout.
+        /// It failed: no connection, a broken answer, a timeout.
         Failed,
+        /// It ended in a way that tells nothing of the backend server's load: the caller went
+        /// away, or it was refused for its fence, its deadline or a drain.
+        Inconclusive,
     }
 }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -97,13 +97,16 @@
     /// Tells how a started job ended. A job that is not known is ignored.
     pub fn finish(&mut self, id: u64, finish: Finish, now: Millis) -> Vec<Action> {
         let Some(run) = self.running.remove(id) else { return Vec::new() };
+        let span = now.since(run.started_at);
+        if finish == Finish::Ran || span > self.estimates.bound() {
+            // A job that was given up after a long time would have taken longer still.
+            self.estimates.record(run.kind, span, now);
+        }
         match finish {
-            Finish::Ran => {
-                self.estimates.record(run.kind, now.since(run.started_at), now);
-                self.slots.ran();
-            }
+            Finish::Ran => self.slots.ran(),
             Finish::Refused => self.slots.refused(self.running.count(), now),
             Finish::Failed => self.slots.failed(now),
+            Finish::Inconclusive => {}
         }
         self.start_waiting(now)
     }
--- a/crates/admission/tests/backend.rs
+++ b/crates/admission/tests/backend.rs
@@ -84,14 +84,19 @@
 
 #[test]
 fn a_few_failures_are_bad_luck_but_a_row_of_them_makes_the_queue_pause() {
-    let mut queue = queue(6);
-    let verdicts = [1, 2, 3, 4, 5].map(|id| {
-        let verdict = queue.offer(job(id), Millis(1));
-        queue.finish(id, Finish::Failed, Millis(1));
-        verdict
-    });
-    assert_eq!(verdicts[3..], [Verdict::Start, Verdict::Queued]);
-    assert_eq!(queue.tick(Millis(11)), [Action::Start(5)]);
+    let check = |finishes: [Finish; 4], expected: Verdict| {
+        let mut queue = queue(6);
+        for (id, finish) in (0..).zip(finishes) {
+            assert_eq!(queue.offer(job(id), Millis(1)), Verdict::Start);
+            queue.finish(id, finish, Millis(1));
+        }
+        assert_eq!(queue.offer(job(4), Millis(1)), expected, "{finishes:?}");
+        assert_eq!(queue.tick(Millis(11)).len(), usize::from(expected == Verdict::Queued));
+    };
+    use Finish::{Failed, Inconclusive, Ran};
+    check([Failed, Failed, Failed, Failed], Verdict::Queued);
+    check([Failed, Failed, Ran, Failed], Verdict::Start);
+    check([Inconclusive, Inconclusive, Inconclusive, Inconclusive], Verdict::Start);
 }
 
 #[test]
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -132,22 +132,25 @@
 
 #[test]
 fn a_key_counts_as_long_if_its_last_job_was() {
-    let check = |spans: &[u64], expected: usize| {
+    let check = |jobs: &[(u64, Finish)], expected: usize| {
         let mut queue = trained(limits(6));
-        for span in spans {
+        for &(span, finish) in jobs {
             queue.offer_keyed(interactive(1_000), 7, LATER);
-            queue.finish(1_000, Finish::Ran, LATER + Millis(*span));
+            queue.finish(1_000, finish, LATER + Millis(span));
         }
         let later = LATER + Millis(10_000);
         for id in 100..110 {
             queue.offer_keyed(interactive(id), 7, later);
         }
-        assert_eq!(queue.running(), expected, "{spans:?}");
+        assert_eq!(queue.running(), expected, "{jobs:?}");
     };
-    check(&[20], 6);
-    check(&[5_000], 4);
-    check(&[20, 5_000], 4);
-    check(&[5_000, 20], 6);
+    check(&[(20, Finish::Ran)], 6);
+    check(&[(5_000, Finish::Ran)], 4);
+    check(&[(20, Finish::Ran), (5_000, Finish::Ran)], 4);
+    check(&[(5_000, Finish::Ran), (20, Finish::Ran)], 6);
+    check(&[(5_000, Finish::Inconclusive)], 4);
+    check(&[(5_000, Finish::Failed)], 4);
+    check(&[(5_000, Finish::Ran), (1, Finish::Inconclusive)], 4);
 }
 
 #[test]
--- a/crates/admission/tests/walk.rs
+++ b/crates/admission/tests/walk.rs
@@ -92,6 +92,7 @@
     let how = match rng.random_range(0..60) {
         0 => Finish::Refused,
         1..4 => Finish::Failed,
+        4..7 => Finish::Inconclusive,
         _ => Finish::Ran,
     };
     queue.finish(id, how, now)
