--- a/crates/host/src/owner/execute.rs
+++ b/crates/host/src/owner/execute.rs
@@ -80,7 +80,7 @@
     match outcome {
         Outcome::Ran((head, body)) => Outcome::Ran(guard(head, body, permit, cancelled)),
         Outcome::NotRun(reason) => {
-            permit.done(Finish::Refused);
+            permit.done(finish_of(reason));
             Outcome::NotRun(reason)
         }
         Outcome::Unknown(reason) => {
@@ -90,6 +90,15 @@
     }
 }
 
+/// Only a refusal for its load tells how much work the backend server can take.
+fn finish_of(reason: NotRunReason) -> Finish {
+    match reason {
+        NotRunReason::BackendRefused => Finish::Refused,
+        NotRunReason::NotConnected => Finish::Failed,
+        _ => Finish::Inconclusive,
+    }
+}
+
 /// Looks at once whether the backend server is still there when a connection to it failed.
 async fn notice(cx: &Cx, addr: std::net::SocketAddr, connection: Connection) {
     let gone = match connection {
--- a/crates/host/src/owner/permit.rs
+++ b/crates/host/src/owner/permit.rs
@@ -122,7 +122,7 @@
             queue.abandon(self.call, now)
         } else {
             // The queue started the request a moment ago, so its slot has to be given back.
-            queue.finish(self.call, Finish::GivenUp, now)
+            queue.finish(self.call, Finish::Inconclusive, now)
         };
         drop(queue);
         carry_out(&self.cx, actions);
@@ -151,7 +151,7 @@
         Verdict::Queued => wait_for_slot(cx, call).await?,
     }
     let digest = head.digest;
-    Ok(Permit { cx: cx.clone(), call, digest, end: Finish::GivenUp, stage: Stage::Admitted })
+    Ok(Permit { cx: cx.clone(), call, digest, end: Finish::Inconclusive, stage: Stage::Admitted })
 }
 
 async fn wait_for_slot(cx: &Cx, call: u64) -> Result<(), NotRunReason> {
