--- a/xtask/src/config.rs
+++ b/xtask/src/config.rs
@@ -11,6 +11,8 @@
 };
 use platform::{decode_row, encode_row};
 
+use crate::config_spread;
+
 /// Runs of which the median is printed.
 const RUNS: usize = 31;
 
@@ -24,6 +26,8 @@
     for (members, partitions) in [(6, 0), (32, 0), (6, 64), (32, 64), (32, 256), (32, 1_024)] {
         measure_row(members, partitions);
     }
+    println!();
+    config_spread::run();
 }
 
 fn measure_document(services: u32) {
--- a/xtask/src/failover.rs
+++ b/xtask/src/failover.rs
@@ -24,7 +24,7 @@
 }
 
 /// The program beside this one, which is of the same build.
-fn program() -> Option<Program> {
+pub(crate) fn program() -> Option<Program> {
     let path: PathBuf = std::env::current_exe().ok()?.with_file_name("papayarill");
     path.exists().then_some(Program(path))
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod config;
+mod config_spread;
 mod failover;
 mod placement;
 mod requests;
