--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -42,12 +42,14 @@
     retired: Cell<bool>,
     answered: Cell<bool>,
     used_at: Cell<Millis>,
+    traffic: Rc<Cell<Traffic>>,
 }
 
 /// The right to one stream of a connection. Dropping it tells when the connection was last used.
 pub(crate) struct Slot {
     link: Rc<Link>,
     settings: Rc<ClientSettings>,
+    received_before: u64,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -58,8 +60,14 @@
 }
 
 impl Slot {
-    /// Has the peer checked, because it did not answer in time. New streams wait for the result.
+    /// Has the peer checked, because it did not answer in time. New streams wait for the result if
+    /// nothing at all was received since this one was opened; otherwise a slow request would hold
+    /// up the others.
     pub(crate) fn suspect(&self) {
+        self.link.suspect.notify_one();
+        if self.link.traffic.get().received != self.received_before {
+            return;
+        }
         self.link.state.send_if_modified(|state| {
             let was_up = matches!(state, State::Up(_));
             if was_up {
@@ -67,7 +75,6 @@
             }
             was_up
         });
-        self.link.suspect.notify_one();
     }
 
     /// Takes the connection out of use for new streams.
@@ -105,7 +112,7 @@
     pub(crate) fn open(
         to: HostAddr,
         settings: Rc<ClientSettings>,
-        traffic: Rc<Cell<Traffic>>,
+        total: Rc<Cell<Traffic>>,
     ) -> Rc<Self> {
         let max_streams = settings.max_streams as usize;
         let link = Rc::new(Self {
@@ -117,8 +124,9 @@
             retired: Cell::new(false),
             answered: Cell::new(false),
             used_at: Cell::new(settings.clock.now()),
+            traffic: Rc::default(),
         });
-        tokio::task::spawn_local(run(link.clone(), to, settings, traffic));
+        tokio::task::spawn_local(run(link.clone(), to, settings, total));
         link
     }
 
@@ -141,8 +149,9 @@
     ) -> Option<(Slot, SendRequest<Bytes>)> {
         let permit = self.streams.clone().acquire_owned().await.ok()?;
         self.used_at.set(settings.clock.now());
-        let slot = Slot { link: self, settings, _permit: permit };
-        let send = slot.link.wait_until_up().await?;
+        let send = self.wait_until_up().await?;
+        let received_before = self.traffic.get().received;
+        let slot = Slot { link: self, settings, received_before, _permit: permit };
         match send.ready().await {
             Ok(send) => Some((slot, send)),
             Err(e) => {
@@ -167,33 +176,37 @@
 }
 
 /// Opens the connection and keeps it until it is idle, broken or closed.
-async fn run(
-    link: Rc<Link>,
-    to: HostAddr,
-    settings: Rc<ClientSettings>,
-    traffic: Rc<Cell<Traffic>>,
-) {
-    let opening = connect(to.0, &settings, traffic);
-    let opened = tokio::select! {
-        () = link.closing.notified() => None,
-        opened = timeout(Duration::from(settings.connect_limit), opening) => Some(opened),
+async fn run(link: Rc<Link>, to: HostAddr, settings: Rc<ClientSettings>, total: Rc<Cell<Traffic>>) {
+    let end = tokio::select! {
+        () = link.closing.notified() => "closed on demand".to_owned(),
+        end = open_and_keep(&link, to, &settings, total) => end,
     };
-    match opened {
-        None => debug!("wire: connecting to {to} was given up"),
-        Some(Err(_)) => info!("wire: {to} does not answer"),
-        Some(Ok(Err(e))) => info!("wire: cannot connect to {to}: {e}"),
-        Some(Ok(Ok(Opened { send, conn, pulse }))) => {
-            let watching = watch_over(&link, &settings, send, pulse);
-            let end = tokio::select! {
-                end = conn => end.map_or_else(|e| e.to_string(), |()| "closed by the peer".into()),
-                reason = watching => reason.to_owned(),
-            };
-            debug!("wire: connection to {to} ended: {end}");
-        }
+    if link.was_up() {
+        debug!("wire: connection to {to} ended: {end}");
+    } else {
+        info!("wire: cannot connect to {to}: {end}");
     }
     link.state.send_replace(State::Down);
 }
 
+/// Returns why there is no connection, or no more.
+async fn open_and_keep(
+    link: &Link,
+    to: HostAddr,
+    settings: &ClientSettings,
+    total: Rc<Cell<Traffic>>,
+) -> String {
+    let connecting = connect(to.0, settings, link.traffic.clone(), total);
+    match timeout(Duration::from(settings.connect_limit), connecting).await {
+        Err(_) => "no answer in time".to_owned(),
+        Ok(Err(e)) => e.to_string(),
+        Ok(Ok(Opened { send, conn, pulse })) => tokio::select! {
+            end = conn => end.map_or_else(|e| e.to_string(), |()| "closed by the peer".to_owned()),
+            end = watch_over(link, settings, send, pulse) => end.to_owned(),
+        },
+    }
+}
+
 /// Why a connection was not opened.
 #[derive(Debug, Snafu)]
 enum OpenError {
@@ -224,12 +237,12 @@
 async fn connect(
     to: SocketAddr,
     settings: &ClientSettings,
-    traffic: Rc<Cell<Traffic>>,
+    own: Rc<Cell<Traffic>>,
+    total: Rc<Cell<Traffic>>,
 ) -> Result<Opened, OpenError> {
     let io = TcpStream::connect(to).await?;
     io.set_nodelay(true)?;
-    let io = Metered::new(io, traffic);
-    let own = io.own();
+    let io = Metered::new(io, own.clone(), total);
     let (send, mut conn) = Builder::new()
         .enable_push(false)
         .initial_window_size(STREAM_WINDOW_BYTES)
@@ -250,29 +263,43 @@
     send: SendRequest<Bytes>,
     mut pulse: Pulse,
 ) -> &'static str {
-    if !pulse.answers(settings.connect_limit).await {
-        return "the peer never answered";
+    let mut limit = settings.connect_limit;
+    loop {
+        if !pulse.answers(limit).await {
+            return "the peer does not answer";
+        }
+        link.answered.set(true);
+        link.state.send_replace(State::Up(send.clone()));
+        limit = settings.ping_limit;
+        if wait_for_check(link, settings).await == Next::Close {
+            link.retire();
+            return "idle";
+        }
     }
-    link.answered.set(true);
-    link.state.send_replace(State::Up(send.clone()));
+}
+
+/// What is due on a connection.
+#[derive(PartialEq, Eq)]
+enum Next {
+    /// The peer has to be checked.
+    Check,
+    /// Nobody needs the connection any more.
+    Close,
+}
+
+/// Waits until something is due.
+async fn wait_for_check(link: &Link, settings: &ClientSettings) -> Next {
     loop {
         tokio::select! {
-            () = link.closing.notified() => return "closed on demand",
-            () = link.suspect.notified() => {}
-            () = sleep(settings.ping_interval.into()) => {
-                if link.is_idle() {
-                    let idle = settings.clock.now().since(link.used_at());
-                    if link.retired.get() || idle >= settings.idle_limit {
-                        link.retired.set(true);
-                        return "idle";
-                    }
-                    continue;
-                }
-            }
+            () = link.suspect.notified() => return Next::Check,
+            () = sleep(settings.ping_interval.into()) => {}
         }
-        if !pulse.answers(settings.ping_limit).await {
-            return "the peer stopped answering";
+        if !link.is_idle() {
+            return Next::Check;
+        }
+        let idle = settings.clock.now().since(link.used_at());
+        if link.retired.get() || idle >= settings.idle_limit {
+            return Next::Close;
         }
-        link.state.send_replace(State::Up(send.clone()));
     }
 }
