Test the limits on connections and on the length of a document

Cause: trials that took out one check of documents at a time, 17 in all, and ran the tests of the crate. 15 made a test fail; the checks of connections against slots and of the document's length made none. Change: a test for each, which fails when its check is taken out.

--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -143,6 +143,27 @@
     );
 }
 
+#[test]
+fn fewer_connections_than_slots_are_refused() {
+    let text = document("  backend-servers: 6\n").replace("connections: 9", "connections: 3");
+    check_refused(
+        &text,
+        &["f.yaml: line 5: services[0].connections: found `3`, \
+           expected at least one per slot, which is 4"],
+    );
+}
+
+#[test]
+fn a_document_that_is_too_long_is_refused_whatever_it_says() {
+    let valid = document("  backend-servers: 6\n# ");
+    let check = |length: usize, accepted: bool| {
+        let text = format!("{valid}{}", "x".repeat(length - valid.len()));
+        assert_eq!(parse(&text).is_ok(), accepted, "{length}");
+    };
+    check(MAX_DOCUMENT_BYTES, true);
+    check(MAX_DOCUMENT_BYTES + 1, false);
+}
+
 #[test]
 fn names_are_unique() {
     let text = format!(
