--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -203,7 +203,6 @@
             self.moved_at = cx.now;
         }
         if agenda.row != *stored {
-            record_changes(stored, &agenda.row, cx);
             self.provenance.extend(provenance);
             store.write(Some(known.row.version), agenda.row, cx);
         }
@@ -243,7 +242,7 @@
 
     /// Tells owners to serve, until they say that they do.
     fn assign(&mut self, known: Known<'_>, cx: &mut Cx<'_>) {
-        if cx.rules.inherited_marks.is_kept() && !known.seals.are_closed(cx) {
+        if !may_order(known, cx) {
             return;
         }
         let row = &known.row.row;
@@ -273,34 +272,44 @@
     /// Tells standbys to serve while the row cannot be written. The row names them already, so
     /// nothing new has to be agreed.
     fn take_over(&mut self, known: Known<'_>, store: &Store, cx: &mut Cx<'_>) {
-        if cx.rules.inherited_marks.is_kept() && !known.seals.are_closed(cx) {
-            return;
-        }
         let patience = cx.timing().store_patience;
         let waited = self.waiting_since.is_some_and(|since| cx.now >= since + patience);
-        if !waited && !store.is_failing() {
+        if !may_order(known, cx) || !(waited || store.is_failing()) {
             return;
         }
         let row = &known.row.row;
         for a in &row.assignments {
-            let view = view(&self.losses, &self.moves, self.since, known);
-            let Some(standby) = a.standby.filter(|s| !view.is_lost(*s)) else {
-                continue;
-            };
-            let is_free =
-                view.is_claim_ended(a.owner, a, cx) && view.moves.given_up(standby, a).is_none();
-            let Some(to) = addr_of(row, standby).filter(|_| is_free) else {
+            let Some((standby, to)) = self.free_standby(known, a, cx) else {
                 continue;
             };
             let fence = a.fence.takeover();
-            if self.note_sent(a.partition, fence, cx) {
+            let is_first = self.sent.iter().all(|s| (s.partition, s.fence) != (a.partition, fence));
+            if !self.note_sent(a.partition, fence, cx) {
+                continue;
+            }
+            if is_first {
                 let text = format!("standby {standby} follows {} at fence {fence}", a.owner);
                 cx.record(Some(a.partition), "takeover", text);
-                cx.send(to, Message::TakeOver(transfer(row, standby, a.partition, fence)));
             }
+            cx.send(to, Message::TakeOver(transfer(row, standby, a.partition, fence)));
         }
     }
 
+    /// Returns the standby of an assignment if it may serve now without a write.
+    fn free_standby(
+        &self,
+        known: Known<'_>,
+        a: &Assignment,
+        cx: &Cx<'_>,
+    ) -> Option<(Session, HostAddr)> {
+        let view = view(&self.losses, &self.moves, self.since, known);
+        let standby = a.standby.filter(|s| !view.is_lost(*s))?;
+        let has_left = view.moves.given_up(standby, a).is_some();
+        let is_free = !has_left && view.is_claim_ended(a.owner, a, cx);
+        let to = addr_of(view.row, standby).filter(|_| is_free)?;
+        Some((standby, to))
+    }
+
     /// Notes that an order is sent now. Returns whether it is due.
     fn note_sent(&mut self, partition: Partition, fence: Fence, cx: &Cx<'_>) -> bool {
         let same = |s: &&mut Sent| (s.partition, s.fence) == (partition, fence);
@@ -329,6 +338,11 @@
     View { row: &row.row, grantor, seals, dead, losses, moves, since }
 }
 
+/// Before the older sets are sealed, the sessions that they ended are not all known.
+fn may_order(known: Known<'_>, cx: &Cx<'_>) -> bool {
+    !cx.rules.inherited_marks.is_kept() || known.seals.are_closed(cx)
+}
+
 fn transfer(row: &CellRow, session: Session, partition: Partition, fence: Fence) -> Transfer {
     Transfer { epoch: row.epoch, session, partition, fence }
 }
@@ -347,17 +361,6 @@
         .collect()
 }
 
-fn record_changes(stored: &CellRow, next: &CellRow, cx: &mut Cx<'_>) {
-    if next.epoch != stored.epoch {
-        cx.record(None, "grantors", format!("epoch {} gets other grantors", next.epoch));
-    }
-    for a in next.assignments.iter().filter(|a| stored.assignment(a.partition) != Some(a)) {
-        let standby = a.standby.map_or_else(|| "nobody".to_owned(), |s| s.to_string());
-        let text = format!("owner {}, standby {standby}, fence {}", a.owner, a.fence);
-        cx.record(Some(a.partition), "assignment", text);
-    }
-}
-
 /// The report of a host process whose backend server has not been seen yet.
 pub(crate) fn empty_report() -> Report {
     let unfenced_grace = Millis::ZERO;
