Take five grantors where there are five hosts

Change: a cell of five hosts or more has five grantors, three of which make a lease; three and four hosts have three. Members renew with a majority, so a grantor gets as many renewals as before.

--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -221,7 +221,7 @@
         }
         self.planned_at = Some(cx.now);
         let better = grantor_set::next_row(&view, cx).filter(|_| is_quiet);
-        let is_urgent = better.is_some() && grantor_set::is_urgent(&view, cx);
+        let is_urgent = better.as_ref().is_some_and(|b| grantor_set::is_urgent(&view, b, cx));
         let has_moves = self.moves.len() > 0;
         match better {
             Some(row) if is_urgent && !has_moves => Agenda { row, moves: Vec::new() },
--- a/crates/ownership/src/grantor_set.rs
+++ b/crates/ownership/src/grantor_set.rs
@@ -4,14 +4,15 @@
 
 use crate::cx::Cx;
 use crate::grantor::{Heard, grantor_entry};
+use crate::lease::blocking;
 use crate::view::View;
 use crate::{CellRow, Grantor, GrantorSet};
 
-/// How many grantors a cell has that is large enough.
-const FULL_SET: usize = 3;
+/// The size of a set that survives the loss of two grantors at once.
+const LARGE_SET: usize = 5;
 
-/// How many grantors of a full set stay when it changes.
-const KEPT_OF_FULL_SET: usize = 2;
+/// The size of a set that survives the loss of one grantor.
+const SMALL_SET: usize = 3;
 
 /// Returns the row with a better set of grantors, if there is one now.
 pub(crate) fn next_row(view: &View<'_>, cx: &Cx<'_>) -> Option<CellRow> {
@@ -37,11 +38,12 @@
     is_new || view.row.members.iter().any(is_pending)
 }
 
-/// Returns whether the loss of one more grantor would stop the cell. Otherwise a change of
-/// grantors can wait until all moves are done, which it would interrupt.
-pub(crate) fn is_urgent(view: &View<'_>, cx: &Cx<'_>) -> bool {
+/// Returns whether the change to `better` makes up for a loss or lets more hosts be lost.
+/// Otherwise it can wait until all moves are done, which it would interrupt.
+pub(crate) fn is_urgent(view: &View<'_>, better: &CellRow, cx: &Cx<'_>) -> bool {
     let is_silent = |g: &Grantor| !is_recent(g.incarnation, view, cx);
-    view.row.grantors.len() < FULL_SET || view.row.grantors.iter().any(is_silent)
+    let present = &view.row.grantors;
+    better.grantors.len() > present.len() || present.iter().any(is_silent)
 }
 
 /// Returns the row at the next epoch, with the present set among those to be sealed.
@@ -54,25 +56,32 @@
 }
 
 fn choose(view: &View<'_>, cx: &Cx<'_>) -> Option<Vec<Grantor>> {
+    let present = &view.row.grantors;
     let kept: Vec<Grantor> =
-        view.row.grantors.iter().filter(|g| is_fit(g.incarnation, view, cx)).cloned().collect();
-    let was_full = view.row.grantors.len() >= FULL_SET;
-    if was_full && kept.len() < KEPT_OF_FULL_SET {
-        return None;
-    }
+        present.iter().filter(|g| is_fit(g.incarnation, view, cx)).cloned().collect();
+    // Fewer could not seal the present set.
+    let needed = if present.len() > 1 { blocking(present.len()) } else { 0 };
     let candidates = candidates(&kept, view, cx);
-    if candidates.len() < FULL_SET {
-        let alone = kept.first().or(candidates.first())?.clone();
-        return (!was_full).then(|| vec![alone]);
+    let size = size_for(candidates.len()).max(present.len().min(SMALL_SET));
+    if kept.len() < needed || candidates.len() < size {
+        return None;
     }
-    let mut chosen = spread_over_zones(&[], &candidates);
+    let chosen = spread_over_zones(&[], &candidates, size);
     let stayed = chosen.iter().filter(|g| view.row.is_grantor(g.incarnation)).count();
-    if was_full && stayed < KEPT_OF_FULL_SET {
-        chosen = spread_over_zones(&kept[..KEPT_OF_FULL_SET], &candidates);
-    }
+    let fixed = needed.min(size);
+    let chosen =
+        if stayed < fixed { spread_over_zones(&kept[..fixed], &candidates, size) } else { chosen };
     Some(chosen)
 }
 
+fn size_for(candidates: usize) -> usize {
+    match candidates {
+        LARGE_SET.. => LARGE_SET,
+        SMALL_SET.. => SMALL_SET,
+        _ => 1,
+    }
+}
+
 /// The grantors that can stay, in their order, and then all other members that could be one.
 fn candidates(kept: &[Grantor], view: &View<'_>, cx: &Cx<'_>) -> Vec<Grantor> {
     let mut found = kept.to_vec();
@@ -87,17 +96,17 @@
 }
 
 /// Takes one candidate of each zone first, and then any.
-fn spread_over_zones(fixed: &[Grantor], candidates: &[Grantor]) -> Vec<Grantor> {
+fn spread_over_zones(fixed: &[Grantor], candidates: &[Grantor], size: usize) -> Vec<Grantor> {
     let mut chosen = fixed.to_vec();
     for candidate in candidates {
         let zones: Vec<&ZoneName> = chosen.iter().map(|g| &g.zone).collect();
         let is_new_zone = !zones.contains(&&candidate.zone);
-        if chosen.len() < FULL_SET && is_new_zone && !chosen.contains(candidate) {
+        if chosen.len() < size && is_new_zone && !chosen.contains(candidate) {
             chosen.push(candidate.clone());
         }
     }
     for candidate in candidates {
-        if chosen.len() < FULL_SET && !chosen.contains(candidate) {
+        if chosen.len() < size && !chosen.contains(candidate) {
             chosen.push(candidate.clone());
         }
     }
--- a/crates/ownership/src/lease.rs
+++ b/crates/ownership/src/lease.rs
@@ -5,9 +5,6 @@
 use crate::cx::Cx;
 use crate::{Command, Grantor, Message, RefusalReason, Renew, Report};
 
-/// How many grantors a member renews with while all is well.
-const USUAL_GRANTORS: usize = 2;
-
 /// Unanswered renewals are repeated this many times per renew interval.
 const RETRIES_PER_INTERVAL: u64 = 3;
 
@@ -178,20 +175,22 @@
         self.grantors.iter().map(|g| g.addr).collect()
     }
 
-    /// The first grantor, which coordinates, and one more: in the own zone if there is one.
+    /// A majority: the first grantor, which coordinates, then one in the own zone, then others.
     ///
     /// A grantor renews with all others, so that they notice when it falls silent.
     fn usual_grantors(&self, cx: &Cx<'_>) -> Vec<HostAddr> {
         let incarnation = cx.settings.incarnation;
+        let count = self.grantors.len();
         let is_grantor = self.grantors.iter().any(|g| g.incarnation == incarnation);
-        if is_grantor || self.grantors.len() <= USUAL_GRANTORS {
+        if is_grantor || count < 3 {
             return self.grantor_addrs();
         }
-        let rest = &self.grantors[1..];
-        let near = rest.iter().find(|g| g.zone == cx.settings.zone);
+        let mut rest: Vec<&Grantor> = self.grantors[1..].iter().collect();
         let spread = incarnation.0 % rest.len() as u64;
-        let second = near.unwrap_or(&rest[usize::try_from(spread).unwrap_or(0)]);
-        vec![self.grantors[0].addr, second.addr]
+        rest.rotate_left(usize::try_from(spread).unwrap_or(0));
+        rest.sort_by_key(|g| g.zone != cx.settings.zone);
+        let others = rest.into_iter().map(|g| g.addr);
+        [self.grantors[0].addr].into_iter().chain(others).take(majority(count)).collect()
     }
 
     fn usual_grantors_answered(&self, cx: &Cx<'_>) -> bool {
--- a/crates/platform/src/row_doc.rs
+++ b/crates/platform/src/row_doc.rs
@@ -20,7 +20,7 @@
 pub const MAX_MEMBERS: usize = papayarill_config::MAX_HOSTS_PER_CELL as usize;
 
 /// The most grantors of one epoch.
-pub const MAX_GRANTORS: usize = 3;
+pub const MAX_GRANTORS: usize = 5;
 
 /// The most older sets of grantors that wait for their seal.
 pub const MAX_UNSEALED: usize = 64;
