Give partitions without an owner one before the grantors change

Partitions that need an owner are now placed before an urgent change of grantors, and balancing moves after it.

--- a/crates/ownership/src/coordinator.rs
+++ b/crates/ownership/src/coordinator.rs
@@ -222,16 +222,16 @@
         self.planned_at = Some(cx.now);
         let better = grantor_set::next_row(&view, cx).filter(|_| is_quiet);
         let is_urgent = better.as_ref().is_some_and(|b| grantor_set::is_urgent(&view, b, cx));
-        let has_moves = self.moves.len() > 0;
+        // Balancing would put off an urgent change of grantors.
+        let balance = if is_urgent { Balance::Early } else { self.balance(cx) };
+        let mut agenda = agenda::next(&view, next, balance, cx);
+        if is_urgent {
+            agenda.moves.clear();
+        }
+        let is_idle = agenda.row == known.row.row && agenda.moves.is_empty();
         match better {
-            Some(row) if is_urgent && !has_moves => Agenda { row, moves: Vec::new() },
-            Some(_) if is_urgent => Agenda { row: next, moves: Vec::new() },
-            Some(better) => {
-                let agenda = agenda::next(&view, next, self.balance(cx), cx);
-                let is_idle = agenda.row == known.row.row && agenda.moves.is_empty();
-                if is_idle && !has_moves { Agenda { row: better, ..agenda } } else { agenda }
-            }
-            None => agenda::next(&view, next, self.balance(cx), cx),
+            Some(row) if is_idle && self.moves.len() == 0 => Agenda { row, ..agenda },
+            _ => agenda,
         }
     }
 
