Tell a cell about suspects before their callers are answered

Cause: a caller that sends a crashing request again at once could reach a member that had not heard of the first crash, so that more than two backend servers were lost. Change: the answer waits until the members know the suspects; a suspect that runs to its end is cleared on all of them. Requests that are the same are told apart in the queue by their digest.

--- a/crates/host/src/announce.rs
+++ b/crates/host/src/announce.rs
@@ -57,6 +57,7 @@
 /// Notices that the backend server went silent.
 pub fn watch(cx: &Cx) {
     if cx.backend.expire(cx.now()) == Change::Down {
-        owner::backend_lost(cx);
+        let cx = cx.clone();
+        actix_rt::spawn(async move { owner::backend_lost(&cx).await });
     }
 }
--- a/crates/host/src/owner/execute.rs
+++ b/crates/host/src/owner/execute.rs
@@ -111,7 +111,7 @@
         Connection::Broken => tokio::net::TcpStream::connect(addr).await.is_err(),
     };
     if gone && cx.backend.refused_connection(addr) == Change::Down {
-        super::backend_lost(cx);
+        super::backend_lost(cx).await;
     }
 }
 
--- a/crates/host/src/owner/mod.rs
+++ b/crates/host/src/owner/mod.rs
@@ -6,22 +6,26 @@
 mod grants;
 mod once;
 mod permit;
+mod quarantine;
 
 use std::cell::{Cell, RefCell};
 
-use admission::{Limits, Quarantine, QuarantineLimits, QuarantineState, Queue};
+use admission::{Limits, Quarantine, QuarantineLimits, Queue};
 use bytes::Bytes;
 use model::{Fence, Millis, Outcome, Partition};
 use ownership::{PartitionReport, Report};
 use routing::records::{RecordSettings, Records};
 use tokio::sync::{Notify, oneshot};
-use wire::{AnswerHead, Body, Call, ForwardHead};
+use wire::{AnswerHead, Body, ForwardHead};
 
 use crate::backend::{Change, FenceCheck};
 use crate::shared::Cx;
 
 pub use claims::{quiesce, resume, serve, stop_all, take_handover};
 pub use grants::send as send_grants;
+pub use quarantine::{
+    backend_lost, learn_quarantine, learn_suspects, lift_quarantine, quarantined,
+};
 
 /// The answer of an owner.
 pub type OwnerOutcome = Outcome<(AnswerHead, Body)>;
@@ -29,9 +33,6 @@
 /// The slots of a backend server that has not announced itself yet.
 const UNKNOWN_SLOTS: u32 = 1;
 
-/// How long another host process may take to note a quarantine.
-const TELL_TIME_LIMIT: Millis = Millis(1_000);
-
 /// Reports over which the request rate of a partition is averaged.
 const AVERAGED_REPORTS: u64 = 32;
 
@@ -251,68 +252,3 @@
     }
     records.expire(cx.wall.now());
 }
-
-/// Takes in that the backend server is down: nobody waits for a lease to end.
-pub fn backend_lost(cx: &Cx) {
-    log::warn!("backend: The backend server is down.");
-    metrics::counter!("papayarill_backend_losses_total").increment(1);
-    let suspects: Vec<u64> = cx.owner.in_flight.borrow().iter().map(|i| i.digest).collect();
-    crash(cx, &suspects);
-    cx.feed(ownership::Event::Reported(report(cx)));
-}
-
-fn crash(cx: &Cx, in_flight: &[u64]) {
-    let report = cx.owner.quarantine.borrow_mut().crashed(in_flight, cx.now());
-    let service = &cx.settings.cell.service;
-    if !report.suspects.is_empty() {
-        log::warn!("quarantine: {} requests are suspects.", report.suspects.len());
-        let digests = report.suspects;
-        tell_cell(cx, &Call::Suspects { service: service.clone(), digests });
-    }
-    for digest in report.quarantined {
-        log::warn!("quarantine: Request {digest:x} crashed backend servers twice.");
-        metrics::counter!("papayarill_quarantines_total").increment(1);
-        let time_left = QuarantineLimits::default().quarantine;
-        tell_cell(cx, &Call::Quarantine { service: service.clone(), digest, time_left });
-    }
-}
-
-/// Tells the other members of the cell about requests that crash backend servers.
-fn tell_cell(cx: &Cx, call: &Call) {
-    let members = cx.node.borrow().routes().members.clone();
-    for (addr, _) in members.into_iter().filter(|(addr, _)| *addr != cx.addr) {
-        let cx = cx.clone();
-        let call = call.clone();
-        actix_rt::spawn(async move {
-            if let Err(error) = cx.client.call(addr, call, TELL_TIME_LIMIT).await {
-                log::warn!("quarantine: {addr} was not told: {error}.");
-            }
-        });
-    }
-}
-
-/// Takes in which requests were in flight when another member's backend server crashed.
-pub fn learn_suspects(cx: &Cx, digests: &[u64]) {
-    cx.owner.quarantine.borrow_mut().suspected(digests, cx.now());
-}
-
-/// Takes in what another member says about a request that crashes backend servers.
-pub fn learn_quarantine(cx: &Cx, digest: u64, time_left: Millis) {
-    log::warn!("quarantine: Heard of request {digest:x}, {time_left} ms left.");
-    cx.owner.quarantine.borrow_mut().learned(digest, time_left, cx.now());
-}
-
-/// Lets a quarantined request run again, on all members of the cell.
-pub fn lift_quarantine(cx: &Cx, digest: u64) {
-    log::info!("quarantine: An operator lifted the quarantine of request {digest:x}.");
-    cx.owner.quarantine.borrow_mut().lift(digest);
-    let service = cx.settings.cell.service.clone();
-    tell_cell(cx, &Call::Quarantine { service, digest, time_left: Millis::ZERO });
-}
-
-/// Returns the digests of the requests that are refused.
-pub fn quarantined(cx: &Cx) -> Vec<u64> {
-    let listed = cx.owner.quarantine.borrow().list(cx.now());
-    let refused = listed.into_iter().filter(|q| q.state == QuarantineState::Quarantined);
-    refused.map(|q| q.digest).collect()
-}
--- a/crates/host/src/owner/permit.rs
+++ b/crates/host/src/owner/permit.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 use wire::ForwardHead;
 
-use super::InFlight;
+use super::{InFlight, quarantine};
 use crate::shared::Cx;
 
 /// The pause before a suspect request asks again whether it may start.
@@ -62,7 +62,7 @@
         self.stage = Stage::Done;
         self.end = end;
         if end == Finish::Ran {
-            self.cx.owner.quarantine.borrow_mut().completed(self.digest);
+            quarantine::completed(&self.cx, self.digest);
         }
     }
 
@@ -140,7 +140,7 @@
     let now = cx.now();
     let time_left = deadline.since(now);
     let job = Job { id: call, priority: head.priority, rule: head.rule, time_left };
-    let verdict = cx.owner.queue.borrow_mut().offer(job, now);
+    let verdict = offer(cx, head, job, now);
     match verdict {
         Verdict::Start => {}
         Verdict::Refused { reason, .. } => {
@@ -154,6 +154,15 @@
     Ok(Permit { cx: cx.clone(), call, digest, end: Finish::Inconclusive, stage: Stage::Admitted })
 }
 
+/// Idempotent requests that are the same take about the same time, so they are told apart.
+fn offer(cx: &Cx, head: &ForwardHead, job: Job, now: Millis) -> Verdict {
+    let mut queue = cx.owner.queue.borrow_mut();
+    match head.id {
+        None => queue.offer_keyed(job, head.digest, now),
+        Some(_) => queue.offer(job, now),
+    }
+}
+
 async fn wait_for_slot(cx: &Cx, call: u64) -> Result<(), NotRunReason> {
     let (tx, rx) = oneshot::channel();
     cx.owner.waiting.borrow_mut().push((call, tx));
--- /dev/null
+++ b/crates/host/src/owner/quarantine.rs
@@ -0,0 +1,93 @@
+//! Requests that crash backend servers, as the members of a cell tell each other.
+
+use admission::{QuarantineLimits, QuarantineState};
+use futures_util::future::join_all;
+use model::{HostAddr, Millis};
+use wire::Call;
+
+use super::report;
+use crate::shared::Cx;
+
+/// How long another host process may take to note a suspect or a quarantine.
+const TELL_TIME_LIMIT: Millis = Millis(300);
+
+/// Takes in that the backend server is down: nobody waits for a lease to end.
+///
+/// It ends when the other members know the suspects. Only then may the callers of what was in
+/// flight be answered, because they may send the same requests again at once.
+pub async fn backend_lost(cx: &Cx) {
+    log::warn!("backend: The backend server is down.");
+    metrics::counter!("papayarill_backend_losses_total").increment(1);
+    let suspects: Vec<u64> = cx.owner.in_flight.borrow().iter().map(|i| i.digest).collect();
+    cx.feed(ownership::Event::Reported(report(cx)));
+    crash(cx, &suspects).await;
+}
+
+async fn crash(cx: &Cx, in_flight: &[u64]) {
+    let report = cx.owner.quarantine.borrow_mut().crashed(in_flight, cx.now());
+    let service = &cx.settings.cell.service;
+    if !report.suspects.is_empty() {
+        log::warn!("quarantine: {} requests are suspects.", report.suspects.len());
+        let digests = report.suspects;
+        tell_cell(cx, &Call::Suspects { service: service.clone(), digests }).await;
+    }
+    for digest in report.quarantined {
+        log::warn!("quarantine: Request {digest:x} crashed backend servers twice.");
+        metrics::counter!("papayarill_quarantines_total").increment(1);
+        let time_left = QuarantineLimits::default().quarantine;
+        tell_cell(cx, &Call::Quarantine { service: service.clone(), digest, time_left }).await;
+    }
+}
+
+/// Tells the other members of the cell about requests that crash backend servers.
+async fn tell_cell(cx: &Cx, call: &Call) {
+    let members = cx.node.borrow().routes().members.clone();
+    let others = members.into_iter().filter(|(addr, _)| *addr != cx.addr);
+    join_all(others.map(|(addr, _)| tell(cx, addr, call.clone()))).await;
+}
+
+async fn tell(cx: &Cx, addr: HostAddr, call: Call) {
+    if let Err(error) = cx.client.call(addr, call, TELL_TIME_LIMIT).await {
+        log::warn!("quarantine: {addr} was not told: {error}.");
+    }
+}
+
+/// Takes in which requests were in flight when another member's backend server crashed.
+pub fn learn_suspects(cx: &Cx, digests: &[u64]) {
+    cx.owner.quarantine.borrow_mut().suspected(digests, cx.now());
+}
+
+/// Takes in what another member says about a request that crashes backend servers.
+pub fn learn_quarantine(cx: &Cx, digest: u64, time_left: Millis) {
+    log::warn!("quarantine: Heard of request {digest:x}, {time_left} ms left.");
+    cx.owner.quarantine.borrow_mut().learned(digest, time_left, cx.now());
+}
+
+/// Takes in that a request ran to its end, and clears it everywhere if it was a suspect.
+pub(super) fn completed(cx: &Cx, digest: u64) {
+    if cx.owner.quarantine.borrow_mut().completed(digest) {
+        tell_cleared(cx, digest);
+    }
+}
+
+fn tell_cleared(cx: &Cx, digest: u64) {
+    let service = cx.settings.cell.service.clone();
+    let cx = cx.clone();
+    actix_rt::spawn(async move {
+        tell_cell(&cx, &Call::Quarantine { service, digest, time_left: Millis::ZERO }).await;
+    });
+}
+
+/// Lets a quarantined request run again, on all members of the cell.
+pub fn lift_quarantine(cx: &Cx, digest: u64) {
+    log::info!("quarantine: An operator lifted the quarantine of request {digest:x}.");
+    cx.owner.quarantine.borrow_mut().lift(digest);
+    tell_cleared(cx, digest);
+}
+
+/// Returns the digests of the requests that are refused.
+pub fn quarantined(cx: &Cx) -> Vec<u64> {
+    let listed = cx.owner.quarantine.borrow().list(cx.now());
+    let refused = listed.into_iter().filter(|q| q.state == QuarantineState::Quarantined);
+    refused.map(|q| q.digest).collect()
+}
