--- a/crates/host/src/ingress.rs
+++ b/crates/host/src/ingress.rs
@@ -175,6 +175,9 @@
     }
 
     async fn run(mut self) -> OwnerOutcome {
+        if !self.cx.knows_current_config() {
+            return Outcome::NotRun(NotRunReason::StaleConfig);
+        }
         self.cx.routes.with_budget(&self.req.service, self.cx, Budget::first_attempt);
         loop {
             let target = self.await_target().await;
--- a/crates/host/src/owner/execute.rs
+++ b/crates/host/src/owner/execute.rs
@@ -55,11 +55,14 @@
 
 /// Checks that this host may run a request of the partition right now and returns the fence.
 pub(super) fn check(cx: &Cx, partition: Option<Partition>) -> Result<Option<Fence>, NotRunReason> {
-    if !cx.config.is_fresh(cx.now()) {
+    if cx.draining.get() && partition.is_none() {
+        return Err(NotRunReason::Draining);
+    }
+    if !cx.knows_current_config() {
         return Err(NotRunReason::StaleConfig);
     }
     let Some(partition) = partition else {
-        return if cx.draining.get() { Err(NotRunReason::Draining) } else { Ok(None) };
+        return Ok(None);
     };
     if cx.owner.is_closing(partition) {
         return Err(NotRunReason::NotOwner);
--- a/crates/host/src/shared.rs
+++ b/crates/host/src/shared.rs
@@ -90,6 +90,17 @@
         self.config.version()
     }
 
+    /// Returns whether the configuration on this host is known to be the newest.
+    ///
+    /// Grantors name the newest version with each renewal of the lease. A host without a lease may
+    /// be cut off, and a rule that it still treats as idempotent may not be so any more. A host
+    /// that leaves gives up its lease while it still finishes requests, for a bounded time.
+    pub fn knows_current_config(&self) -> bool {
+        let now = self.now();
+        let leased = self.node.borrow().lease(now).is_some();
+        (leased || self.draining.get()) && self.config.is_fresh(now)
+    }
+
     /// Returns whether this host may serve `partition` right now.
     pub fn serves(&self, partition: Partition) -> Option<model::Fence> {
         self.node.borrow().serves(partition, self.now())
