--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -130,6 +130,61 @@
     assert_eq!(starts(&queue.finish(100, Finish::Ran, later)), [200]);
 }
 
+#[test]
+fn a_key_counts_as_long_if_its_last_job_was() {
+    let check = |jobs: &[(u64, Finish)], expected: usize| {
+        let mut queue = trained(limits(6));
+        for &(span, finish) in jobs {
+            queue.offer_keyed(interactive(1_000), 7, LATER);
+            queue.finish(1_000, finish, LATER + Millis(span));
+        }
+        let later = LATER + Millis(10_000);
+        for id in 100..110 {
+            queue.offer_keyed(interactive(id), 7, later);
+        }
+        assert_eq!(queue.running(), expected, "{jobs:?}");
+    };
+    check(&[(20, Finish::Ran)], 6);
+    check(&[(5_000, Finish::Ran)], 4);
+    check(&[(20, Finish::Ran), (5_000, Finish::Ran)], 4);
+    check(&[(5_000, Finish::Ran), (20, Finish::Ran)], 6);
+    check(&[(5_000, Finish::Inconclusive)], 4);
+    check(&[(5_000, Finish::Failed)], 4);
+    check(&[(5_000, Finish::Ran), (1, Finish::Inconclusive)], 4);
+}
+
+#[test]
+fn slow_keys_are_remembered_up_to_a_bound() {
+    let is_long = |queue: &mut Queue, key: u64| {
+        let later = LATER + Millis(1_000_000);
+        let verdicts = [1, 2, 3, 4, 5].map(|id| queue.offer_keyed(interactive(id), key, later));
+        verdicts[4] == Verdict::Queued
+    };
+    let slow = |keys: u64| {
+        let mut queue = trained(limits(6));
+        // One long job in ten, so that the rule itself stays short.
+        for id in 0..10 * keys {
+            let (key, span) = if id % 10 == 0 { (id / 10, 5_000) } else { (1_000_000, 20) };
+            let now = LATER + Millis(100 * id);
+            queue.offer_keyed(interactive(1_000 + id), key, now);
+            queue.finish(1_000 + id, Finish::Ran, now + Millis(span));
+        }
+        queue
+    };
+    let found = [(256, 0), (257, 0), (257, 256)].map(|(keys, key)| is_long(&mut slow(keys), key));
+    assert_eq!(found, [true, false, true]);
+}
+
+#[test]
+fn a_key_is_long_while_one_of_its_jobs_runs_on() {
+    let mut queue = trained(limits(6));
+    queue.offer_keyed(interactive(99), 7, LATER);
+    let later = LATER + Millis(5_000);
+    let verdicts = [100, 101, 102, 103].map(|id| queue.offer_keyed(interactive(id), 7, later));
+    assert_eq!(verdicts, [Verdict::Start, Verdict::Start, Verdict::Start, Verdict::Queued]);
+    assert_eq!(queue.offer_keyed(interactive(104), 8, later), Verdict::Start);
+}
+
 #[test]
 fn new_rules_of_the_lower_classes_run_one_at_a_time() {
     let check = |priority: Priority, expected: usize| {
@@ -286,7 +341,7 @@
     assert_eq!(started(&mut queue, [interactive(1)]), [1]);
     assert_eq!(started(&mut queue, [interactive(2)]), []);
 
-    let actions = queue.finish(1, Finish::GivenUp, LATER);
+    let actions = queue.finish(1, Finish::Inconclusive, LATER);
 
     assert_eq!(starts(&actions), [2]);
     assert_eq!(queue.usable_slots(), 1);
--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -13,7 +13,7 @@
 use awc::error::SendRequestError;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use http_client::{Limits, Sent};
+use http_client::{BodyEnd, Limits, Sent};
 use model::{Fence, Millis, NotRunReason, Outcome, Partition, UnknownReason};
 use routing::outcome;
 use serde::{Deserialize, Serialize};
@@ -28,6 +28,9 @@
 /// How long a connection to the backend server may take.
 const CONNECT_TIME_LIMIT: Millis = Millis(500);
 
+/// How long a connection to the backend server is kept without a request.
+const IDLE_LIMIT: Millis = Millis(2_000);
+
 /// The most connections to one backend server, whatever it announces.
 const MAX_CONNECTIONS: usize = 1_024;
 
@@ -104,7 +107,11 @@
 impl Backend {
     /// Makes a client that knows no backend server yet.
     pub fn new() -> Self {
-        let limits = Limits { connections: MAX_CONNECTIONS, connect_limit: CONNECT_TIME_LIMIT };
+        let limits = Limits {
+            connections: MAX_CONNECTIONS,
+            connect_limit: CONNECT_TIME_LIMIT,
+            idle_limit: IDLE_LIMIT,
+        };
         Self {
             client: http_client::client(limits),
             view: RefCell::new(None),
@@ -247,31 +254,47 @@
     }
 
     /// Tells the backend server what it may serve and for how long.
-    pub async fn grant(&self, addr: SocketAddr, grants: &Grants) {
-        self.control(addr, "grants", grants).await;
+    pub async fn grant(&self, addr: SocketAddr, grants: &Grants) -> Result<(), ControlError> {
+        self.control(addr, "grants", grants).await
     }
 
     /// Tells the backend server to stop working on an attempt.
     pub async fn cancel(&self, addr: SocketAddr, call: u64) {
-        self.control(addr, "cancel", &Cancel { call }).await;
-    }
-
-    /// Tells the backend server to take no new work.
-    pub async fn drain(&self, addr: SocketAddr) {
-        self.control(addr, "drain", &Empty {}).await;
+        // A run that cannot be cancelled ends by itself.
+        let _ = self.control(addr, "cancel", &Cancel { call }).await;
     }
 
-    async fn control(&self, addr: SocketAddr, what: &str, body: &impl Serialize) {
+    async fn control(
+        &self,
+        addr: SocketAddr,
+        what: &str,
+        body: &impl Serialize,
+    ) -> Result<(), ControlError> {
         let url = format!("http://{addr}/papayarill/{what}");
         let sending = self.client.put(url).timeout(CONTROL_TIME_LIMIT).send_json(body);
         match sending.await {
-            Ok(answer) if answer.status().is_success() => {}
-            Ok(answer) => log::warn!("backend: {what} was refused with {}.", answer.status()),
-            Err(error) => log::debug!("backend: {what} failed: {error}."),
+            Ok(answer) if answer.status().is_success() => Ok(()),
+            Ok(answer) => {
+                log::warn!("backend: {what} was refused with {}.", answer.status());
+                Err(ControlError::Refused)
+            }
+            Err(error) => {
+                log::debug!("backend: {what} failed: {error}.");
+                Err(ControlError::NoAnswer)
+            }
         }
     }
 }
 
+/// Why a control call had no effect that this side knows of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ControlError {
+    /// The backend server refused it.
+    Refused,
+    /// There was no answer.
+    NoAnswer,
+}
+
 /// The whole list of what a backend server may serve.
 #[derive(Debug, Serialize)]
 pub struct Grants {
@@ -295,9 +318,6 @@
     call: u64,
 }
 
-#[derive(Serialize)]
-struct Empty {}
-
 impl Attempted {
     fn new(outcome: Outcome<(AnswerHead, AnswerStream)>, connection: Connection) -> Self {
         Self { outcome, connection }
@@ -324,17 +344,27 @@
 where
     S: futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
 {
-    let refused = answer.headers().get(outcome::REFUSED_HEADER).map(|v| v.as_bytes());
-    if let Some(reason) = outcome::refusal(answer.status().as_u16(), refused) {
+    let (status, headers) = (answer.status(), answer.headers());
+    let refused = headers.get(outcome::REFUSED_HEADER).map(|v| v.as_bytes());
+    if let Some(reason) = outcome::refusal(status.as_u16(), refused) {
         return Attempted::new(Outcome::NotRun(reason), Connection::Good);
     }
+    let end = http_client::body_end(method, status, headers);
+    if end == BodyEnd::Unknown {
+        log::warn!("backend: An answer states neither its length nor chunks; it is dropped.");
+        return Attempted::new(Outcome::Unknown(UnknownReason::AnswerCut), Connection::Good);
+    }
     let head = AnswerHead {
-        status: answer.status().as_u16(),
-        headers: answer_headers(answer.headers()),
-        body_length: body_length(method, answer.status(), answer.headers()),
+        status: status.as_u16(),
+        headers: answer_headers(headers),
+        body_length: end.length(),
         owner,
     };
-    let body = answer.map(|chunk| chunk.map_err(|_| BodyError::Cut { received: 0 })).boxed_local();
+    let body = match end {
+        // A head may state a length although no body follows, as with 304; awc would wait for it.
+        BodyEnd::Length(0) => wire::whole_body(Bytes::new()),
+        _ => answer.map(|piece| piece.map_err(|_| BodyError::Cut { received: 0 })).boxed_local(),
+    };
     Attempted::new(Outcome::Ran((head, body)), Connection::Good)
 }
 
@@ -361,17 +391,3 @@
             | "host"
     )
 }
-
-/// Returns the length of the body that follows. Some answers have none, whatever their headers
-/// say about the body that another request would get.
-fn body_length(
-    method: &str,
-    status: awc::http::StatusCode,
-    headers: &awc::http::header::HeaderMap,
-) -> Option<u64> {
-    use awc::http::StatusCode;
-    if method == "HEAD" || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
-        return Some(0);
-    }
-    headers.get("content-length")?.to_str().ok()?.parse().ok()
-}
--- a/crates/host/src/ingress.rs
+++ b/crates/host/src/ingress.rs
@@ -1,6 +1,8 @@
 //! What a host does as ingress: it finds the owner, passes the request on over at most one hop,
 //! and decides after each attempt whether another one is allowed.
 
+use std::time::Duration;
+
 use actix::{Actor, Context, Handler, Message, ResponseFuture};
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -9,6 +11,7 @@
     UnknownReason,
 };
 use routing::answer::DEFAULT_RETRY_AFTER;
+use routing::balance::Distance;
 use routing::retry::{Attempts, Budget, Failure, RetryContext, Route, Servers, Step};
 use routing::rules::Matched;
 use tokio::sync::{mpsc, oneshot};
@@ -21,6 +24,12 @@
 /// How long a request waits until some backend server of its service is known.
 const MAX_MEMBER_WAIT: Millis = Millis(2_000);
 
+/// How long an owner may take before it is checked whether it still is the owner.
+const SUPERSEDED_AFTER: Duration = Duration::from_millis(250);
+
+/// How long an answer may be on its way after its sender was superseded.
+const LATE_ANSWER_GRACE: Duration = Duration::from_millis(100);
+
 /// Requests that may wait in the actor's mailbox.
 const MAILBOX_CAPACITY: usize = 4_096;
 
@@ -117,6 +126,11 @@
     metrics::counter!("papayarill_requests_total", "outcome" => told).increment(1);
 }
 
+fn count_crossing_bytes(bytes: usize) {
+    let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+    metrics::counter!("papayarill_cross_region_bytes_total").increment(bytes);
+}
+
 /// Carries the body to the HTTP thread. A slow caller slows the body down; one that goes away
 /// drops it.
 fn pipe((head, mut body): (AnswerHead, Body)) -> (AnswerHead, Chunks) {
@@ -279,7 +293,11 @@
             owner::run(self.cx, head, body).await
         } else {
             metrics::counter!("papayarill_hops_total").increment(1);
-            self.cx.client.forward(target.addr, head, body).await
+            let outcome = tokio::select! {
+                outcome = self.cx.client.forward(target.addr, head, body) => outcome,
+                () = self.superseded(target) => Outcome::Unknown(UnknownReason::ConnectionLost),
+            };
+            self.count_crossing(target.addr, outcome)
         };
         if target.known.is_none() {
             routes::finished(self.cx, &self.req.service, target.addr, started_at, &outcome);
@@ -287,6 +305,49 @@
         outcome
     }
 
+    /// Counts the bytes that cross regions, because that traffic is paid for.
+    fn count_crossing(&self, to: HostAddr, outcome: OwnerOutcome) -> OwnerOutcome {
+        if self.distance(to) != Distance::Far {
+            return outcome;
+        }
+        count_crossing_bytes(self.req.body.len());
+        outcome.map(|(head, body)| {
+            let counted = body.inspect(|chunk| {
+                if let Ok(bytes) = chunk {
+                    count_crossing_bytes(bytes.len());
+                }
+            });
+            (head, counted.boxed_local())
+        })
+    }
+
+    fn distance(&self, to: HostAddr) -> Distance {
+        let service = &self.req.service;
+        let cell = self.cell().unwrap_or(CellId { service: service.clone(), index: 0 });
+        routes::distance(self.cx, &cell, to)
+    }
+
+    /// Resolves when another owner is known than the one that the request was sent to. A planned
+    /// move shows only after the former owner has answered, so the former owner is frozen or cut
+    /// off, and waiting for it would hold the request up until its deadline.
+    async fn superseded(&self, target: Target) {
+        let (Some(before), Some(cell)) = (target.known, self.cell()) else {
+            return std::future::pending().await;
+        };
+        let Some(partition) = self.req.partition else {
+            return std::future::pending().await;
+        };
+        tokio::time::sleep(SUPERSEDED_AFTER).await;
+        let unmarked = Known { version: None, ..before };
+        let time_left = self.time_left();
+        let route = routes::await_newer(self.cx, &cell, partition, unmarked, time_left).await;
+        if route == Route::Same {
+            std::future::pending::<()>().await;
+        }
+        // An answer that was sent before the move may still be on its way.
+        tokio::time::sleep(LATE_ANSWER_GRACE).await;
+    }
+
     fn head(&self, time_left: Millis) -> ForwardHead {
         let req = &self.req;
         ForwardHead {
--- a/crates/host/src/owner/execute.rs
+++ b/crates/host/src/owner/execute.rs
@@ -11,6 +11,7 @@
 use wire::{AnswerHead, Body, BodyError, ForwardHead};
 
 use super::OwnerOutcome;
+use super::grants;
 use super::permit::{self, Permit};
 use crate::backend::{Attempt, Attempted, Change, Connection};
 use crate::shared::Cx;
@@ -38,6 +39,9 @@
         cx.owner.count(partition);
     }
     let permit = permit::admit(cx, head, deadline).await?;
+    if let (Some(partition), Some(fence)) = (head.partition, check(cx, head.partition)?) {
+        grants::await_noted(cx, partition, fence).await?;
+    }
     // The lease may have ended, or the partition may have moved, while the request waited.
     let fence = check(cx, head.partition)?;
     let view = cx.backend.view().ok_or(NotRunReason::NotConnected)?;
@@ -80,7 +84,7 @@
     match outcome {
         Outcome::Ran((head, body)) => Outcome::Ran(guard(head, body, permit, cancelled)),
         Outcome::NotRun(reason) => {
-            permit.done(Finish::Refused);
+            permit.done(finish_of(reason));
             Outcome::NotRun(reason)
         }
         Outcome::Unknown(reason) => {
@@ -90,6 +94,15 @@
     }
 }
 
+/// Only a refusal for its load tells how much work the backend server can take.
+fn finish_of(reason: NotRunReason) -> Finish {
+    match reason {
+        NotRunReason::BackendRefused => Finish::Refused,
+        NotRunReason::NotConnected => Finish::Failed,
+        _ => Finish::Inconclusive,
+    }
+}
+
 /// Looks at once whether the backend server is still there when a connection to it failed.
 async fn notice(cx: &Cx, addr: std::net::SocketAddr, connection: Connection) {
     let gone = match connection {
@@ -98,7 +111,7 @@
         Connection::Broken => tokio::net::TcpStream::connect(addr).await.is_err(),
     };
     if gone && cx.backend.refused_connection(addr) == Change::Down {
-        super::backend_lost(cx);
+        super::backend_lost(cx).await;
     }
 }
 
