--- a/crates/trial/src/process.rs
+++ b/crates/trial/src/process.rs
@@ -25,10 +25,22 @@
     ///
     /// Panics if the program does not start or tells no addresses.
     pub fn spawn(&self, arguments: &[&str]) -> Process {
+        let filter = std::env::var("PAPAYARILL_TRIAL_LOG").unwrap_or("off".to_owned());
+        self.spawn_logging(arguments, &filter, Stdio::inherit())
+    }
+
+    /// Starts the program with a filter of log lines and a place for them, and waits for the line
+    /// that tells its addresses.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program does not start or tells no addresses.
+    pub fn spawn_logging(&self, arguments: &[&str], filter: &str, log: Stdio) -> Process {
         let mut child = Command::new(&self.0)
             .args(arguments)
-            .env("RUST_LOG", std::env::var("PAPAYARILL_TRIAL_LOG").unwrap_or("off".to_owned()))
+            .env("RUST_LOG", filter)
             .stdout(Stdio::piped())
+            .stderr(log)
             .spawn()
             .expect("the program starts");
         let stdout = child.stdout.take().expect("stdout is piped");
@@ -64,6 +76,11 @@
         found.next().unwrap_or_else(|| panic!("no {label:?} in {:?}", self.first_line))
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,11 @@
 //! Chores: measurements and checks.
 
 mod admission;
+mod capacity;
+mod cluster;
 mod config;
 mod failover;
+mod path;
 mod placement;
 mod requests;
 mod wire_cost;
@@ -15,10 +18,12 @@
 type Part = (&'static str, fn());
 
 /// All measurements, sorted by name.
-const PARTS: [Part; 6] = [
+const PARTS: [Part; 8] = [
     ("admission", admission::run),
+    ("capacity", capacity::run),
     ("config", config::run),
     ("failover", failover::run),
+    ("path", path::run),
     ("placement", placement::run),
     ("requests", requests::run),
     ("wire", wire_cost::run),
--- a/xtask/src/wire_cost.rs
+++ b/xtask/src/wire_cost.rs
@@ -201,7 +201,8 @@
     (resident_bytes() - before) / clients.len()
 }
 
-fn resident_bytes() -> usize {
+/// Returns the resident memory of this process.
+pub fn resident_bytes() -> usize {
     let statm = std::fs::read_to_string("/proc/self/statm").expect("the system is Linux");
     let pages = statm.split_whitespace().nth(1).and_then(|field| field.parse::<usize>().ok());
     pages.expect("statm has a resident field") * PAGE_BYTES
