Send small writes to backend servers and callers at once

The HTTP client writes the head and the body of a request separately, so the second write waited for an acknowledgement that the receiver puts off for some 40 ms. Change: TCP_NODELAY on connections to backend servers and platform, and on those of callers. Conclusion: the option is needed on both sides.

--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -116,6 +116,7 @@
     });
     let server = server
         .workers(WORKERS)
+        .tcp_nodelay(true)
         .client_request_timeout(HEAD_TIME_LIMIT)
         .keep_alive(KEEP_ALIVE)
         .shutdown_timeout(STOP_TIME_LIMIT_SECONDS)
--- a/crates/http-client/src/whole.rs
+++ b/crates/http-client/src/whole.rs
@@ -23,6 +23,11 @@
 + 'static {
     Connector::default().service().map(|conn: Connection<Uri, TcpStream>| {
         let (io, uri) = conn.into_parts();
+        // Head and body leave in two writes. Without this the second one waits until the server
+        // has acknowledged the first, which servers put off for some 40 ms.
+        if let Err(e) = io.set_nodelay(true) {
+            log::debug!("http: Cannot turn off the delay of small writes: {e}.");
+        }
         Connection::new(uri, WholeStream(io))
     })
 }
