--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -31,6 +31,10 @@
 /// How long a connection to the backend server is kept without a request.
 const IDLE_LIMIT: Millis = Millis(2_000);
 
+/// What the backend server gets beyond the deadline. This side's verdict comes first that way, and
+/// a cancellation follows it; otherwise it would be chance who answers first, and with what.
+const DEADLINE_GRACE: Millis = Millis(100);
+
 /// The most connections to one backend server, whatever it announces.
 const MAX_CONNECTIONS: usize = 1_024;
 
@@ -210,6 +214,12 @@
         *self.view.borrow()
     }
 
+    /// Returns whether the backend server says that it is leaving. Such a report is believed,
+    /// because it only lowers trust.
+    pub fn is_draining(&self) -> bool {
+        self.view().is_some_and(|v| v.state == BackendState::Draining)
+    }
+
     /// Returns whether the last backend server that was seen checks fences.
     pub fn last_fence_check(&self) -> Option<FenceCheck> {
         self.last_fence_check.get()
@@ -250,7 +260,7 @@
             req = req.insert_header(("papayarill-request-id", id.to_string()));
         }
         req.insert_header(("papayarill-call", attempt.call))
-            .insert_header(("papayarill-time-left-ms", attempt.time_left.0))
+            .insert_header(("papayarill-time-left-ms", (attempt.time_left + DEADLINE_GRACE).0))
     }
 
     /// Tells the backend server what it may serve and for how long.
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -90,8 +90,8 @@
     pub running: usize,
     /// Requests that wait for a slot.
     pub waiting: usize,
-    /// Digests of requests that are refused because they crash backend servers.
-    pub quarantined: Vec<u64>,
+    /// Digests, in hexadecimal, of requests that are refused because they crash backend servers.
+    pub quarantined: Vec<String>,
 }
 
 /// Whether a host takes new work.
@@ -228,7 +228,7 @@
         backend_server: cx.backend.view().map(|v| v.addr.to_string()),
         running: cx.owner.running(),
         waiting: cx.owner.waiting(),
-        quarantined: owner::quarantined(cx),
+        quarantined: owner::quarantined(cx).iter().map(|d| format!("{d:x}")).collect(),
     }
 }
 
@@ -372,9 +372,12 @@
 }
 
 async fn delete_quarantine(
-    digest: web::Path<u64>,
+    digest: web::Path<String>,
     state: web::Data<OperatorsState>,
 ) -> HttpResponse {
-    state.operators.do_send(Order::LiftQuarantine(digest.into_inner()));
+    let Ok(digest) = u64::from_str_radix(&digest, 16) else {
+        return HttpResponse::BadRequest().body("expected a digest in hexadecimal");
+    };
+    state.operators.do_send(Order::LiftQuarantine(digest));
     HttpResponse::Accepted().finish()
 }
--- a/crates/host/src/owner/execute.rs
+++ b/crates/host/src/owner/execute.rs
@@ -23,6 +23,8 @@
         Ok(outcome) => outcome,
         Err(reason) => {
             log::info!("owner: Did not run a request: {reason}.");
+            let reason_label = reason.to_string();
+            metrics::counter!("papayarill_refused_total", "reason" => reason_label).increment(1);
             Outcome::NotRun(reason)
         }
     }
@@ -55,7 +57,8 @@
 
 /// Checks that this host may run a request of the partition right now and returns the fence.
 pub(super) fn check(cx: &Cx, partition: Option<Partition>) -> Result<Option<Fence>, NotRunReason> {
-    if cx.draining.get() && partition.is_none() {
+    let leaving = cx.draining.get() || cx.backend.is_draining();
+    if leaving && partition.is_none() {
         return Err(NotRunReason::Draining);
     }
     if !cx.knows_current_config() {
--- a/crates/host/src/owner/mod.rs
+++ b/crates/host/src/owner/mod.rs
@@ -184,7 +184,7 @@
     Report {
         slots,
         slots_in_use: u32::try_from(cx.owner.running()).unwrap_or(u32::MAX),
-        draining: cx.draining.get(),
+        draining: cx.draining.get() || cx.backend.is_draining(),
         unfenced_grace: unfenced_grace(cx),
         partitions: partition_reports(cx),
     }
--- a/crates/host/src/owner/permit.rs
+++ b/crates/host/src/owner/permit.rs
@@ -143,11 +143,7 @@
     let verdict = offer(cx, head, job, now);
     match verdict {
         Verdict::Start => {}
-        Verdict::Refused { reason, .. } => {
-            metrics::counter!("papayarill_refused_total", "reason" => reason.to_string())
-                .increment(1);
-            return Err(reason);
-        }
+        Verdict::Refused { reason, .. } => return Err(reason),
         Verdict::Queued => wait_for_slot(cx, call).await?,
     }
     let digest = head.digest;
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -164,7 +164,6 @@
     store_patience_ms: u64,
     release_time_limit_ms: u64,
     balance_interval_ms: u64,
-    unfenced_grace_ms: u64,
 }
 
 impl Default for TimingDocument {
@@ -183,7 +182,6 @@
             store_patience_ms: timing.store_patience.0,
             release_time_limit_ms: timing.release_time_limit.0,
             balance_interval_ms: timing.balance_interval.0,
-            unfenced_grace_ms: timing.unfenced_grace.0,
         }
     }
 }
@@ -198,7 +196,8 @@
             store_patience: Millis(document.store_patience_ms),
             release_time_limit: Millis(document.release_time_limit_ms),
             balance_interval: Millis(document.balance_interval_ms),
-            unfenced_grace: Millis(document.unfenced_grace_ms),
+            // The configuration of the service decides on this one.
+            unfenced_grace: Millis::ZERO,
         }
     }
 }
--- a/crates/papayarill/src/dev.rs
+++ b/crates/papayarill/src/dev.rs
@@ -136,10 +136,17 @@
     let callers = hosts[0].running.addresses.callers;
     let answer = first_request(callers).await?;
     print_hints(&hosts, platform, &answer);
-    if !options.once {
-        interrupted().await?;
+    if options.once {
+        return Ok(());
     }
-    Ok(())
+    // A host that is drained stops like a process of its own, with its backend server.
+    for host in hosts {
+        actix_rt::spawn(async move {
+            host.running.stopped().await;
+            host.backend.stop().await;
+        });
+    }
+    interrupted().await
 }
 
 async fn apply_config(platform: SocketAddr) -> Result<(), Refusal> {
--- a/crates/papayarill/src/http.rs
+++ b/crates/papayarill/src/http.rs
@@ -68,6 +68,11 @@
     serde_json::from_str(&text).map_err(|e| format!("{addr} sent something else: {e}"))
 }
 
+/// Takes back an order.
+pub fn delete(addr: OperatorsAddr, target: &str) -> Result<(), Refusal> {
+    actix_rt::System::new().block_on(send(addr, "DELETE", target, None::<&()>)).map(|_| ())
+}
+
 /// Gives an order.
 pub fn post(
     addr: OperatorsAddr,
--- a/crates/papayarill/src/main.rs
+++ b/crates/papayarill/src/main.rs
@@ -11,6 +11,7 @@
 mod explain;
 mod http;
 mod in_force;
+mod lift;
 mod serve;
 mod status;
 
@@ -49,6 +50,8 @@
     Drain(drain::DrainOptions),
     /// state that lost hosts are dead for good, when two grantors of a cell are lost at once
     DeclareDead(declare_dead::DeclareDeadOptions),
+    /// let a request run again that was quarantined because it crashed backend servers
+    Lift(lift::LiftOptions),
     /// run a platform, three host processes and three backend servers in this process
     Dev(dev::DevOptions),
 }
@@ -86,6 +89,7 @@
         Command::Explain(options) => explain::run(&options),
         Command::Drain(options) => drain::run(&options),
         Command::DeclareDead(options) => declare_dead::run(&options),
+        Command::Lift(options) => lift::run(&options),
         Command::Dev(options) => dev::run(&options),
     }
 }
--- a/crates/papayarill/src/status.rs
+++ b/crates/papayarill/src/status.rs
@@ -54,6 +54,6 @@
         println!("partition {number} fence {fence} owner {owner} standby {standby}");
     }
     for digest in &status.quarantined {
-        println!("quarantined {digest:x}");
+        println!("quarantined {digest}");
     }
 }
