Read a refusal for want of a grant as a lost lease

Cause: a backend server whose grants had run out was taken for overloaded, and the queue lowered its slots. A grant runs out with the lease, so the request follows the owner instead. The table of refusals changes with it: it named the reason that had this fault. Commands no longer panic when their output is closed early.

--- a/crates/papayarill/src/apply.rs
+++ b/crates/papayarill/src/apply.rs
@@ -8,6 +8,7 @@
 
 use crate::document::{self, Document};
 use crate::http::{OperatorsAddr, PlatformAddr};
+use crate::out::say;
 use crate::{Refusal, in_force};
 
 /// How long the platform may take to answer.
@@ -53,7 +54,7 @@
 pub fn run(options: &ApplyOptions) -> Result<(), Refusal> {
     let document = document::read(&options.file)?;
     let version = actix_rt::System::new().block_on(apply(options, &document))?;
-    println!("{}: accepted as version {version}", options.file);
+    say!("{}: accepted as version {version}", options.file);
     if options.wait {
         in_force::wait(version, &options.host, options.wait_limit)?;
     }
--- a/crates/papayarill/src/check.rs
+++ b/crates/papayarill/src/check.rs
@@ -2,6 +2,7 @@
 
 use gumdrop::Options;
 
+use crate::out::say;
 use crate::{Refusal, document};
 
 /// Options of `papayarill check`.
@@ -19,12 +20,12 @@
     let config = document::read(&options.file)?.config;
     let zones: usize = config.regions.iter().map(|r| r.zones.len()).sum();
     let (regions, services) = (config.regions.len(), config.services.len());
-    println!("{}: valid", options.file);
-    println!("{regions} regions, {zones} availability zones, {services} services");
+    say!("{}: valid", options.file);
+    say!("{regions} regions, {zones} availability zones, {services} services");
     for service in &config.services {
         let (name, rules, cells) = (&service.name, service.rules.len(), service.cell_count());
         let (servers, partitions) = (service.backend_servers, service.partitions);
-        println!(
+        say!(
             "service {name}: {servers} backend servers, {partitions} partitions in {cells} cells, \
              {rules} rules"
         );
--- a/crates/papayarill/src/declare_dead.rs
+++ b/crates/papayarill/src/declare_dead.rs
@@ -5,6 +5,7 @@
 
 use crate::Refusal;
 use crate::http::{self, OperatorsAddr};
+use crate::out::say;
 
 /// Options of `papayarill declare-dead`.
 #[derive(Debug, Options)]
@@ -28,6 +29,6 @@
 pub fn run(options: &DeclareDeadOptions) -> Result<(), Refusal> {
     let body = DeadSessions { sessions: &options.session };
     http::post(options.host, "/declare-dead", Some(&body))?;
-    println!("Told {} that {} are dead.", options.host, options.session.join(", "));
+    say!("Told {} that {} are dead.", options.host, options.session.join(", "));
     Ok(())
 }
--- a/crates/papayarill/src/drain.rs
+++ b/crates/papayarill/src/drain.rs
@@ -4,6 +4,7 @@
 
 use crate::Refusal;
 use crate::http::{self, OperatorsAddr};
+use crate::out::say;
 
 /// Options of `papayarill drain`.
 #[derive(Debug, Options)]
@@ -18,6 +19,6 @@
 /// Asks the host process to leave.
 pub fn run(options: &DrainOptions) -> Result<(), Refusal> {
     http::post(options.host, "/drain", None::<&()>)?;
-    println!("{} is leaving its cell and stops when nothing is left.", options.host);
+    say!("{} is leaving its cell and stops when nothing is left.", options.host);
     Ok(())
 }
--- a/crates/papayarill/src/explain.rs
+++ b/crates/papayarill/src/explain.rs
@@ -5,6 +5,7 @@
 
 use crate::Refusal;
 use crate::http::{self, OperatorsAddr};
+use crate::out::say;
 
 /// Options of `papayarill explain`.
 #[derive(Debug, Options)]
@@ -29,7 +30,7 @@
     let target = format!("/explain?service={service}&key={key}");
     let why: Value = http::get(options.host, &target)?;
     let text = serde_json::to_string_pretty(&why).map_err(|e| e.to_string())?;
-    println!("{text}");
+    say!("{text}");
     Ok(())
 }
 
--- a/crates/papayarill/src/in_force.rs
+++ b/crates/papayarill/src/in_force.rs
@@ -8,6 +8,7 @@
 
 use crate::Refusal;
 use crate::http::{self, OperatorsAddr};
+use crate::out::say;
 
 /// The pause between two rounds of questions.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
@@ -44,7 +45,7 @@
         progress.state = ask(version, progress.host);
         if let Ok(cell) = &progress.state {
             let (host, ms) = (progress.host, started.elapsed().as_millis());
-            println!("cell {cell}: version {version} is in force on {host} after {ms} ms");
+            say!("cell {cell}: version {version} is in force on {host} after {ms} ms");
         }
     }
 }
@@ -60,7 +61,7 @@
     cells.sort();
     for group in cells.chunk_by(|a, b| a == b) {
         let (cell, count) = (group[0], group.len());
-        println!("cell {cell}: version {version} is in force on all {count} hosts that were named");
+        say!("cell {cell}: version {version} is in force on all {count} hosts that were named");
     }
 }
 
--- a/crates/papayarill/src/lift.rs
+++ b/crates/papayarill/src/lift.rs
@@ -4,6 +4,7 @@
 
 use crate::Refusal;
 use crate::http::{self, OperatorsAddr};
+use crate::out::say;
 
 /// Options of `papayarill lift`.
 #[derive(Debug, Options)]
@@ -21,6 +22,6 @@
 /// Lifts the quarantine in the whole cell.
 pub fn run(options: &LiftOptions) -> Result<(), Refusal> {
     http::delete(options.host, &format!("/quarantine/{}", options.digest))?;
-    println!("The quarantine of request {} is lifted.", options.digest);
+    say!("The quarantine of request {} is lifted.", options.digest);
     Ok(())
 }
--- a/crates/papayarill/src/main.rs
+++ b/crates/papayarill/src/main.rs
@@ -12,6 +12,7 @@
 mod http;
 mod in_force;
 mod lift;
+mod out;
 mod serve;
 mod status;
 
@@ -19,6 +20,8 @@
 
 use gumdrop::Options;
 
+use crate::out::say;
+
 /// The exit code of a command that was refused or failed.
 const REFUSED: u8 = 1;
 
@@ -113,12 +116,12 @@
     let name = arguments.command_name();
     match name.and_then(Command::command_usage) {
         Some(usage) => {
-            println!("Usage: papayarill {} [OPTIONS]\n\n{usage}", name.unwrap_or_default());
+            say!("Usage: papayarill {} [OPTIONS]\n\n{usage}", name.unwrap_or_default());
         }
         None => {
-            println!("Usage: papayarill COMMAND [OPTIONS]\n\n{}", Arguments::usage());
-            println!("\nCommands:\n{}", Command::usage());
-            println!("\nExit codes: 0 done, 1 refused, 2 the command line is wrong.");
+            say!("Usage: papayarill COMMAND [OPTIONS]\n\n{}", Arguments::usage());
+            say!("\nCommands:\n{}", Command::usage());
+            say!("\nExit codes: 0 done, 1 refused, 2 the command line is wrong.");
         }
     }
 }
--- a/crates/routing/src/outcome.rs
+++ b/crates/routing/src/outcome.rs
@@ -72,7 +72,8 @@
         return None;
     }
     match refused? {
-        b"shed" | b"not-granted" => Some(NotRunReason::BackendRefused),
+        b"shed" => Some(NotRunReason::BackendRefused),
+        b"not-granted" => Some(NotRunReason::NoLease),
         b"fence" => Some(NotRunReason::NotOwner),
         b"draining" => Some(NotRunReason::Draining),
         b"deadline" => Some(NotRunReason::Deadline),
