--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -23,13 +23,14 @@
 /// How long idle processes are watched.
 const IDLE: Duration = Duration::from_secs(6);
 
-/// Deployments whose idle processes are watched: one cell that grows, then one with more
+/// Deployments whose idle processes are watched: one cell that grows in hosts, then in
 /// partitions.
-const IDLE_SIZES: [Size; 4] = [
+const IDLE_SIZES: [Size; 5] = [
     Size { hosts: 6, cells: 1, partitions: 48 },
     Size { hosts: 18, cells: 1, partitions: 48 },
     Size { hosts: 32, cells: 1, partitions: 48 },
-    Size { hosts: 6, cells: 1, partitions: 1_024 },
+    Size { hosts: 32, cells: 1, partitions: 256 },
+    Size { hosts: 32, cells: 1, partitions: 1_024 },
 ];
 
 /// Deployments in which a configuration is changed.
