Call a request not run only if no attempt may have run

Cause: an idempotent request whose first attempt was lost with its owner, and whose later ones reached nobody, was answered not run although it had run. Ruled out: the single attempts, each of which told the truth. Change: the attempts of a request remember the first doubt. A suspect that is refused by the queue also makes way for the next one.

--- a/crates/host/src/ingress.rs
+++ b/crates/host/src/ingress.rs
@@ -191,7 +191,10 @@
                 Outcome::Unknown(reason) => Failure::Unknown(*reason),
             };
             if !self.prepare_next(failure, target).await {
-                return outcome;
+                return match self.attempts.verdict(failure) {
+                    Failure::NotRun(reason) => Outcome::NotRun(reason),
+                    Failure::Unknown(reason) => Outcome::Unknown(reason),
+                };
             }
         }
     }
--- a/crates/host/src/owner/permit.rs
+++ b/crates/host/src/owner/permit.rs
@@ -28,6 +28,19 @@
     digest: u64,
     end: Finish,
     stage: Stage,
+    _suspect: Suspect,
+}
+
+/// A request that passed the quarantine. Dropping it lets the next suspect run.
+struct Suspect {
+    cx: Cx,
+    digest: u64,
+}
+
+impl Drop for Suspect {
+    fn drop(&mut self) {
+        self.cx.owner.quarantine.borrow_mut().not_run(self.digest);
+    }
 }
 
 /// How far a permit's request has come.
@@ -86,7 +99,6 @@
         if self.is_open() {
             cancel(&self.cx, self.call);
         }
-        self.cx.owner.quarantine.borrow_mut().not_run(self.digest);
         self.cx.owner.in_flight.borrow_mut().retain(|i| i.call != self.call);
         let actions = self.cx.owner.queue.borrow_mut().finish(self.call, self.end, self.cx.now());
         carry_out(&self.cx, actions);
@@ -135,7 +147,7 @@
     head: &ForwardHead,
     deadline: Millis,
 ) -> Result<Permit, NotRunReason> {
-    pass_quarantine(cx, head.digest, deadline).await?;
+    let suspect = pass_quarantine(cx, head.digest, deadline).await?;
     let call = cx.owner.next_call();
     let now = cx.now();
     let time_left = deadline.since(now);
@@ -147,7 +159,14 @@
         Verdict::Queued => wait_for_slot(cx, call).await?,
     }
     let digest = head.digest;
-    Ok(Permit { cx: cx.clone(), call, digest, end: Finish::Inconclusive, stage: Stage::Admitted })
+    Ok(Permit {
+        cx: cx.clone(),
+        call,
+        digest,
+        end: Finish::Inconclusive,
+        stage: Stage::Admitted,
+        _suspect: suspect,
+    })
 }
 
 /// Idempotent requests that are the same take about the same time, so they are told apart.
@@ -173,11 +192,11 @@
 }
 
 /// Lets a request pass that is not suspected of crashing backend servers. Suspects go one by one.
-async fn pass_quarantine(cx: &Cx, digest: u64, deadline: Millis) -> Result<(), NotRunReason> {
+async fn pass_quarantine(cx: &Cx, digest: u64, deadline: Millis) -> Result<Suspect, NotRunReason> {
     loop {
         let start = cx.owner.quarantine.borrow_mut().may_start(digest, cx.now());
         match start {
-            Start::Free | Start::Alone => return Ok(()),
+            Start::Free | Start::Alone => return Ok(Suspect { cx: cx.clone(), digest }),
             Start::Refused { .. } => return Err(NotRunReason::Quarantined),
             Start::Wait => {}
         }
--- a/crates/papayarill/tests/requests.rs
+++ b/crates/papayarill/tests/requests.rs
@@ -218,3 +218,35 @@
     assert!(served >= 10, "only {served} of 30 keys were served");
     assert!(runs_of_key(&deployment, "/index-board/keys/0").await <= 3);
 }
+
+#[actix_rt::test]
+async fn a_request_that_ran_once_is_never_called_not_run() {
+    let mut deployment = deployment(&program(), &ZONES[..3]).await;
+    let path = "/index-board/keys/doubt";
+    for _ in 0..20 {
+        assert_eq!(ask(&deployment.hosts[0], path, None, &[]).await.status, 200);
+        assert_eq!(ask(&deployment.hosts[1], path, None, &[]).await.status, 200);
+    }
+    let mut owner = 0;
+    for (index, host) in deployment.hosts.iter().enumerate() {
+        owner = if host.runs().await.is_empty() { owner } else { index };
+    }
+    let ingress = usize::from(owner == 0);
+    let headers = [("stand-in-run-ms", "30000"), ("papayarill-time-left-ms", "900")];
+    let runs_before = runs_of_key(&deployment, path).await;
+    let callers = deployment.hosts[ingress].callers;
+    let asked = actix_rt::spawn(async move {
+        let mut req = http::client().get(format!("http://{callers}{path}"));
+        for header in headers {
+            req = req.insert_header(header);
+        }
+        http::send(req, Bytes::new()).await
+    });
+    wait_for("the request to run", || async { runs_of_key(&deployment, path).await > runs_before })
+        .await;
+
+    deployment.hosts[owner].process.kill();
+    let seen = asked.await.expect("the caller ends");
+
+    assert_eq!((seen.status, seen.outcome.as_str()), (504, "unknown"), "{seen:?}");
+}
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -164,14 +164,29 @@
     moves: u32,
     probes: u32,
     refused_by_owner: bool,
+    /// Why it is unknown whether an earlier attempt ran.
+    doubt: Option<UnknownReason>,
 }
 
 impl Attempts {
+    /// Returns what is known of the request as a whole after an attempt failed like this.
+    ///
+    /// That one attempt did not run says nothing about an earlier one that may have run.
+    pub fn verdict(&self, failure: Failure) -> Failure {
+        match (failure, self.doubt) {
+            (Failure::NotRun(_), Some(reason)) => Failure::Unknown(reason),
+            _ => failure,
+        }
+    }
+
     /// Decides what to do after an attempt without an answer.
     ///
     /// Not to be asked once a part of an answer went to the caller: then the only truthful step
     /// is to break the caller's connection.
     pub fn next_step(&mut self, failure: Failure, cx: &RetryContext, budget: &mut Budget) -> Step {
+        if let Failure::Unknown(reason) = failure {
+            self.doubt = self.doubt.or(Some(reason));
+        }
         match advice(failure, cx) {
             Advice::Stop => Step::Answer(Stop::Final),
             Advice::Follow => {
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -186,3 +186,26 @@
     check(100, 10);
     check(100_000, 10);
 }
+
+#[test]
+fn a_request_is_called_not_run_only_if_no_attempt_may_have_run() {
+    let lost = Failure::Unknown(UnknownReason::ConnectionLost);
+    let late = Failure::Unknown(UnknownReason::Timeout);
+    let refused = Failure::NotRun(NotRunReason::NotConnected);
+    let check = |failures: &[Failure], expected: Failure| {
+        let mut attempts = Attempts::default();
+        let cx = cx(Repeat::Repeatable, Servers::Owner);
+        for failure in failures {
+            attempts.next_step(*failure, &cx, &mut full_budget());
+        }
+        let last = failures[failures.len() - 1];
+        assert_eq!(attempts.verdict(last), expected, "{failures:?}");
+    };
+
+    check(&[refused], refused);
+    check(&[refused, refused], refused);
+    check(&[lost], lost);
+    check(&[lost, refused], lost);
+    check(&[refused, lost, refused, refused], lost);
+    check(&[lost, late], late);
+}
