Keep only the room that the owners of a route table need

Cause: 'measure capacity' gave 49.5 bytes a route entry, where an entry is 16 bytes. The list of owners was collected with one address of 32 bytes per route and kept that room after duplicates were removed. Ruled out: the entries themselves (collected from a borrowed list, so without spare room).

--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -106,6 +106,8 @@
         let mut owners: Vec<HostAddr> = table.routes.iter().map(|r| r.owner).collect();
         owners.sort_unstable();
         owners.dedup();
+        // The list was made with room for one owner per route.
+        owners.shrink_to_fit();
         self.routes = table.routes.iter().map(|r| compact(r, &owners)).collect();
         self.owners = owners;
         self.version = Some(table.version);
