--- a/xtask/src/capacity.rs
+++ b/xtask/src/capacity.rs
@@ -23,6 +23,9 @@
 /// How long idle processes are watched.
 const IDLE: Duration = Duration::from_secs(6);
 
+/// How long after their start idle processes are watched again.
+const SETTLING: Duration = Duration::from_secs(20);
+
 /// Deployments whose idle processes are watched: one cell that grows in hosts, then in
 /// partitions.
 const IDLE_SIZES: [Size; 5] = [
@@ -57,12 +60,18 @@
     print_memory();
     let Some(program) = cluster::program() else { return };
     actix_rt::System::new().block_on(async {
-        println!("\n| hosts | partitions | CPU % mean | CPU % least | CPU % most | RSS KiB mean | most | reads/s | writes/s |");
-        println!("|---|---|---|---|---|---|---|---|---|");
+        println!(
+            "\n| hosts | partitions | from s | CPU % mean | CPU % least | CPU % most \
+             | RSS KiB mean | most | reads/s | writes/s |"
+        );
+        println!("|---|---|---|---|---|---|---|---|---|---|");
         for size in IDLE_SIZES {
             print_idle(&program, size).await;
         }
-        println!("\n| hosts | cells | until in force on all, ms, change by change | CPU ms per host and change |");
+        println!(
+            "\n| hosts | cells | until in force on all, ms, change by change \
+             | CPU ms per host and change |"
+        );
         println!("|---|---|---|---|");
         for size in CHANGE_SIZES {
             print_changes(&program, size).await;
@@ -125,20 +134,27 @@
 
 async fn print_idle(program: &Program, size: Size) {
     let cluster = cluster::start(program, size, Logs::Off).await;
-    let counters = store_counters(&cluster).await;
-    let before = cpu(&cluster);
+    print_idle_row(&cluster, size, Duration::ZERO).await;
+    tokio::time::sleep(SETTLING).await;
+    print_idle_row(&cluster, size, SETTLING).await;
+}
+
+async fn print_idle_row(cluster: &Cluster, size: Size, age: Duration) {
+    let counters = store_counters(cluster).await;
+    let before = cpu(cluster);
     let started = Instant::now();
     tokio::time::sleep(IDLE).await;
     let elapsed = started.elapsed().as_secs_f64();
     let shares: Vec<f64> =
-        cpu(&cluster).iter().zip(&before).map(|(a, b)| (a - b) / elapsed / 1e4).collect();
-    let after = store_counters(&cluster).await;
+        cpu(cluster).iter().zip(&before).map(|(a, b)| (a - b) / elapsed / 1e4).collect();
+    let after = store_counters(cluster).await;
     let memory: Vec<u64> =
         cluster.hosts.iter().map(|h| cluster::resident_kib(&h.process)).collect();
     println!(
-        "| {} | {} | {:.2} | {:.2} | {:.2} | {} | {} | {:.1} | {:.1} |",
+        "| {} | {} | {} | {:.2} | {:.2} | {:.2} | {} | {} | {:.1} | {:.1} |",
         size.hosts,
         size.partitions,
+        age.as_secs(),
         shares.iter().sum::<f64>() / shares.len() as f64,
         shares.iter().copied().fold(f64::MAX, f64::min),
         shares.iter().copied().fold(0.0, f64::max),
