--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -1,19 +1,18 @@
 //! A few nodes, the messages between them, the row, and the faults that the tests cause.
 
-#![allow(dead_code, reason = "each test file uses a part of this module")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of this module")]
 
+mod checks;
+mod fixtures;
+mod queries;
 pub mod search;
 
+pub use fixtures::*;
+
 use std::collections::VecDeque;
 
-use model::{
-    CellId, ConfigVersion, Epoch, Fence, HostAddr, Incarnation, Millis, Partition, RowVersion,
-    ServiceName, Session, WriterTag, ZoneName,
-};
-use ownership::{
-    Assignment, CellRow, Command, Event, Grantor, MemberEntry, Message, Node, NodeSettings, Report,
-    Rules, Timing, VersionedRow,
-};
+use model::{ConfigVersion, Fence, HostAddr, Millis, Partition, RowVersion};
+use ownership::{CellRow, Command, Event, Message, Node, Rules, Timing, VersionedRow};
 
 /// Bounds the messages that one step may cause, so that a loop fails instead of hanging.
 const MAX_DELIVERIES: usize = 20_000;
@@ -135,65 +134,6 @@
     fn hash<H: std::hash::Hasher>(&self, _state: &mut H) {}
 }
 
-pub fn addr(index: usize) -> HostAddr {
-    HostAddr(format!("10.0.0.{}:7000", index + 1).parse().unwrap())
-}
-
-pub fn incarnation(index: usize, run: u64) -> Incarnation {
-    Incarnation((index as u64 + 1) * 100 + run)
-}
-
-pub fn session(index: usize) -> Session {
-    Session { incarnation: incarnation(index, 0), number: 1 }
-}
-
-pub fn zone(index: usize) -> ZoneName {
-    ZoneName::new(&format!("zone-{index}")).unwrap()
-}
-
-pub fn grantor(index: usize) -> Grantor {
-    Grantor { addr: addr(index), incarnation: incarnation(index, 0), zone: zone(index) }
-}
-
-pub fn member(index: usize) -> MemberEntry {
-    MemberEntry { session: session(index), addr: addr(index), zone: zone(index) }
-}
-
-/// A row at version 1 and epoch 1 with one assignment per partition: (owner, standby).
-pub fn first_row(hosts: usize, grantors: &[usize], owners: &[(usize, usize)]) -> VersionedRow {
-    let assignment = |(p, (owner, standby)): (usize, &(usize, usize))| Assignment {
-        partition: Partition(p as u32),
-        fence: Fence(2),
-        owner: session(*owner),
-        standby: (owner != standby).then(|| session(*standby)),
-    };
-    let row = CellRow {
-        writer: WriterTag(0),
-        epoch: Epoch(1),
-        grantors: grantors.iter().map(|g| grantor(*g)).collect(),
-        unsealed: Vec::new(),
-        members: (0..hosts).map(member).collect(),
-        assignments: owners.iter().enumerate().map(assignment).collect(),
-    };
-    VersionedRow { version: RowVersion(1), row }
-}
-
-fn settings(index: usize, run: u64, partitions: u32, timing: Timing) -> NodeSettings {
-    NodeSettings {
-        cell: CellId { service: ServiceName::new("index-board").unwrap(), index: 0 },
-        addr: addr(index),
-        incarnation: incarnation(index, run),
-        zone: zone(index),
-        partitions: (Partition(0), Partition(partitions)),
-        timing,
-    }
-}
-
-pub fn report(slots: u32) -> Report {
-    let unfenced_grace = Millis::ZERO;
-    Report { slots, slots_in_use: 0, draining: false, unfenced_grace, partitions: Vec::new() }
-}
-
 /// Commands.
 impl World {
     pub fn new(hosts: usize, partitions: u32, timing: Timing, rules: Rules) -> Self {
@@ -466,99 +406,6 @@
     }
 }
 
-/// Checks.
-impl World {
-    /// At most one host may serve a partition at any time. A paused host counts: the work that
-    /// it let start goes on.
-    fn check(&mut self) {
-        for p in 0..self.partitions {
-            let serving = self.serving(Partition(p));
-            if serving.len() > 1 {
-                self.fail(format!("partition {p} is served by hosts {serving:?}"));
-            }
-        }
-    }
-
-    /// A fence that was served or acknowledged never goes back.
-    fn note_served(&mut self, partition: Partition, fence: Fence) {
-        let highest = self.served[partition.0 as usize];
-        if fence <= highest {
-            self.fail(format!("partition {partition} goes from fence {highest} to {fence}"));
-        }
-        self.served[partition.0 as usize] = fence;
-        let stored = self.row.as_ref().and_then(|r| r.row.assignment(partition));
-        if stored.is_none_or(|a| a.fence.takeover() < fence) {
-            self.fail(format!("partition {partition} at fence {fence} is not in the row"));
-        }
-    }
-
-    fn check_write(&mut self, next: &CellRow) {
-        let Some(stored) = self.row.clone() else {
-            return;
-        };
-        for former in &stored.row.assignments {
-            let new = next.assignment(former.partition);
-            let keeps = new == Some(former) || new.is_some_and(|n| n.fence > former.fence);
-            if !keeps {
-                self.fail(format!("an acknowledged assignment is lost: {former:?}"));
-            }
-        }
-        if next.epoch < stored.row.epoch {
-            self.fail("the epoch goes back".to_owned());
-        }
-    }
-
-    fn fail(&mut self, text: String) {
-        self.violation.get_or_insert(text);
-    }
-}
-
-/// Queries.
-impl World {
-    pub fn serving(&self, partition: Partition) -> Vec<usize> {
-        let serves = |i: &usize| {
-            let host = &self.hosts[*i];
-            host.state != State::Down && host.node.serves(partition, self.local_time(*i)).is_some()
-        };
-        (0..self.hosts.len()).filter(serves).collect()
-    }
-
-    pub fn all_served(&self) -> bool {
-        (0..self.partitions).all(|p| !self.serving(Partition(p)).is_empty())
-    }
-
-    pub fn stored(&self) -> &CellRow {
-        &self.row.as_ref().expect("a row").row
-    }
-
-    pub fn coordinators(&self) -> Vec<usize> {
-        let coordinates = |i: &usize| {
-            self.hosts[*i].state == State::Running && self.hosts[*i].node.is_coordinator()
-        };
-        (0..self.hosts.len()).filter(coordinates).collect()
-    }
-
-    fn local_time(&self, index: usize) -> Millis {
-        let host = &self.hosts[index];
-        self.now + host.offset + Millis(self.now.since(START).0 * host.rate / 1_000)
-    }
-
-    fn reaches(&self, a: usize, b: usize) -> bool {
-        let is_broken = self.broken_links.contains(&(a.min(b), a.max(b)));
-        self.hosts[a].group == self.hosts[b].group && !is_broken
-    }
-
-    /// Only the first group reaches the store.
-    fn store_answers(&self, index: usize) -> bool {
-        self.store != StoreState::Down && self.hosts[index].group == 0
-    }
-
-    pub fn logged(&self, kind: &str) -> usize {
-        let prefix = format!("{kind}: ");
-        self.log.0.iter().filter(|(_, _, text)| text.starts_with(&prefix)).count()
-    }
-}
-
 fn received(from: HostAddr, message: Message) -> Event {
     Event::Received { from, message }
 }
