--- a/crates/papayarill/src/main.rs
+++ b/crates/papayarill/src/main.rs
@@ -51,7 +51,7 @@
     Explain(explain::ExplainOptions),
     /// make a host process leave its cell and stop, without cutting off a request
     Drain(drain::DrainOptions),
-    /// state that lost hosts are dead for good, when two grantors of a cell are lost at once
+    /// state that lost hosts are dead for good, when most grantors of a cell are lost at once
     DeclareDead(declare_dead::DeclareDeadOptions),
     /// let a request run again that was quarantined because it crashed backend servers
     Lift(lift::LiftOptions),
