Find the cell of a request once, and keep one macro for chained setters

The ingress copied the whole configuration of a service, rules included, up to four times per attempt to find the cell of the partition; it is found once per request now. The macro for chained setters stood three times and is in model now.

--- a/crates/host/src/ingress.rs
+++ b/crates/host/src/ingress.rs
@@ -156,6 +156,8 @@
 struct Job<'a> {
     cx: &'a Cx,
     req: CallerRequest,
+    /// The cell of the partition, if the request has one and its service is known.
+    cell: Option<CellId>,
     deadline: Millis,
     attempts: Attempts,
 }
@@ -171,7 +173,10 @@
 impl<'a> Job<'a> {
     fn new(cx: &'a Cx, req: CallerRequest) -> Self {
         let deadline = cx.now() + req.time_limit;
-        Self { cx, req, deadline, attempts: Attempts::default() }
+        let config = cx.config.current();
+        let service = config.service(req.service.as_str());
+        let cell = req.partition.and_then(|p| service.map(|s| s.cell_of(p)));
+        Self { cx, req, cell, deadline, attempts: Attempts::default() }
     }
 
     async fn run(mut self) -> OwnerOutcome {
@@ -236,12 +241,12 @@
     }
 
     async fn await_route(&self, target: Option<Target>, at_most: Millis) -> Route {
-        let (Some(cell), Some(partition)) = (self.cell(), self.req.partition) else {
+        let (Some(cell), Some(partition)) = (&self.cell, self.req.partition) else {
             return Route::Same;
         };
-        let nothing = Known { route: None, version: routes::version(self.cx, &cell) };
+        let nothing = Known { route: None, version: routes::version(self.cx, cell) };
         let before = target.and_then(|t| t.known).unwrap_or(nothing);
-        routes::await_newer(self.cx, &cell, partition, before, at_most).await
+        routes::await_newer(self.cx, cell, partition, before, at_most).await
     }
 
     fn servers(&self) -> Servers {
@@ -252,11 +257,6 @@
         self.deadline.since(self.cx.now())
     }
 
-    fn cell(&self) -> Option<CellId> {
-        let partition = self.req.partition?;
-        Some(self.cx.service(&self.req.service)?.cell_of(partition))
-    }
-
     fn name(&self) -> String {
         let service = &self.req.service;
         match self.req.partition {
@@ -277,9 +277,9 @@
     }
 
     fn owner(&self, partition: Partition) -> Option<Target> {
-        let cell = self.cell()?;
-        let route = routes::known(self.cx, &cell, partition)?;
-        let known = Known { route: Some(route), version: routes::version(self.cx, &cell) };
+        let cell = self.cell.as_ref()?;
+        let route = routes::known(self.cx, cell, partition)?;
+        let known = Known { route: Some(route), version: routes::version(self.cx, cell) };
         Some(Target { addr: route.owner, known: Some(known) })
     }
 
@@ -328,8 +328,8 @@
     }
 
     fn distance(&self, to: HostAddr) -> Distance {
-        let service = &self.req.service;
-        let cell = self.cell().unwrap_or(CellId { service: service.clone(), index: 0 });
+        let first_cell = || CellId { service: self.req.service.clone(), index: 0 };
+        let cell = self.cell.clone().unwrap_or_else(first_cell);
         routes::distance(self.cx, &cell, to)
     }
 
@@ -337,7 +337,7 @@
     /// move shows only after the former owner has answered, so the former owner is frozen or cut
     /// off, and waiting for it would hold the request up until its deadline.
     async fn superseded(&self, target: Target) {
-        let (Some(before), Some(cell)) = (target.known, self.cell()) else {
+        let (Some(before), Some(cell)) = (target.known, &self.cell) else {
             return std::future::pending().await;
         };
         let Some(partition) = self.req.partition else {
@@ -346,7 +346,7 @@
         tokio::time::sleep(SUPERSEDED_AFTER).await;
         let unmarked = Known { version: None, ..before };
         let time_left = self.time_left();
-        let route = routes::await_newer(self.cx, &cell, partition, unmarked, time_left).await;
+        let route = routes::await_newer(self.cx, cell, partition, unmarked, time_left).await;
         if route == Route::Same {
             std::future::pending::<()>().await;
         }
--- a/crates/host/src/routes.rs
+++ b/crates/host/src/routes.rs
@@ -244,9 +244,8 @@
         let table = node.routes();
         return (table.version > have).then(|| table.clone());
     }
-    let question = Question { have, to: None };
     // Only a grantor is asked about other cells, so this does not go round in circles.
-    look_up(cx, cell, question.have).await.flatten()
+    look_up(cx, cell, have).await.flatten()
 }
 
 /// Keeps the tables of the cells in use fresh, for as long as the process runs.
--- a/crates/model/src/macros.rs
+++ b/crates/model/src/macros.rs
@@ -1,4 +1,4 @@
-//! One macro for the sets of derives that recur, so that the sets stay the same everywhere.
+//! Macros for what recurs on types: sets of derives, plain numbers, chained setters.
 
 /// Derives the common traits of a type.
 ///
@@ -36,3 +36,16 @@
         }
     };
 }
+
+/// Defines chained setters, one per field, inside an `impl` block.
+#[macro_export]
+macro_rules! setters {
+    ($($(#[$meta:meta])* $name:ident: $kind:ty),* $(,)?) => {$(
+        $(#[$meta])*
+        #[must_use]
+        pub fn $name(mut self, value: $kind) -> Self {
+            self.$name = value;
+            self
+        }
+    )*};
+}
--- a/crates/stand-ins/src/backend.rs
+++ b/crates/stand-ins/src/backend.rs
@@ -60,17 +60,6 @@
     on_crash: Arc<dyn Fn() + Send + Sync>,
 }
 
-macro_rules! setters {
-    ($($(#[$meta:meta])* $name:ident: $kind:ty),* $(,)?) => {$(
-        $(#[$meta])*
-        #[must_use]
-        pub fn $name(mut self, value: $kind) -> Self {
-            self.$name = value;
-            self
-        }
-    )*};
-}
-
 impl BackendSettings {
     /// Makes settings for a server of `service` that listens on a free port of loopback.
     pub fn new(service: &str) -> Self {
@@ -87,7 +76,7 @@
         }
     }
 
-    setters! {
+    model::setters! {
         /// Where to listen.
         listen: SocketAddr,
         /// The host process to announce the server to.
--- a/crates/stand-ins/src/load.rs
+++ b/crates/stand-ins/src/load.rs
@@ -41,17 +41,6 @@
     Fresh,
 }
 
-macro_rules! setters {
-    ($($(#[$meta:meta])* $name:ident: $kind:ty),* $(,)?) => {$(
-        $(#[$meta])*
-        #[must_use]
-        pub fn $name(mut self, value: $kind) -> Self {
-            self.$name = value;
-            self
-        }
-    )*};
-}
-
 impl LoadPlan {
     /// Makes a plan of 1,000 requests in one closed loop over 100 keys.
     pub fn new(targets: Vec<SocketAddr>) -> Self {
@@ -70,7 +59,7 @@
         }
     }
 
-    setters! {
+    model::setters! {
         /// The HTTP method.
         method: String,
         /// The path; `{key}` stands for the key.
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -45,17 +45,6 @@
     }
 }
 
-macro_rules! setters {
-    ($($(#[$meta:meta])* $name:ident: $kind:ty),* $(,)?) => {$(
-        $(#[$meta])*
-        #[must_use]
-        pub fn $name(mut self, value: $kind) -> Self {
-            self.$name = value;
-            self
-        }
-    )*};
-}
-
 /// Limits and times of a [`Client`](crate::Client), with chained setters.
 #[derive(Clone)]
 pub struct ClientSettings {
@@ -83,7 +72,7 @@
 }
 
 impl ClientSettings {
-    setters! {
+    model::setters! {
         /// The clock that idle times are measured by.
         clock: Clock,
         /// The time for connecting and for the peer's first sign of life.
@@ -128,7 +117,7 @@
 }
 
 impl ServerSettings {
-    setters! {
+    model::setters! {
         /// The number of connections; a new one takes the place of an idle one.
         max_connections: usize,
         /// The number of streams per connection; more are refused as not run.
