--- /dev/null
+++ b/crates/http1/src/lib.rs
@@ -0,0 +1,203 @@
+//! An HTTP/1.1 client that tells whether a request was sent.
+//!
+//! Backend servers and the store are asked over plain HTTP/1.1. Whether a request may be sent
+//! again depends on whether any of it left this process, and a connection on which something
+//! unexpected came must never carry another request, so connections are kept here and not by a
+//! client library. Dropping a request that is under way closes its connection.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use model::{Clock, Millis};
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Why there is no answer.
+#[derive(Debug, Snafu)]
+pub enum SendError {
+    /// No connection could be made, or it was closed before anything was written.
+    #[snafu(display("not sent: {reason}"))]
+    NotSent {
+        /// What happened.
+        reason: String,
+    },
+    /// Something was written and no whole answer came.
+    #[snafu(display("sent without a whole answer: {reason}"))]
+    Unknown {
+        /// What happened.
+        reason: String,
+    },
+}
+
+/// How a client deals with its connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// A connection has to be made within this span.
+    pub connect: Millis,
+    /// Written bytes have to be confirmed by the other side within this span.
+    pub unconfirmed: Millis,
+    /// A connection that was idle for longer is not used again, unless the answer before says so.
+    pub idle: Millis,
+    /// The longest answer, in bytes.
+    pub answer_bytes: usize,
+    /// Probes on an idle connection start after this span.
+    pub probe_after: Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            // A lost opening packet is sent again after one second.
+            connect: Millis(1_200),
+            unconfirmed: Millis(2_000),
+            // Less than the shortest idle limit that servers on the platform have.
+            idle: Millis(4_000),
+            answer_bytes: 16 << 20,
+            probe_after: Millis(3_000),
+        }
+    }
+}
+
+struct Idle {
+    tx: SendRequest<Full<Bytes>>,
+    until: Millis,
+}
+
+/// A client of one address. Clones share its connections.
+#[derive(Clone)]
+pub struct Client {
+    to: SocketAddr,
+    settings: Settings,
+    clock: Clock,
+    idle: Rc<RefCell<Vec<Idle>>>,
+    opened: Rc<std::cell::Cell<u64>>,
+}
+
+impl Client {
+    /// Makes a client without connections. It must be used inside a local task set.
+    pub fn new(to: SocketAddr, settings: Settings, clock: Clock) -> Self {
+        Self { to, settings, clock, idle: Rc::default(), opened: Rc::default() }
+    }
+
+    /// Returns how many connections were opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Sends a request and reads the whole answer. Dropping the future closes the connection.
+    pub async fn send(&self, mut req: Request<Full<Bytes>>) -> Result<Response<Bytes>, SendError> {
+        // A kept connection may turn out closed before anything was written; then the next one
+        // is used, and at last a new one.
+        loop {
+            let (mut tx, kept) = match self.take_idle() {
+                Some(tx) => (tx, true),
+                None => (self.open().await?, false),
+            };
+            match tx.try_send_request(req).await {
+                Ok(answer) => return self.read(tx, answer).await,
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if kept => req = unsent,
+                    Some(_) => {
+                        let reason = error.into_error().to_string();
+                        return NotSentSnafu { reason }.fail();
+                    }
+                    None => {
+                        let reason = error.into_error().to_string();
+                        return UnknownSnafu { reason }.fail();
+                    }
+                },
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        tx: SendRequest<Full<Bytes>>,
+        answer: Response<hyper::body::Incoming>,
+    ) -> Result<Response<Bytes>, SendError> {
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, self.settings.answer_bytes).collect().await;
+        let body = body.map_err(|e| SendError::Unknown { reason: e.to_string() })?.to_bytes();
+        self.keep(tx, &head);
+        Ok(Response::from_parts(head, body))
+    }
+
+    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|i| i.until > now && !i.tx.is_closed());
+        let at = idle.iter().rposition(|i| i.tx.is_ready())?;
+        Some(idle.remove(at).tx)
+    }
+
+    fn keep(&self, tx: SendRequest<Full<Bytes>>, head: &http::response::Parts) {
+        if has_token(&head.headers, http::header::CONNECTION, "close") {
+            return;
+        }
+        let stated = keep_alive(&head.headers).map(|s| Millis(s.0 * 2 / 3));
+        let span = stated.unwrap_or(self.settings.idle);
+        self.idle.borrow_mut().push(Idle { tx, until: self.clock.now() + span });
+    }
+
+    async fn open(&self) -> Result<SendRequest<Full<Bytes>>, SendError> {
+        let not_sent = |reason: String| SendError::NotSent { reason };
+        let limit = Duration::from(self.settings.connect);
+        let stream = match timeout(limit, TcpStream::connect(self.to)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(not_sent(e.to_string())),
+            Err(_) => return Err(not_sent(format!("no connection within {limit:?}"))),
+        };
+        watch_peer(&stream, self.settings.unconfirmed, self.settings.probe_after)
+            .map_err(|e| not_sent(e.to_string()))?;
+        let (tx, connection) =
+            handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(e.to_string()))?;
+        self.opened.set(self.opened.get() + 1);
+        actix_rt::spawn(async move {
+            // How the connection ends is told to the request that it carries, if any.
+            let _ = connection.await;
+        });
+        Ok(tx)
+    }
+}
+
+/// Makes the system end a connection whose other side went silent.
+pub fn watch_peer(
+    stream: &TcpStream,
+    unconfirmed: Millis,
+    probe_after: Millis,
+) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(Duration::from(unconfirmed)))?;
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(Duration::from(probe_after))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
+
+/// Tells whether a header with a comma-separated list holds `token`.
+pub fn has_token(headers: &http::HeaderMap, name: http::HeaderName, token: &str) -> bool {
+    let values = headers.get_all(name).into_iter().filter_map(|v| v.to_str().ok());
+    values.flat_map(|v| v.split(',')).any(|t| t.trim().eq_ignore_ascii_case(token))
+}
+
+/// Reads the idle limit that an answer states.
+fn keep_alive(headers: &http::HeaderMap) -> Option<Millis> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(|s: u64| Millis(s * 1_000))
+}
--- /dev/null
+++ b/crates/mesh/src/keeper.rs
@@ -0,0 +1,770 @@
+//! The keys of one host: its lease, what its backend server was granted, and releases.
+//!
+//! Three promises hold each other up. The backend server holds keys until the end that a grant
+//! gave; a grant ends before the lease that backs it; a lease ends, for everyone else, only after
+//! its holder stopped counting on it. A key changes hands by one conditional write of the map,
+//! made by its owner after the backend server released it, or by anyone after the owner's lease
+//! ended, on condition that the lease row is still the one that was seen to end.
+
+use model::{Fence, HostAddr, Millis, RowVersion, derive_common};
+
+use crate::leases::{Boot, LeaseRow, LeaseWatch};
+use crate::plan::{self, Member};
+use crate::{KeyMap, Run};
+
+/// How long things last. All spans in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeeperTimes {
+    /// A lease runs this long from before its renewal was sent.
+    pub term: Millis,
+    /// A lease is renewed this long after the last renewal was sent.
+    pub renew_after: Millis,
+    /// A renewal that failed is sent again after this.
+    pub retry_after: Millis,
+    /// A grant runs at most this long.
+    pub hold: Millis,
+    /// Others wait this much longer than the term before they take the keys.
+    pub margin: Millis,
+    /// The first map waits this long for other hosts to show up.
+    pub gather: Millis,
+    /// Leases are read this often by the first member; later members read less often.
+    pub watch_every: Millis,
+    /// A backend server without heartbeats for this long after its last grant ended is gone.
+    pub silence: Millis,
+}
+
+impl Default for KeeperTimes {
+    fn default() -> Self {
+        Self {
+            // Outages of the store of 9 s occur; shorter leases would stop all keyed work in them.
+            term: Millis(12_000),
+            renew_after: Millis(2_000),
+            retry_after: Millis(300),
+            // Outlasts three heartbeats, so one or two may be lost.
+            hold: Millis(4_000),
+            margin: Millis(500),
+            // Hosts of a new deployment start within 0.3 s; the rest is their first renewal.
+            gather: Millis(2_000),
+            watch_every: Millis(1_000),
+            silence: Millis(500),
+        }
+    }
+}
+
+/// A clock that measures a grant may run slow by one part in this many.
+const SLOW_CLOCK: u64 = 50;
+
+/// A row that a transaction names.
+pub type RowChange = (RowName, RowVersion);
+
+derive_common! {
+    value
+    /// The rows that hosts of a service share.
+    pub enum RowName {
+        /// The key map.
+        Map,
+        /// The lease of a host.
+        Lease(HostAddr),
+    }
+}
+
+/// One conditional write that the shell carries out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Todo {
+    /// Versions that rows must have; 0 for a row that must not exist.
+    pub expect: Vec<RowChange>,
+    /// Rows to write.
+    pub put: Vec<(RowName, Vec<u8>)>,
+    /// Rows to remove.
+    pub remove: Vec<RowName>,
+    /// Why, for the log.
+    pub why: &'static str,
+}
+
+/// How a write ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// It was made, at this version.
+    Done(RowVersion),
+    /// A row had another version; these are the rows as they are, `None` if they don't exist.
+    Conflict(Vec<(RowName, RowVersion, Option<Vec<u8>>)>),
+    /// It may have been made, or may be made later.
+    Unknown,
+}
+
+derive_common! {
+    value
+    /// Keys that a backend server holds.
+    pub struct Held {
+        /// The first key.
+        pub from: u16,
+        /// The last key.
+        pub to: u16,
+        /// The fence.
+        pub fence: Fence,
+    }
+}
+
+/// What a heartbeat says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Beat {
+    /// Names this start of the backend server.
+    pub boot: Boot,
+    /// Grows with each heartbeat of one start.
+    pub seq: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// What it holds or still works on.
+    pub holds: Vec<Held>,
+    /// What it released since the last confirmed heartbeat, with what the next holder gets.
+    pub released: Vec<(u16, u16, String)>,
+}
+
+/// A range that the backend server is to hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The range and its fence.
+    pub held: Held,
+    /// What the last holder gave; empty if nothing, or if it was passed on already.
+    pub handover: String,
+}
+
+/// The answer to a heartbeat.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BeatReply {
+    /// Everything that it is to hold, or `None` if nothing is renewed.
+    pub grants: Option<Vec<Grant>>,
+    /// How long, from when the heartbeat was sent.
+    pub hold: Millis,
+}
+
+derive_common! {
+    value
+    /// Why a keyed request may not run here now.
+    pub enum Refused {
+        /// No map is known.
+        NoMap,
+        /// Another host owns the key.
+        Owner(HostAddr),
+        /// The key is being released to another host.
+        Moving,
+        /// The key belongs here, but the backend server was not granted it yet.
+        NotGranted,
+        /// The lease ended.
+        NoLease,
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Backend {
+    boot: Boot,
+    seq: u64,
+    heard: Millis,
+    leaving: bool,
+    /// It holds nothing of ours after this.
+    grants_end: Millis,
+    /// It surely holds what was granted until this.
+    granted_until: Millis,
+    granted: Vec<Held>,
+    holds: Vec<Held>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    version: RowVersion,
+    until: Millis,
+}
+
+/// A release under way.
+#[derive(Clone, Debug)]
+struct Release {
+    from: u16,
+    to: u16,
+    /// Set once the backend server no longer holds the keys.
+    done: bool,
+    /// What it gave for the next holder.
+    handover: String,
+}
+
+/// The keys of one host.
+#[derive(Debug)]
+pub struct Keeper {
+    me: HostAddr,
+    process: u64,
+    times: KeeperTimes,
+    started: Millis,
+    lease: Option<Lease>,
+    row: LeaseRow,
+    found: Option<(RowVersion, LeaseRow)>,
+    asked: bool,
+    map: Option<(RowVersion, KeyMap)>,
+    backend: Option<Backend>,
+    releases: Vec<Release>,
+    watch: LeaseWatch,
+    watched_at: Millis,
+    next_write: Millis,
+    renewed: Millis,
+    under_way: Option<(Todo, Millis)>,
+    store_heard: Millis,
+    load: (u32, u32),
+    rebalanced: Millis,
+}
+
+/// Queries.
+impl Keeper {
+    /// Tells whether a request with `key` may be sent to the backend server.
+    pub fn may_run(&self, key: u16, now: Millis) -> Result<Fence, Refused> {
+        let Some((_, map)) = &self.map else { return Err(Refused::NoMap) };
+        let run = map.run(key);
+        if run.owner != self.me {
+            return Err(Refused::Owner(run.owner));
+        }
+        if !self.lease.is_some_and(|l| now < l.until) {
+            return Err(Refused::NoLease);
+        }
+        if self.releases.iter().any(|r| r.from <= key && key <= r.to) {
+            return Err(Refused::Moving);
+        }
+        let backend = self.backend.as_ref().filter(|b| now < b.granted_until);
+        let held = |b: &&Backend| {
+            b.granted.iter().any(|h| h.from <= key && key <= h.to && h.fence == run.fence)
+        };
+        match backend.filter(held) {
+            Some(_) => Ok(run.fence),
+            None => Err(Refused::NotGranted),
+        }
+    }
+
+    /// Returns the host that owns `key`.
+    pub fn owner(&self, key: u16) -> Option<HostAddr> {
+        self.map.as_ref().map(|(_, m)| m.run(key).owner)
+    }
+
+    /// Returns the start of the backend server that was heard last.
+    pub fn backend(&self) -> Option<&Boot> {
+        self.backend.as_ref().map(|b| &b.boot)
+    }
+
+    /// Returns whether the backend server was heard and did not say that it leaves.
+    pub fn serving(&self) -> bool {
+        self.backend.as_ref().is_some_and(|b| !b.leaving)
+    }
+
+    /// Returns the map with its version.
+    pub fn map(&self) -> Option<&(RowVersion, KeyMap)> {
+        self.map.as_ref()
+    }
+
+    /// Returns when the lease ends, if there is one.
+    pub fn lease_until(&self) -> Option<Millis> {
+        self.lease.map(|l| l.until)
+    }
+
+    /// Returns whether the leases are to be read now.
+    pub fn wants_watch(&self, now: Millis) -> bool {
+        if !self.asked {
+            return true;
+        }
+        // The first member by address looks often; the others only in case it doesn't.
+        let hosts = self.watch.hosts();
+        let rank = hosts.iter().position(|(h, _)| *h == self.me).unwrap_or(hosts.len());
+        let rank = u64::try_from(rank).unwrap_or(u64::MAX).min(4);
+        let every = Millis(self.times.watch_every.0 * (1 + 2 * rank));
+        self.lease.is_some() && now.since(self.watched_at) >= every
+    }
+
+    /// Returns whether the host has keys or a lease to give back.
+    pub fn idle(&self) -> bool {
+        self.map.as_ref().is_none_or(|(_, m)| m.owned_by(self.me).next().is_none())
+    }
+}
+
+/// Commands.
+impl Keeper {
+    /// Makes the keeper of `me`. `process` differs at each start.
+    pub fn new(me: HostAddr, process: u64, times: KeeperTimes, now: Millis) -> Self {
+        Self {
+            me,
+            process,
+            times,
+            started: now,
+            lease: None,
+            row: LeaseRow::default(),
+            found: None,
+            asked: false,
+            map: None,
+            backend: None,
+            releases: Vec::new(),
+            watch: LeaseWatch::default(),
+            watched_at: Millis::ZERO,
+            next_write: Millis::ZERO,
+            renewed: Millis::ZERO,
+            under_way: None,
+            store_heard: Millis::ZERO,
+            load: (0, 0),
+            rebalanced: now,
+        }
+    }
+
+    /// Takes in a version of the map; older ones are ignored.
+    pub fn learn_map(&mut self, version: RowVersion, map: KeyMap) -> bool {
+        if self.map.as_ref().is_some_and(|(known, _)| *known >= version) {
+            return false;
+        }
+        let me = self.me;
+        // A release ends when the map no longer names this host.
+        self.releases.retain(|r| map.run(r.from).owner == me);
+        self.map = Some((version, map));
+        true
+    }
+
+    /// Takes in the lease rows as read at once.
+    pub fn learn_leases(&mut self, rows: Vec<(HostAddr, RowVersion, LeaseRow)>, now: Millis) {
+        if !self.asked {
+            let own = rows.iter().find(|(h, ..)| *h == self.me);
+            self.found = own.map(|(_, version, row)| (*version, row.clone()));
+            self.asked = true;
+        }
+        self.watched_at = now;
+        self.store_heard = now;
+        self.watch.read(rows, now);
+    }
+
+    /// Takes in the slots that keyed work occupies and the room for it, in hundredths.
+    pub fn learn_load(&mut self, load: u32, room: u32) {
+        self.load = (load, room);
+    }
+
+    /// Answers a heartbeat. A late one, of an earlier start or out of order, renews nothing.
+    pub fn beat(&mut self, beat: &Beat, now: Millis) -> BeatReply {
+        if self.is_late(beat, now) {
+            return BeatReply::default();
+        }
+        if self.backend.as_ref().is_none_or(|b| b.boot != beat.boot) {
+            // Of the start before nothing is left: one host runs one backend server. What this
+            // start holds was granted by an earlier process on this host.
+            let held_until = now + self.times.hold + self.times.silence;
+            let grants_end = if beat.holds.is_empty() { Millis::ZERO } else { held_until };
+            let boot = beat.boot.clone();
+            self.backend = Some(Backend { boot, grants_end, ..Backend::default() });
+            self.releases.clear();
+        }
+        let Some(b) = self.backend.as_mut() else { return BeatReply::default() };
+        b.seq = beat.seq;
+        b.heard = now;
+        b.leaving = beat.leaving;
+        b.holds.clone_from(&beat.holds);
+        self.note_released(beat);
+        if beat.leaving {
+            self.release_all();
+        }
+        self.release_asked(now);
+        self.grant(now)
+    }
+
+    fn is_late(&self, beat: &Beat, now: Millis) -> bool {
+        let Some(b) = &self.backend else { return false };
+        if b.boot == beat.boot {
+            return b.seq >= beat.seq;
+        }
+        // A clock that was set back makes a new start look old; the former one is silent then.
+        beat.boot < b.boot && now.since(b.heard) < self.times.hold
+    }
+
+    /// Tells that the backend server leaves and sends no more heartbeats. It goes on serving the
+    /// keys that it holds until its grants end.
+    pub fn leave(&mut self) {
+        if let Some(b) = &mut self.backend {
+            b.leaving = true;
+        }
+    }
+
+    /// Returns the write that is due, if any. Its end is told with [`Keeper::written`].
+    pub fn todo(&mut self, now: Millis) -> Option<Todo> {
+        if self.under_way.is_some() || now < self.next_write || !self.asked {
+            return None;
+        }
+        if self.lease.is_some_and(|l| now >= l.until) {
+            self.lease = None;
+        }
+        let todo = self
+            .register()
+            .or_else(|| self.follow_boot())
+            .or_else(|| self.finish_releases(now))
+            .or_else(|| self.renew(now))
+            .or_else(|| self.plan(now))?;
+        self.under_way = Some((todo.clone(), now));
+        Some(todo)
+    }
+
+    /// Takes in how the write under way ended.
+    pub fn written(&mut self, end: Written, now: Millis) {
+        let Some((todo, sent)) = self.under_way.take() else { return };
+        match end {
+            Written::Done(version) => self.made(&todo, version, sent, now),
+            Written::Conflict(rows) => {
+                self.store_heard = now;
+                self.conflicted(rows, now);
+            }
+            Written::Unknown => self.next_write = now + self.times.retry_after,
+        }
+    }
+
+    fn made(&mut self, todo: &Todo, version: RowVersion, sent: Millis, now: Millis) {
+        self.store_heard = now;
+        for (name, bytes) in &todo.put {
+            match name {
+                RowName::Lease(_) => {
+                    self.lease = Some(Lease { version, until: sent + self.times.term });
+                    self.renewed = sent;
+                    if let Ok(row) = LeaseRow::decode(bytes) {
+                        self.row = row;
+                    }
+                }
+                RowName::Map => {
+                    if let Ok(map) = KeyMap::decode(bytes) {
+                        self.learn_map(version, map);
+                    }
+                }
+            }
+        }
+    }
+
+    fn conflicted(&mut self, rows: Vec<(RowName, RowVersion, Option<Vec<u8>>)>, now: Millis) {
+        for (name, version, value) in rows {
+            match (name, value) {
+                (RowName::Map, Some(bytes)) => {
+                    if let Ok(map) = KeyMap::decode(&bytes) {
+                        self.learn_map(version, map);
+                    }
+                }
+                (RowName::Lease(host), value) if host == self.me => {
+                    self.own_lease_differs(version, value);
+                }
+                // Another host renewed after all, or others ended its lease already.
+                (RowName::Lease(_), _) => self.watched_at = Millis::ZERO,
+                (RowName::Map, None) => {}
+            }
+        }
+        self.next_write = now + Millis(20);
+    }
+
+    fn own_lease_differs(&mut self, version: RowVersion, value: Option<Vec<u8>>) {
+        let row = value.and_then(|bytes| LeaseRow::decode(&bytes).ok());
+        match row {
+            Some(row) if row.process == self.process => {
+                // An earlier write of this process whose answer was lost.
+                self.row = row;
+                match &mut self.lease {
+                    Some(lease) => lease.version = version,
+                    None => self.found = Some((version, self.row.clone())),
+                }
+            }
+            Some(row) => {
+                self.lease = None;
+                self.found = Some((version, row));
+            }
+            None => {
+                self.lease = None;
+                self.found = None;
+            }
+        }
+    }
+
+    fn fresh_row(&self) -> LeaseRow {
+        let takes = self.backend.as_ref().is_some_and(|b| !b.leaving);
+        LeaseRow {
+            process: self.process,
+            takes_keys: takes,
+            load: self.load.0,
+            room: self.load.1,
+            ..self.row.clone()
+        }
+    }
+
+    /// A lease of an earlier process on this host goes on; its backend server may live.
+    fn register(&mut self) -> Option<Todo> {
+        if self.lease.is_some() || self.backend.is_none() {
+            return None;
+        }
+        let version = match &self.found {
+            Some((version, row)) => {
+                self.row.boot.clone_from(&row.boot);
+                self.row.floor = row.floor;
+                *version
+            }
+            None => {
+                self.row.boot = Boot::default();
+                RowVersion(0)
+            }
+        };
+        Some(Todo {
+            expect: vec![(RowName::Lease(self.me), version)],
+            put: vec![(RowName::Lease(self.me), self.fresh_row().encode())],
+            why: "register",
+            ..Todo::default()
+        })
+    }
+
+    /// Another start of the backend server gets its keys under a higher fence.
+    fn follow_boot(&mut self) -> Option<Todo> {
+        let lease = self.lease?;
+        let boot = &self.backend.as_ref()?.boot;
+        if *boot == self.row.boot {
+            return None;
+        }
+        let mut row = LeaseRow { boot: boot.clone(), ..self.fresh_row() };
+        let mut todo = Todo {
+            expect: vec![(RowName::Lease(self.me), lease.version)],
+            why: "new-boot",
+            ..Todo::default()
+        };
+        if let Some((version, map)) = &self.map {
+            row.floor = map.top.0;
+            todo.expect.push((RowName::Map, *version));
+            if map.owned_by(self.me).next().is_some() {
+                let mut map = map.clone();
+                let fence = map.draw_fence();
+                let own = map.runs.iter_mut().filter(|r| r.owner == self.me);
+                own.for_each(|r| r.fence = fence);
+                todo.put.push((RowName::Map, map.encode()));
+            }
+        }
+        todo.put.push((RowName::Lease(self.me), row.encode()));
+        Some(todo)
+    }
+
+    fn renew(&mut self, now: Millis) -> Option<Todo> {
+        let lease = self.lease?;
+        let fresh = self.fresh_row();
+        // A host that starts or stops to take keys says so at once.
+        let changed = fresh.takes_keys != self.row.takes_keys;
+        let gone = self.backend_gone(now) && self.idle();
+        if gone || now.since(self.renewed) < self.times.renew_after && !changed {
+            return None;
+        }
+        Some(Todo {
+            expect: vec![(RowName::Lease(self.me), lease.version)],
+            put: vec![(RowName::Lease(self.me), fresh.encode())],
+            why: "renew",
+            ..Todo::default()
+        })
+    }
+
+    fn backend_gone(&self, now: Millis) -> bool {
+        let quiet =
+            |b: &Backend| now > b.grants_end.max(b.heard + self.times.hold) + self.times.silence;
+        self.backend.as_ref().is_some_and(quiet)
+    }
+
+    fn note_released(&mut self, beat: &Beat) {
+        for (from, to, handover) in &beat.released {
+            for r in &mut self.releases {
+                if *from <= r.from && r.to <= *to {
+                    r.handover.clone_from(handover);
+                }
+            }
+        }
+        for r in &mut self.releases {
+            r.done = r.done || !beat.holds.iter().any(|h| h.from <= r.to && r.from <= h.to);
+        }
+    }
+
+    fn own_runs(&self) -> Vec<Run> {
+        let Some((_, map)) = &self.map else { return Vec::new() };
+        map.owned_by(self.me).cloned().collect()
+    }
+
+    fn release_all(&mut self) {
+        for run in self.own_runs() {
+            self.release(&run);
+        }
+    }
+
+    fn release_asked(&mut self, now: Millis) {
+        // A release that can't be written leaves its keys without an owner.
+        if now.since(self.store_heard) > self.times.renew_after + Millis(500) {
+            return;
+        }
+        let asked = self.own_runs().into_iter().filter(|r| r.next.is_some_and(|n| n != self.me));
+        for run in asked.collect::<Vec<_>>() {
+            self.release(&run);
+        }
+    }
+
+    fn release(&mut self, run: &Run) {
+        if self.releases.iter().any(|r| r.from == run.from) {
+            return;
+        }
+        let holds = self.backend.as_ref().map(|b| b.holds.as_slice()).unwrap_or_default();
+        let held = holds.iter().any(|h| h.from <= run.to && run.from <= h.to);
+        let granted = self
+            .backend
+            .as_ref()
+            .is_some_and(|b| b.granted.iter().any(|h| h.from <= run.to && run.from <= h.to));
+        let done = !held && !granted;
+        let handover = String::new();
+        self.releases.push(Release { from: run.from, to: run.to, done, handover });
+    }
+
+    fn finish_releases(&mut self, now: Millis) -> Option<Todo> {
+        self.lease?;
+        if self.backend_gone(now) {
+            self.release_all();
+        }
+        let ended = self.backend.as_ref().is_none_or(|b| now > b.grants_end);
+        if !self.releases.iter().any(|r| r.done || ended) {
+            return None;
+        }
+        let takers = self.takers();
+        let (version, map) = self.map.as_ref()?;
+        let mut map = map.clone();
+        let fence = map.draw_fence();
+        let mut turn = 0;
+        for i in 0..map.runs.len() {
+            let run = &map.runs[i];
+            let of = |r: &&Release| r.from <= run.from && run.to <= r.to;
+            let Some(r) = self.releases.iter().find(of) else { continue };
+            if run.owner != self.me || !(r.done || ended) {
+                continue;
+            }
+            let near = [i.checked_sub(1), Some(i + 1)].into_iter().flatten();
+            let mut near = near.filter_map(|n| map.runs.get(n)).map(|n| n.owner);
+            let near = near.find(|h| *h != self.me && takers.contains(h));
+            turn += 1;
+            let any = (!takers.is_empty()).then(|| takers[turn % takers.len()]);
+            let Some(owner) = run.next.filter(|n| takers.contains(n)).or(near).or(any) else {
+                continue;
+            };
+            let handover = r.handover.clone();
+            map.runs[i] = Run { owner, fence, handover, next: None, ..run.clone() };
+        }
+        if turn == 0 || map.runs == self.map.as_ref()?.1.runs {
+            return None;
+        }
+        map.join_neighbours();
+        Some(Todo {
+            expect: vec![(RowName::Map, *version)],
+            put: vec![(RowName::Map, map.encode())],
+            why: "release",
+            ..Todo::default()
+        })
+    }
+
+    fn takers(&self) -> Vec<HostAddr> {
+        let hosts = self.watch.hosts().into_iter();
+        let ready = hosts.filter(|(h, row)| row.takes_keys && *h != self.me);
+        ready.map(|(h, _)| h).collect()
+    }
+
+    fn members(&self) -> Vec<Member> {
+        let hosts = self.watch.hosts().into_iter();
+        let member = |(host, row): (HostAddr, &LeaseRow)| Member {
+            host,
+            takes_keys: row.takes_keys,
+            load: row.load,
+            room: row.room,
+        };
+        hosts.map(member).collect()
+    }
+
+    /// What the hosts of a service do for each other. Races end at the conditions of the write.
+    fn plan(&mut self, now: Millis) -> Option<Todo> {
+        self.lease?;
+        // Old knowledge of the leases is no ground to act on.
+        if now.since(self.watched_at) > self.times.watch_every + Millis(500) {
+            return None;
+        }
+        let Some((version, map)) = &self.map else { return self.first(now) };
+        let silent = self.watch.silent(self.times.term + self.times.margin, now);
+        let mut gone: Vec<(HostAddr, RowVersion)> =
+            silent.into_iter().filter(|(h, _)| *h != self.me).collect();
+        let unknown = map.owners().into_iter().filter(|h| !self.watch.knows(*h));
+        gone.extend(unknown.map(|h| (h, RowVersion(0))));
+        let names: Vec<HostAddr> = gone.iter().map(|(h, _)| *h).collect();
+        let mut takers = self.takers();
+        if self.fresh_row().takes_keys {
+            takers.push(self.me);
+        }
+        takers.retain(|h| !names.contains(h));
+        let expect_map = (RowName::Map, *version);
+        if !gone.is_empty() {
+            let map = plan::evict(map, &names, &takers);
+            let mut todo = Todo { expect: vec![expect_map], why: "evict", ..Todo::default() };
+            for (host, version) in gone {
+                todo.expect.push((RowName::Lease(host), version));
+                if version != RowVersion(0) {
+                    todo.remove.push(RowName::Lease(host));
+                }
+            }
+            todo.put.extend(map.map(|m| (RowName::Map, m.encode())));
+            let empty = todo.put.is_empty() && todo.remove.is_empty();
+            return (!empty).then_some(todo);
+        }
+        let first = self.watch.hosts().first().is_some_and(|(h, _)| *h == self.me);
+        if !first || now.since(self.rebalanced) < Millis(2 * self.times.watch_every.0) {
+            return None;
+        }
+        let map = plan::rebalance(map, &self.members())?;
+        self.rebalanced = now;
+        Some(Todo {
+            expect: vec![expect_map],
+            put: vec![(RowName::Map, map.encode())],
+            why: "rebalance",
+            ..Todo::default()
+        })
+    }
+
+    fn first(&self, now: Millis) -> Option<Todo> {
+        if now.since(self.started) < self.times.gather {
+            return None;
+        }
+        let hosts = self.watch.hosts();
+        let first = hosts.first().is_some_and(|(h, _)| *h == self.me);
+        // Others may make the map too, in case the first host can't.
+        if !first && now.since(self.started) < Millis(3 * self.times.gather.0) {
+            return None;
+        }
+        let takers: Vec<HostAddr> =
+            hosts.iter().filter(|(_, row)| row.takes_keys).map(|(h, _)| *h).collect();
+        let map = plan::first_map(&takers)?;
+        Some(Todo {
+            expect: vec![(RowName::Map, RowVersion(0))],
+            put: vec![(RowName::Map, map.encode())],
+            why: "first-map",
+            ..Todo::default()
+        })
+    }
+
+    fn grant(&mut self, now: Millis) -> BeatReply {
+        let (Some(lease), Some((_, map))) = (self.lease, &self.map) else {
+            return BeatReply::default();
+        };
+        let Some(b) = &mut self.backend else { return BeatReply::default() };
+        // A grant that a slow clock measures still ends before the lease.
+        let left = lease.until.since(now + Millis(100));
+        let hold = self.times.hold.min(left - Millis(left.0 / SLOW_CLOCK));
+        if b.boot != self.row.boot || hold == Millis::ZERO {
+            return BeatReply::default();
+        }
+        let mut grants = Vec::new();
+        for run in map.owned_by(self.me) {
+            let released = self.releases.iter().any(|r| r.from <= run.from && run.to <= r.to);
+            if released || run.fence.0 <= self.row.floor {
+                continue;
+            }
+            let held = Held { from: run.from, to: run.to, fence: run.fence };
+            let known = b
+                .holds
+                .iter()
+                .any(|h| h.from <= held.from && held.to <= h.to && h.fence == held.fence);
+            let handover = if known { String::new() } else { run.handover.clone() };
+            grants.push(Grant { held, handover });
+        }
+        b.granted = grants.iter().map(|g| g.held).collect();
+        b.granted_until = now + hold;
+        let end = now + hold + Millis(hold.0 / SLOW_CLOCK + 100);
+        b.grants_end = b.grants_end.max(end);
+        BeatReply { grants: Some(grants), hold }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/keys.rs
@@ -0,0 +1,207 @@
+//! Which host owns which keys of a service: the one row that all hosts of the service change.
+//!
+//! Keys are numbers and busy ones lie together, so the map is a list of short runs that are dealt
+//! to all owners in turn: a busy neighbourhood is shared by several owners without any move.
+
+use std::io::{Read, Write};
+
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use model::{Fence, HostAddr, derive_common};
+use snafu::{ResultExt, Snafu, ensure};
+
+/// The largest key.
+pub const MAX_KEY: u16 = u16::MAX;
+
+/// The largest map that is decoded, in bytes: 2,048 runs with a handover token each fit.
+const MAX_MAP_BYTES: u64 = 1 << 18;
+
+derive_common! {
+    data
+    /// A range of keys with one owner.
+    pub struct Run {
+        /// The first key.
+        pub from: u16,
+        /// The last key.
+        pub to: u16,
+        /// The host whose backend server owns the keys.
+        pub owner: HostAddr,
+        /// The fence of the grant.
+        pub fence: Fence,
+        /// What the last holder gave for the next one; empty if there was nothing.
+        pub handover: String,
+        /// The host that the owner is asked to release the keys to.
+        pub next: Option<HostAddr>,
+    }
+}
+
+derive_common! {
+    data
+    /// The owners of all keys of a service.
+    pub struct KeyMap {
+        /// The highest fence that was ever given.
+        pub top: Fence,
+        /// Ranges in ascending order that cover every key.
+        pub runs: Vec<Run>,
+    }
+}
+
+/// Why bytes are not a key map.
+#[derive(Debug, Snafu)]
+pub enum KeyMapError {
+    /// The bytes can't be inflated.
+    #[snafu(display("not compressed data: {source}"))]
+    Inflate {
+        /// What the library says.
+        source: std::io::Error,
+    },
+    /// The bytes are no map.
+    #[snafu(display("not a key map: {source}"))]
+    Decode {
+        /// What the library says.
+        source: bincode::error::DecodeError,
+    },
+    /// The runs leave a gap, overlap or don't cover all keys.
+    #[snafu(display("the runs don't cover each key once"))]
+    Cover,
+}
+
+#[derive(bincode::Encode, bincode::Decode)]
+struct WireRun {
+    length: u16,
+    owner: u16,
+    below_top: u64,
+    handover: String,
+    next: Option<u16>,
+}
+
+#[derive(bincode::Encode, bincode::Decode)]
+struct WireMap {
+    top: u64,
+    hosts: Vec<std::net::SocketAddr>,
+    runs: Vec<WireRun>,
+}
+
+impl KeyMap {
+    /// Finds the run of a key.
+    pub fn run(&self, key: u16) -> &Run {
+        let after = self.runs.partition_point(|r| r.from <= key);
+        &self.runs[after.saturating_sub(1)]
+    }
+
+    /// Returns the runs that `owner` owns.
+    pub fn owned_by(&self, owner: HostAddr) -> impl Iterator<Item = &Run> {
+        self.runs.iter().filter(move |r| r.owner == owner)
+    }
+
+    /// Returns the hosts that own keys, sorted.
+    pub fn owners(&self) -> Vec<HostAddr> {
+        let mut owners: Vec<_> = self.runs.iter().map(|r| r.owner).collect();
+        owners.sort_unstable();
+        owners.dedup();
+        owners
+    }
+
+    /// Takes the next fence.
+    pub fn draw_fence(&mut self) -> Fence {
+        self.top = Fence(self.top.0 + 1);
+        self.top
+    }
+
+    /// Joins neighbours that differ in nothing.
+    pub fn join_neighbours(&mut self) {
+        self.runs.dedup_by(|next, run| {
+            let same = next.owner == run.owner
+                && next.fence == run.fence
+                && next.handover.is_empty()
+                && run.handover.is_empty()
+                && next.next == run.next;
+            if same {
+                run.to = next.to;
+            }
+            same
+        });
+    }
+
+    /// Returns the bytes of the row.
+    pub fn encode(&self) -> Vec<u8> {
+        let wire = WireMap::from(self);
+        let config = bincode::config::standard();
+        // Encoding plain data into memory has no way to fail; an empty row would be refused by
+        // the decoder of every reader.
+        let plain = bincode::encode_to_vec(wire, config).unwrap_or_default();
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+        match encoder.write_all(&plain).and_then(|()| encoder.finish()) {
+            Ok(bytes) => bytes,
+            Err(_) => Vec::new(),
+        }
+    }
+
+    /// Reads the bytes of the row.
+    pub fn decode(bytes: &[u8]) -> Result<Self, KeyMapError> {
+        let mut plain = Vec::new();
+        let limited = DeflateDecoder::new(bytes).take(MAX_MAP_BYTES);
+        { limited }.read_to_end(&mut plain).context(InflateSnafu)?;
+        let config = bincode::config::standard().with_limit::<{ MAX_MAP_BYTES as usize }>();
+        let (wire, _): (WireMap, usize) =
+            bincode::decode_from_slice(&plain, config).context(DecodeSnafu)?;
+        Self::try_from(wire)
+    }
+}
+
+fn index_of<T: PartialEq + Clone>(list: &mut Vec<T>, item: &T) -> u16 {
+    let at = list.iter().position(|i| i == item).unwrap_or_else(|| {
+        list.push(item.clone());
+        list.len() - 1
+    });
+    u16::try_from(at).unwrap_or(u16::MAX)
+}
+
+impl From<&KeyMap> for WireMap {
+    fn from(map: &KeyMap) -> Self {
+        let mut hosts = Vec::new();
+        let runs = map.runs.iter().map(|r| WireRun {
+            length: r.to - r.from,
+            owner: index_of(&mut hosts, &r.owner.0),
+            below_top: map.top.0 - r.fence.0.min(map.top.0),
+            handover: r.handover.clone(),
+            next: r.next.map(|n| index_of(&mut hosts, &n.0)),
+        });
+        let runs = runs.collect();
+        Self { top: map.top.0, hosts, runs }
+    }
+}
+
+impl TryFrom<WireMap> for KeyMap {
+    type Error = KeyMapError;
+
+    fn try_from(wire: WireMap) -> Result<Self, KeyMapError> {
+        let host = |i: u16| wire.hosts.get(usize::from(i)).copied().map(HostAddr);
+        let mut runs = Vec::with_capacity(wire.runs.len());
+        let mut from = 0_u32;
+        for r in &wire.runs {
+            let to = from + u32::from(r.length);
+            ensure!(to <= u32::from(MAX_KEY), CoverSnafu);
+            let owner = host(r.owner);
+            let next = match r.next {
+                None => Some(None),
+                Some(i) => host(i).map(Some),
+            };
+            let (Some(owner), Some(next)) = (owner, next) else {
+                return CoverSnafu.fail();
+            };
+            runs.push(Run {
+                from: u16::try_from(from).unwrap_or(MAX_KEY),
+                to: u16::try_from(to).unwrap_or(MAX_KEY),
+                owner,
+                fence: Fence(wire.top.saturating_sub(r.below_top)),
+                handover: r.handover.clone(),
+                next,
+            });
+            from = to + 1;
+        }
+        ensure!(from == u32::from(MAX_KEY) + 1, CoverSnafu);
+        Ok(Self { top: Fence(wire.top), runs })
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decisions of a process that runs beside one backend server and serves the callers of its host.
+//!
+//! Nothing here does I/O, reads a clock or draws a random number. The shell (`sidecar`) hands in
+//! events and the time and carries out what comes back, so tests replay whole load patterns.
+
+mod budget;
+mod config;
+mod keeper;
+mod keys;
+mod leases;
+mod peers;
+mod plan;
+mod queue;
+
+pub use budget::{Budget, BudgetLimits};
+pub use config::{Config, Limits, Repeat, Route, Service, Share};
+pub use keeper::{
+    Beat, BeatReply, Grant, Held, Keeper, KeeperTimes, Refused, RowName, Todo, Written,
+};
+pub use keys::{KeyMap, KeyMapError, MAX_KEY, Run};
+pub use leases::{Boot, LeaseRow, LeaseRowError, LeaseWatch};
+pub use peers::{Distance, LoadReport, Peer, Peers, Sent};
+pub use plan::{Member, evict, first_map, rebalance};
+pub use queue::{Job, Offer, Origin, Queue, QueueLimits, Ticket};
--- /dev/null
+++ b/crates/mesh/src/queue.rs
@@ -0,0 +1,251 @@
+//! The one queue of a backend server: what starts, what waits and what is turned away.
+//!
+//! Answers load above capacity. Only the process beside a backend server sends to it, so slots are
+//! counted exactly and a refusal is true: nothing was sent. Work that would end after its limit is
+//! turned away when it comes, not when it is late; calls of running work go first, because their
+//! callers already occupy slots; then priority, then the earliest end that still helps.
+
+use model::{Millis, derive_common};
+
+derive_common! {
+    value
+    /// Names a job from its offer to its end.
+    pub struct Ticket(pub u64);
+}
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Origin {
+    /// A backend server that runs a request of its own.
+    Call,
+    /// A caller.
+    Caller,
+}
+
+/// A request that wants to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// Requests of one class take about the same time.
+    pub class: u64,
+    /// Where it comes from.
+    pub origin: Origin,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
+    /// An answer until then counts in full.
+    pub target: Millis,
+    /// An answer after this helps nobody.
+    pub limit: Millis,
+}
+
+/// What happens to a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It starts now.
+    Start(Ticket),
+    /// It waits; [`Queue::next`] starts it.
+    Wait(Ticket),
+    /// It is turned away; room is expected after the span.
+    Refuse(Millis),
+}
+
+/// What a queue assumes and bounds.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueLimits {
+    /// Slots of a backend server that did not say how many it has.
+    pub slots: usize,
+    /// Jobs that may wait, per slot.
+    pub waiting_per_slot: usize,
+    /// Run time of a class before one was measured.
+    pub first_guess: Millis,
+}
+
+impl Default for QueueLimits {
+    fn default() -> Self {
+        // Four is the least that the users' servers have; beyond eight waiting per slot nothing
+        // meets its limit; the guess is the mean of their kinds of work.
+        Self { slots: 4, waiting_per_slot: 8, first_guess: Millis(150) }
+    }
+}
+
+/// Weight of one measured run time in the mean of its class: the mean follows within ten runs.
+const WEIGHT: f64 = 0.1;
+
+/// The shortest and longest span after which a caller is told to return, in milliseconds.
+const RETURN_MS: (u64, u64) = (100, 2_000);
+
+#[derive(Debug)]
+struct Waiting {
+    rank: (Origin, u8, Millis),
+    ticket: Ticket,
+    job: Job,
+}
+
+#[derive(Debug)]
+struct Running {
+    ticket: Ticket,
+    class: u64,
+    since: Millis,
+}
+
+/// The queue of one backend server.
+#[derive(Debug)]
+pub struct Queue {
+    limits: QueueLimits,
+    slots: usize,
+    last: u64,
+    running: Vec<Running>,
+    waiting: Vec<Waiting>,  // Sorted by rank, then ticket.
+    means: Vec<(u64, f64)>, // Sorted by class.
+    mean: f64,
+    busy: f64,
+    busy_at: Millis,
+}
+
+/// Queries.
+impl Queue {
+    /// Returns how many jobs run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns how many jobs wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns how many jobs may run at once.
+    pub fn slots(&self) -> usize {
+        self.slots
+    }
+
+    /// Returns the mean run time of all jobs.
+    pub fn mean_run(&self) -> Millis {
+        Millis(self.mean as u64)
+    }
+
+    /// Returns the slots that were occupied on average over the last second or two.
+    pub fn load(&self) -> f64 {
+        self.busy
+    }
+
+    /// Returns how long a new job of the lowest rank would wait.
+    pub fn wait(&self, now: Millis) -> Millis {
+        self.wait_behind(self.waiting.len(), now)
+    }
+
+    fn wait_behind(&self, ahead: usize, now: Millis) -> Millis {
+        if self.running.len() < self.slots && ahead == 0 {
+            return Millis::ZERO;
+        }
+        let left = |r: &Running| {
+            let run = self.expected(r.class);
+            (run - now.since(r.since).0 as f64).max(run * 0.25)
+        };
+        let running: f64 = self.running.iter().map(left).sum();
+        let queued: f64 = self.waiting[..ahead].iter().map(|w| self.expected(w.job.class)).sum();
+        let free = self.slots.saturating_sub(self.running.len()) as f64 * self.mean;
+        Millis(((running + queued - free).max(0.0) / self.slots.max(1) as f64) as u64)
+    }
+
+    fn expected(&self, class: u64) -> f64 {
+        match self.means.binary_search_by_key(&class, |(c, _)| *c) {
+            Ok(i) => self.means[i].1,
+            Err(_) => self.mean,
+        }
+    }
+}
+
+/// Commands.
+impl Queue {
+    /// Makes an empty queue.
+    pub fn new(limits: QueueLimits) -> Self {
+        Self {
+            limits,
+            slots: limits.slots,
+            last: 0,
+            running: Vec::new(),
+            waiting: Vec::new(),
+            means: Vec::new(),
+            mean: limits.first_guess.0 as f64,
+            busy: 0.0,
+            busy_at: Millis::ZERO,
+        }
+    }
+
+    /// Takes in the slots that the backend server has.
+    pub fn set_slots(&mut self, slots: usize) {
+        self.slots = slots.max(1);
+    }
+
+    /// Asks what happens to a job that comes now.
+    pub fn offer(&mut self, job: Job, now: Millis) -> Offer {
+        self.count_busy(now);
+        let rank = (job.origin, job.priority, job.target);
+        let ahead = self.waiting.partition_point(|w| w.rank <= rank);
+        let wait = self.wait_behind(ahead, now);
+        let run = Millis(self.expected(job.class) as u64);
+        let full = self.waiting.len() >= self.limits.waiting_per_slot * self.slots;
+        if now + wait + run > job.limit || full {
+            return Offer::Refuse(self.room_after(now));
+        }
+        self.last += 1;
+        let ticket = Ticket(self.last);
+        if self.running.len() < self.slots && self.waiting.is_empty() {
+            self.running.push(Running { ticket, class: job.class, since: now });
+            return Offer::Start(ticket);
+        }
+        self.waiting.insert(ahead, Waiting { rank, ticket, job });
+        Offer::Wait(ticket)
+    }
+
+    /// Starts waiting jobs while slots are free. The second list names jobs that can no longer
+    /// end in time.
+    pub fn next(&mut self, now: Millis) -> (Vec<Ticket>, Vec<Ticket>) {
+        self.count_busy(now);
+        let (mut started, mut late) = (Vec::new(), Vec::new());
+        while self.running.len() < self.slots && !self.waiting.is_empty() {
+            let w = self.waiting.remove(0);
+            // Half of the mean: many runs are shorter, and the limit still bounds the rest.
+            let least = Millis((self.expected(w.job.class) * 0.5) as u64);
+            if now + least > w.job.limit {
+                late.push(w.ticket);
+                continue;
+            }
+            self.running.push(Running { ticket: w.ticket, class: w.job.class, since: now });
+            started.push(w.ticket);
+        }
+        (started, late)
+    }
+
+    /// Tells that a job ended with an answer.
+    pub fn finished(&mut self, ticket: Ticket, now: Millis) {
+        self.count_busy(now);
+        let Some(i) = self.running.iter().position(|r| r.ticket == ticket) else { return };
+        let run = self.running.swap_remove(i);
+        let took = now.since(run.since).0 as f64;
+        self.mean += (took - self.mean) * WEIGHT;
+        match self.means.binary_search_by_key(&run.class, |(c, _)| *c) {
+            Ok(i) => self.means[i].1 += (took - self.means[i].1) * WEIGHT,
+            Err(i) => self.means.insert(i, (run.class, took)),
+        }
+    }
+
+    /// Tells that a job is given up, whether it runs or waits.
+    pub fn dropped(&mut self, ticket: Ticket, now: Millis) {
+        self.count_busy(now);
+        self.running.retain(|r| r.ticket != ticket);
+        self.waiting.retain(|w| w.ticket != ticket);
+    }
+
+    fn room_after(&self, now: Millis) -> Millis {
+        Millis(self.wait(now).0.clamp(RETURN_MS.0, RETURN_MS.1))
+    }
+
+    fn count_busy(&mut self, now: Millis) {
+        // An exponential mean over one second.
+        let span = now.since(self.busy_at).0 as f64 / 1_000.0;
+        let demand = (self.running.len() + self.waiting.len()) as f64;
+        self.busy += (demand - self.busy) * (1.0 - (-span).exp());
+        self.busy_at = now;
+    }
+}
--- a/crates/papayarill/src/main.rs
+++ b/crates/papayarill/src/main.rs
@@ -14,6 +14,7 @@
 mod lift;
 mod out;
 mod serve;
+mod sidecar;
 mod status;
 
 use std::process::ExitCode;
@@ -41,6 +42,8 @@
 enum Command {
     /// run the host process beside a backend server
     Serve(serve::ServeOptions),
+    /// run the process beside a backend server on the users' platform
+    Sidecar(sidecar::SidecarOptions),
     /// check a configuration document
     Check(check::CheckOptions),
     /// make a configuration document the newest version
@@ -63,8 +66,6 @@
 type Refusal = String;
 
 fn main() -> ExitCode {
-    let filter = env_logger::Env::default().default_filter_or("info,actix_server=warn");
-    env_logger::Builder::from_env(filter).format_timestamp_millis().init();
     let words: Vec<String> = std::env::args().skip(1).collect();
     let arguments = match Arguments::parse_args_default(&words) {
         Ok(arguments) => arguments,
@@ -74,6 +75,7 @@
         print_help(&arguments);
         return ExitCode::SUCCESS;
     }
+    start_log(&arguments);
     match arguments.command {
         Some(Command::Apply(options)) if options.usage_error().is_some() => {
             usage(options.usage_error().unwrap_or_default())
@@ -83,9 +85,20 @@
     }
 }
 
+fn start_log(arguments: &Arguments) {
+    let filter = env_logger::Env::default().default_filter_or("info,actix_server=warn");
+    let mut builder = env_logger::Builder::from_env(filter);
+    builder.format_timestamp_millis();
+    if let Some(Command::Sidecar(_)) = arguments.command {
+        builder.target(env_logger::Target::Pipe(Box::new(::sidecar::Out::start())));
+    }
+    builder.init();
+}
+
 fn run(command: Command) -> Result<(), Refusal> {
     match command {
         Command::Serve(options) => serve::run(&options),
+        Command::Sidecar(options) => sidecar::run(&options),
         Command::Check(options) => check::run(&options),
         Command::Apply(options) => apply::run(&options),
         Command::Status(options) => status::run(&options),
--- /dev/null
+++ b/crates/sidecar/src/backend.rs
@@ -0,0 +1,241 @@
+//! The way to the backend server of this host: is it ours to run, is there room, and what came
+//! of it. Nobody else sends to this backend server, so what is said here is exact.
+
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::Duration;
+
+use adapter::Answered;
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method};
+use http1::SendError;
+use log::{info, warn};
+use mesh::{Job, Offer, Origin, Refused, Ticket};
+use model::{Millis, ServiceName};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::state::{Cx, Start, State};
+use crate::wire::{End, Forward, NotRun, Outcome};
+
+/// A key that belongs here and is not granted yet is waited for up to this part of the target:
+/// the next heartbeat comes within a second, and a caller that comes back loses more.
+const GRANT_WAIT: f64 = 0.6;
+
+/// A backend server that refused a connection is asked again after this.
+const REFUSED_PAUSE: Millis = Millis(200);
+
+/// A backend server that left gets no request in this last part of the span that it has.
+const LEAVE_MARGIN: Millis = Millis(700);
+
+/// Frees the slot or the place in the queue, whatever happens to the request.
+struct Place<'a> {
+    cx: &'a Cx,
+    ticket: Option<Ticket>,
+}
+
+impl Place<'_> {
+    fn finished(mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.cx.state.borrow_mut().queue.finished(ticket, self.cx.now());
+            self.cx.start_waiting();
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            let mut state = self.cx.state.borrow_mut();
+            state.queue.dropped(ticket, self.cx.now());
+            state.waiters.retain(|(t, _)| *t != ticket);
+            drop(state);
+            self.cx.start_waiting();
+        }
+    }
+}
+
+/// Runs a request on the backend server of this host, or says why not.
+pub async fn run(cx: &Rc<Cx>, forward: &Forward, body: Bytes) -> (Outcome, Bytes) {
+    let came = cx.now();
+    let (end, arrived, body) = attempt(cx, forward, body, came).await;
+    let outcome = Outcome { end, report: cx.report(), arrived, packed: false };
+    log_end(cx, forward, &outcome, came);
+    (outcome, body)
+}
+
+fn log_end(cx: &Cx, forward: &Forward, outcome: &Outcome, came: Millis) {
+    let (id, took, r) = (&forward.id, cx.now().since(came), &outcome.report);
+    let load = format_args!("running={} waiting={} slots={}", r.running, r.waiting, r.slots);
+    match &outcome.end {
+        End::Ran { status, .. } => {
+            info!("event=ran id={id} status={status} took_ms={took} {load}");
+        }
+        End::NotRun { why, after_ms } => info!(
+            "event=not-run id={id} why={why:?} key={:?} limit_ms={} after_ms={after_ms} \
+             took_ms={took} {load}",
+            forward.key, forward.limit_ms
+        ),
+        End::Unknown { why } => {
+            warn!("event=run-unknown id={id} why={why:?} took_ms={took} {load}");
+        }
+    }
+}
+
+fn not_run(why: NotRun) -> (End, bool, Bytes) {
+    (End::NotRun { why, after_ms: 0 }, false, Bytes::new())
+}
+
+async fn attempt(cx: &Rc<Cx>, forward: &Forward, body: Bytes, came: Millis) -> (End, bool, Bytes) {
+    let limit = came + Millis(u64::from(forward.limit_ms));
+    if forward.service != cx.settings.service.as_str() {
+        return not_run(NotRun::NotOwner);
+    }
+    if let Err(why) = wait_until_ours(cx, forward, came).await {
+        return not_run(why);
+    }
+    let job = Job {
+        class: forward.class,
+        origin: Origin::Caller,
+        priority: forward.priority,
+        target: came + Millis(u64::from(forward.target_ms)),
+        limit,
+    };
+    let offer = cx.state.borrow_mut().queue.offer(job, came);
+    let place = match offer {
+        Offer::Refuse(after) => {
+            let after_ms = u32::try_from(after.0).unwrap_or(u32::MAX);
+            return (End::NotRun { why: NotRun::NoRoom, after_ms }, false, Bytes::new());
+        }
+        Offer::Start(ticket) => Place { cx, ticket: Some(ticket) },
+        Offer::Wait(ticket) => {
+            let place = Place { cx, ticket: Some(ticket) };
+            let (tx, rx) = oneshot::channel();
+            cx.state.borrow_mut().waiters.push((ticket, tx));
+            if rx.await != Ok(Start::Now) {
+                return not_run(NotRun::Late);
+            }
+            // Much may have changed while it waited.
+            if let Err(why) = ours(&cx.state.borrow(), cx, forward) {
+                return not_run(why);
+            }
+            place
+        }
+    };
+    send(cx, forward, body, came, limit, place).await
+}
+
+async fn wait_until_ours(cx: &Cx, forward: &Forward, came: Millis) -> Result<(), NotRun> {
+    let wait = Millis((f64::from(forward.target_ms) * GRANT_WAIT) as u64);
+    loop {
+        let changed = cx.changed.notified();
+        let why = match ours(&cx.state.borrow(), cx, forward) {
+            Ok(()) => return Ok(()),
+            Err(why) => why,
+        };
+        let left = wait.since(cx.now().since(came));
+        if why != NotRun::NotGranted || left == Millis::ZERO {
+            return Err(why);
+        }
+        // Either way the next look decides.
+        let _ = timeout(Duration::from(left), changed).await;
+    }
+}
+
+/// Tells whether the request may go to the backend server now.
+fn ours(state: &State, cx: &Cx, forward: &Forward) -> Result<(), NotRun> {
+    let now = cx.now();
+    if state.keeper.backend().is_none() {
+        return Err(NotRun::NoBackend);
+    }
+    if state.refused.is_some_and(|at| now.since(at) < REFUSED_PAUSE) {
+        return Err(NotRun::NoBackend);
+    }
+    let leaves_by = Millis(cx.settings.drain_ms).since(LEAVE_MARGIN);
+    if state.left.is_some_and(|at| forward.key.is_none() || now.since(at) > leaves_by) {
+        return Err(NotRun::Leaving);
+    }
+    match forward.key {
+        None if !state.keeper.serving() => Err(NotRun::Leaving),
+        None => Ok(()),
+        Some(key) => match state.keeper.may_run(key, now) {
+            Ok(_) => Ok(()),
+            Err(Refused::NotGranted) => Err(NotRun::NotGranted),
+            Err(Refused::Moving) => Err(NotRun::Moving),
+            Err(Refused::Owner(_) | Refused::NoMap | Refused::NoLease) => Err(NotRun::NotOwner),
+        },
+    }
+}
+
+fn headers_of(forward: &Forward) -> Vec<(HeaderName, HeaderValue)> {
+    let header = |(name, value): &(String, Vec<u8>)| {
+        Some((HeaderName::from_str(name).ok()?, HeaderValue::from_bytes(value).ok()?))
+    };
+    forward.headers.iter().filter_map(header).collect()
+}
+
+async fn send(
+    cx: &Rc<Cx>,
+    forward: &Forward,
+    body: Bytes,
+    came: Millis,
+    limit: Millis,
+    place: Place<'_>,
+) -> (End, bool, Bytes) {
+    let now = cx.now();
+    let id = cx.state.borrow().keeper.backend().map(|b| b.id.clone()).unwrap_or_default();
+    let caller_left = Millis(u64::from(forward.caller_ms)).since(now.since(came));
+    let left = limit.since(now);
+    if left == Millis::ZERO {
+        return not_run(NotRun::Late);
+    }
+    let headers = headers_of(forward);
+    let method = Method::from_bytes(forward.method.as_bytes());
+    let (Ok(method), Ok(from)) = (method, ServiceName::new(&forward.from)) else {
+        return not_run(NotRun::Malformed);
+    };
+    let time_left = caller_left.min(left);
+    let target = &forward.target;
+    let req = adapter::backend_request(method, target, &headers, &from, time_left, &id, body);
+    let req = match req {
+        Ok(req) => req,
+        Err(e) => {
+            warn!("event=request-refused id={} error={e:?}", forward.id);
+            return not_run(NotRun::Malformed);
+        }
+    };
+    let answer = match timeout(Duration::from(left), cx.backend.send(req)).await {
+        Err(_) => return (End::Unknown { why: "timeout".into() }, true, Bytes::new()),
+        Ok(Err(SendError::NotSent { reason })) => {
+            warn!("event=backend-lost id={} why={reason:?}", forward.id);
+            cx.state.borrow_mut().refused = Some(cx.now());
+            return not_run(NotRun::NoBackend);
+        }
+        Ok(Err(SendError::Unknown { reason })) => {
+            return (End::Unknown { why: reason }, true, Bytes::new());
+        }
+        Ok(Ok(answer)) => answer,
+    };
+    let (head, body) = answer.into_parts();
+    match adapter::read_answer(&forward.id, &head) {
+        Answered::Ran => {
+            place.finished();
+            let plain = |(name, value): (HeaderName, HeaderValue)| {
+                (name.as_str().to_owned(), value.as_bytes().to_vec())
+            };
+            let headers = adapter::answer_head(&head.headers).into_iter().map(plain).collect();
+            (End::Ran { status: head.status.as_u16(), headers }, true, body)
+        }
+        Answered::NotRun => {
+            let after_ms = u32::try_from(cx.state.borrow().queue.mean_run().0).unwrap_or(0);
+            (End::NotRun { why: NotRun::TurnedAway, after_ms }, true, Bytes::new())
+        }
+        Answered::NotMine => {
+            (End::NotRun { why: NotRun::NotGranted, after_ms: 0 }, true, Bytes::new())
+        }
+        Answered::Spoilt => {
+            cx.backend.close_idle();
+            (End::Unknown { why: "spoilt answer".into() }, true, Bytes::new())
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/edges.rs
@@ -0,0 +1,185 @@
+//! Listeners over HTTP/1.1: callers, the backend server, questions whether the process is ready,
+//! and metrics.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::{ServiceCall, plain, read_call, reply_to_beat};
+use bytes::Bytes;
+use futures_util::future::{Either, select};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{info, warn};
+use metrics_exporter_prometheus::PrometheusHandle;
+use model::Millis;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::ingress;
+use crate::state::Cx;
+
+/// The longest heartbeat, in bytes: all keys of a service in short ranges.
+const MAX_BEAT: usize = 1 << 20;
+
+/// Written bytes have to be confirmed by callers within this.
+const UNCONFIRMED: Millis = Millis(10_000);
+
+/// Probes on idle connections of callers start after this.
+const PROBE_AFTER: Millis = Millis(20_000);
+
+/// The longest head of a request, in bytes; the smallest buffer that the library takes is 8 KiB.
+const HEAD_BYTES: usize = 64 << 10;
+
+/// Callers may leave a connection idle for four fifths of the operator's limit, which is 15 s by
+/// default; the head of the next request has to come within this.
+const HEAD_WAIT: Duration = Duration::from_secs(20);
+
+/// Answers requests on a listener with `answer` until the process ends. Connections close after
+/// the answer under way once the process is told to stop.
+pub async fn listen<F, R>(cx: Rc<Cx>, name: &'static str, listener: TcpListener, answer: F)
+where
+    F: Fn(Rc<Cx>, Request<Incoming>) -> R + Clone + 'static,
+    R: Future<Output = Result<Response<Full<Bytes>>, Infallible>> + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!("event=accept-failed listener={name} error={e:?}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        if let Err(e) = http1::watch_peer(&stream, UNCONFIRMED, PROBE_AFTER) {
+            warn!("event=connection-dropped listener={name} error={e:?}");
+            continue;
+        }
+        actix_rt::spawn(serve(cx.clone(), stream, answer.clone()));
+    }
+}
+
+async fn serve<F, R>(cx: Rc<Cx>, stream: TcpStream, answer: F)
+where
+    F: Fn(Rc<Cx>, Request<Incoming>) -> R + 'static,
+    R: Future<Output = Result<Response<Full<Bytes>>, Infallible>> + 'static,
+{
+    let shared = cx.clone();
+    let service = hyper::service::service_fn(move |req| answer(shared.clone(), req));
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_WAIT)
+        .max_buf_size(HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = std::pin::pin!(connection);
+    // A connection that breaks takes its request along; callers see that themselves.
+    let stopped = std::pin::pin!(cx.stop.notified());
+    if let Either::Right((_, mut connection)) = select(connection, stopped).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
+
+/// Answers callers.
+pub async fn callers(
+    cx: Rc<Cx>,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    ingress::answer(cx, req).await
+}
+
+/// Answers whether the process takes requests.
+pub async fn ready(
+    cx: Rc<Cx>,
+    _req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let ready = cx.state.borrow().config.is_some() && !cx.stopping.get();
+    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    Ok(plain(status, Bytes::new()))
+}
+
+/// Answers the backend server of this host.
+pub async fn backend_calls(
+    cx: Rc<Cx>,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (head, body) = req.into_parts();
+    let target = head.uri.path_and_query().map_or("", |t| t.as_str()).to_owned();
+    let body = match Limited::new(body, MAX_BEAT).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => {
+            warn!("event=beat-refused error={e:?}");
+            return Ok(plain(StatusCode::BAD_REQUEST, Bytes::from_static(b"body cut or too long")));
+        }
+    };
+    match read_call(&target, &body) {
+        Ok(ServiceCall::Heartbeat(heartbeat)) => Ok(beat(&cx, &heartbeat)),
+        Ok(ServiceCall::Leave(id)) => {
+            leave(&cx, &id);
+            Ok(json(Bytes::from_static(b"{}")))
+        }
+        Err(e) => {
+            warn!("event=beat-refused error={:?}", e.to_string());
+            Ok(plain(StatusCode::BAD_REQUEST, Bytes::from(e.to_string())))
+        }
+    }
+}
+
+fn beat(cx: &Cx, heartbeat: &adapter::Heartbeat) -> Response<Full<Bytes>> {
+    if heartbeat.service != cx.settings.service {
+        warn!("event=beat-refused why=other-service service={}", heartbeat.service);
+        return plain(StatusCode::BAD_REQUEST, Bytes::from_static(b"another service"));
+    }
+    let now = cx.now();
+    let mut state = cx.state.borrow_mut();
+    let before = (state.keeper.backend().cloned(), state.keeper.serving());
+    let reply = state.keeper.beat(&heartbeat.beat, now);
+    let after = (state.keeper.backend().cloned(), state.keeper.serving());
+    if after.0.as_ref() == Some(&heartbeat.beat.boot) {
+        state.queue.set_slots(heartbeat.slots);
+        state.refused = None;
+    }
+    if before.0 != after.0 {
+        state.left = None;
+    }
+    let granted = reply.grants.as_ref().map_or(0, Vec::len);
+    drop(state);
+    if before != after {
+        let Some(boot) = &after.0 else { return json(reply_to_beat(&reply)) };
+        let (id, started, open) = (&boot.id, boot.started, after.1);
+        info!("event=backend id={id} started={started} open={open} granted={granted}");
+    }
+    cx.changed.notify_waiters();
+    cx.due.notify_one();
+    json(reply_to_beat(&reply))
+}
+
+fn leave(cx: &Cx, id: &str) {
+    let mut state = cx.state.borrow_mut();
+    let known = state.keeper.backend().is_some_and(|b| b.id == id);
+    info!("event=backend-leaves id={id} known={known}");
+    if known {
+        state.keeper.leave();
+        state.left = Some(cx.now());
+    }
+}
+
+fn json(body: Bytes) -> Response<Full<Bytes>> {
+    let mut answer = plain(StatusCode::OK, body);
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+/// Returns an answer function that prints metrics.
+pub fn metrics(
+    handle: PrometheusHandle,
+) -> impl Fn(Rc<Cx>, Request<Incoming>) -> std::future::Ready<Result<Response<Full<Bytes>>, Infallible>>
++ Clone
++ 'static {
+    move |_, _| {
+        let text = Bytes::from(handle.render());
+        std::future::ready(Ok(plain(StatusCode::OK, text)))
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/follow.rs
@@ -0,0 +1,262 @@
+//! What the process learns from the store, and what it writes there.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::{HostRow, News, StoreError};
+use log::{info, warn};
+use mesh::Written;
+use model::{Millis, RowVersion};
+use tokio::time::{sleep, timeout};
+
+use crate::state::Cx;
+
+/// How long one question for changes waits. Longer waits cost fewer calls; a store that went
+/// silent shows after it.
+const WAIT: Millis = Millis(10_000);
+
+/// A failed question is asked again after this.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// The keeper looks for what is due at least this often.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Tells once that a dependency is lost and once that it is back.
+struct Dependency {
+    name: &'static str,
+    lost: bool,
+}
+
+impl Dependency {
+    fn new(name: &'static str) -> Self {
+        Self { name, lost: false }
+    }
+
+    fn failed(&mut self, error: &StoreError) {
+        if !self.lost {
+            warn!("event=dependency-lost name={} error={:?}", self.name, error.to_string());
+        }
+        self.lost = true;
+    }
+
+    fn answered(&mut self) {
+        if self.lost {
+            info!("event=dependency-regained name={}", self.name);
+        }
+        self.lost = false;
+    }
+}
+
+/// Follows the configuration until the process ends.
+pub async fn config(cx: Rc<Cx>) {
+    let mut dependency = Dependency::new("store-config");
+    let mut known: Option<RowVersion> = None;
+    loop {
+        let result = match known {
+            None => cx.store.config().await,
+            Some(version) => cx.store.follow_config(version, WAIT).await,
+        };
+        match result {
+            Ok((news, version)) => {
+                dependency.answered();
+                news.into_iter().for_each(|n| learn(&cx, n));
+                // An answer from the past would make the next question miss nothing, but a
+                // version never goes back.
+                known = Some(known.map_or(version, |k| k.max(version)));
+            }
+            Err(StoreError::HistoryGone) => {
+                info!("event=history-gone table=config version={known:?}");
+                known = None;
+                sleep(PAUSE).await;
+            }
+            Err(e) => {
+                dependency.failed(&e);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Follows the hosts and key maps until the process ends.
+pub async fn fleet(cx: Rc<Cx>) {
+    let mut dependency = Dependency::new("store-fleet");
+    let mut known: Option<RowVersion> = None;
+    loop {
+        let result = match known {
+            None => read_fleet(&cx).await,
+            Some(version) => cx.store.follow_fleet(version, WAIT).await,
+        };
+        match result {
+            Ok((news, version)) => {
+                dependency.answered();
+                news.into_iter().for_each(|n| learn(&cx, n));
+                known = Some(known.map_or(version, |k| k.max(version)));
+            }
+            Err(StoreError::HistoryGone) => {
+                info!("event=history-gone table=fleet version={known:?}");
+                known = None;
+                sleep(PAUSE).await;
+            }
+            Err(e) => {
+                dependency.failed(&e);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read_fleet(cx: &Rc<Cx>) -> Result<(Vec<News>, RowVersion), StoreError> {
+    // Maps are in parts of their own, so the keyed services have to be known first.
+    let services = loop {
+        let config = cx.state.borrow().config.clone();
+        if let Some((_, config)) = config {
+            break config.keyed_services();
+        }
+        cx.changed.notified().await;
+    };
+    cx.store.fleet(&services).await
+}
+
+fn learn(cx: &Rc<Cx>, news: News) {
+    match news {
+        News::Config(version, bytes) => learn_config(cx, version, &bytes),
+        News::Host(host, Some(row)) => {
+            if host != cx.me {
+                info!("event=host host={host} service={} zone={}", row.service, row.zone);
+            }
+            let distance =
+                if host == cx.me { mesh::Distance::Here } else { cx.settings.distance(&row.zone) };
+            cx.state.borrow_mut().learn_host(host, row, distance);
+        }
+        News::Host(host, None) if host == cx.me => {
+            info!("event=own-row-gone host={host}");
+            if !cx.stopping.get() {
+                actix_rt::spawn(announce(cx.clone()));
+            }
+        }
+        News::Host(host, None) => {
+            info!("event=host-gone host={host}");
+            cx.state.borrow_mut().forget_host(host);
+            cx.hops.forget(host);
+        }
+        News::Map(service, version, map) => {
+            info!("event=key-map service={service} version={version} runs={}", map.runs.len());
+            let mut state = cx.state.borrow_mut();
+            if service == cx.settings.service {
+                state.keeper.learn_map(version, map.clone());
+            }
+            state.learn_map(&service, version, Rc::new(map));
+        }
+        News::Unreadable(what) => warn!("event=row-ignored row={what:?}"),
+    }
+    cx.changed.notify_waiters();
+    cx.due.notify_one();
+}
+
+fn learn_config(cx: &Cx, row: RowVersion, bytes: &[u8]) {
+    let config = match adapter::read_config(bytes) {
+        Ok(config) => config,
+        Err(e) => {
+            warn!("event=configuration-ignored row={row} error={:?}", e.to_string());
+            return;
+        }
+    };
+    let mut state = cx.state.borrow_mut();
+    let old = state.config.as_ref().map(|(_, c)| c.version);
+    if old.is_some_and(|old| old >= config.version) {
+        return;
+    }
+    info!(
+        "event=configuration version={} before={old:?} routes={} row={row}",
+        config.version,
+        config.route_count()
+    );
+    state.config = Some((row, Rc::new(config)));
+}
+
+/// Writes the row by which other hosts find this one, until it is written.
+pub async fn announce(cx: Rc<Cx>) {
+    let row = HostRow {
+        name: cx.settings.host.clone(),
+        service: cx.settings.service.clone(),
+        zone: cx.settings.zone.clone(),
+        process: cx.process,
+    };
+    loop {
+        match cx.store.announce(cx.me, &row).await {
+            Ok(()) => {
+                info!("event=announced host={}", cx.me);
+                return;
+            }
+            Err(e) => {
+                warn!("event=announce-failed error={:?}", e.to_string());
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Keeps the lease and the keys of this host, if its service has keys, until the process ends.
+pub async fn keep(cx: Rc<Cx>) {
+    let mut dependency = Dependency::new("store-keys");
+    loop {
+        // Either way the next look decides.
+        let _ = timeout(LOOK, cx.due.notified()).await;
+        let config = cx.state.borrow().config.clone();
+        let service = cx.settings.service.clone();
+        let keyed = config.and_then(|(_, c)| c.service(&service).map(|s| s.keyed));
+        if keyed != Some(true) {
+            continue;
+        }
+        let now = cx.now();
+        if cx.state.borrow().keeper.wants_watch(now) {
+            match cx.store.leases(&service).await {
+                Ok(rows) => {
+                    dependency.answered();
+                    cx.state.borrow_mut().keeper.learn_leases(rows, cx.now());
+                }
+                Err(e) => {
+                    dependency.failed(&e);
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+        write_due(&cx, &mut dependency).await;
+    }
+}
+
+async fn write_due(cx: &Rc<Cx>, dependency: &mut Dependency) {
+    let todo = {
+        let mut state = cx.state.borrow_mut();
+        let load = (state.queue.load() * 100.0) as u32;
+        let room = state.queue.slots() as u32 * 100;
+        state.keeper.learn_load(load, room);
+        state.keeper.todo(cx.now())
+    };
+    let Some(todo) = todo else { return };
+    let (written, error) = cx.store.write(&cx.settings.service, &todo).await;
+    match &error {
+        Some(e) => dependency.failed(e),
+        None => dependency.answered(),
+    }
+    let why = todo.why;
+    match &written {
+        Written::Done(version) if why == "renew" => log::debug!("event=renewed version={version}"),
+        Written::Done(version) => info!("event=row-written why={why} version={version}"),
+        Written::Conflict(_) => info!("event=row-conflict why={why} expected={:?}", todo.expect),
+        Written::Unknown => info!("event=row-unknown why={why} error={error:?}"),
+    }
+    let mut state = cx.state.borrow_mut();
+    let had = state.keeper.lease_until();
+    state.keeper.written(written, cx.now());
+    match (had, state.keeper.lease_until()) {
+        (None, Some(until)) => info!("event=lease-gained until={until}"),
+        (Some(until), None) => warn!("event=lease-lost until={until}"),
+        _ => {}
+    }
+    if let Some((version, map)) = state.keeper.map().cloned() {
+        state.learn_map(&cx.settings.service, version, Rc::new(map));
+    }
+    drop(state);
+    cx.changed.notify_waiters();
+}
--- /dev/null
+++ b/crates/sidecar/src/hop.rs
@@ -0,0 +1,236 @@
+//! Requests between hosts: one h2 connection to each host, opened when it is needed.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper::rt::Executor;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{info, warn};
+use mesh::LoadReport;
+use model::{HostAddr, Millis};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use crate::backend;
+use crate::state::Cx;
+use crate::wire::{End, Forward, NotRun, Outcome, decode, encode};
+
+/// A connection has to be made within this. The longest way between regions takes 60 ms there and
+/// back; a longer wait would cost callers more than another host does.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// After a failed attempt, the next one may start after this.
+const CONNECT_PAUSE: Millis = Millis(200);
+
+/// While requests are under way, a host that doesn't answer a ping within the second span is lost.
+const PING: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1_000));
+
+/// Written bytes have to be confirmed within this.
+const UNCONFIRMED: Millis = Millis(1_800);
+
+/// Probes on idle connections start after this.
+const PROBE_AFTER: Millis = Millis(20_000);
+
+/// The longest message between hosts, in bytes.
+const MAX_MESSAGE: usize = 80 << 20;
+
+/// Spawns the futures of h2 connections on the local task set.
+#[derive(Clone, Copy)]
+pub struct Local;
+
+impl<F> Executor<F> for Local
+where
+    F: Future + 'static,
+{
+    fn execute(&self, future: F) {
+        actix_rt::spawn(async move {
+            future.await;
+        });
+    }
+}
+
+#[derive(Default)]
+struct Link {
+    tx: Option<SendRequest<Full<Bytes>>>,
+    failed: Option<Millis>,
+}
+
+/// The connections to other hosts.
+#[derive(Default)]
+pub struct Hops {
+    links: RefCell<Vec<(HostAddr, Rc<Mutex<Link>>)>>, // Sorted by host.
+}
+
+impl Hops {
+    fn link(&self, host: HostAddr) -> Rc<Mutex<Link>> {
+        let mut links = self.links.borrow_mut();
+        match links.binary_search_by_key(&host, |(h, _)| *h) {
+            Ok(i) => links[i].1.clone(),
+            Err(i) => {
+                let link = Rc::<Mutex<Link>>::default();
+                links.insert(i, (host, link.clone()));
+                link
+            }
+        }
+    }
+
+    /// Closes the connection to a host that is gone.
+    pub fn forget(&self, host: HostAddr) {
+        self.links.borrow_mut().retain(|(h, _)| *h != host);
+    }
+}
+
+fn not_run(why: NotRun) -> Outcome {
+    let end = End::NotRun { why, after_ms: 0 };
+    Outcome { end, report: LoadReport::default(), arrived: false, packed: false }
+}
+
+fn unknown(why: String) -> Outcome {
+    let end = End::Unknown { why };
+    Outcome { end, report: LoadReport::default(), arrived: true, packed: false }
+}
+
+/// Sends a request to `host` and returns how it ended there. Dropping the future cancels it there.
+pub async fn send(cx: &Cx, host: HostAddr, forward: &Forward, body: &Bytes) -> (Outcome, Bytes) {
+    let message = encode(forward, body);
+    // A connection that turns out to be closed before anything was written is replaced once.
+    for _ in 0..2 {
+        let Some(mut tx) = connect(cx, host).await else {
+            return (not_run(NotRun::Unreachable), Bytes::new());
+        };
+        let req = Request::post("http://host/run").body(Full::new(message.clone()));
+        let Ok(req) = req else { return (not_run(NotRun::Malformed), Bytes::new()) };
+        let answer = match tx.try_send_request(req).await {
+            Ok(answer) => answer,
+            Err(mut e) => {
+                drop_link(cx, host).await;
+                if e.take_message().is_some() {
+                    continue;
+                }
+                return (unknown(e.into_error().to_string()), Bytes::new());
+            }
+        };
+        let body = match Limited::new(answer.into_body(), MAX_MESSAGE).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(e) => return (unknown(e.to_string()), Bytes::new()),
+        };
+        return match decode::<Outcome>(body) {
+            Ok(answer) => answer,
+            Err(e) => (unknown(e.to_string()), Bytes::new()),
+        };
+    }
+    (not_run(NotRun::Unreachable), Bytes::new())
+}
+
+async fn connect(cx: &Cx, host: HostAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let link = cx.hops.link(host);
+    let mut link = link.lock().await;
+    if let Some(tx) = link.tx.as_ref().filter(|tx| !tx.is_closed()) {
+        return Some(tx.clone());
+    }
+    link.tx = None;
+    if link.failed.is_some_and(|at| cx.now().since(at) < CONNECT_PAUSE) {
+        return None;
+    }
+    match open(host).await {
+        Ok(tx) => {
+            if link.failed.take().is_some() {
+                info!("event=host-regained host={host}");
+            }
+            link.tx = Some(tx.clone());
+            Some(tx)
+        }
+        Err(why) => {
+            if link.failed.is_none() {
+                warn!("event=host-lost host={host} why={why:?}");
+            }
+            link.failed = Some(cx.now());
+            None
+        }
+    }
+}
+
+async fn drop_link(cx: &Cx, host: HostAddr) {
+    let link = cx.hops.link(host);
+    let mut link = link.lock().await;
+    if link.tx.as_ref().is_some_and(|tx| tx.is_closed()) {
+        link.tx = None;
+    }
+}
+
+async fn open(host: HostAddr) -> Result<SendRequest<Full<Bytes>>, String> {
+    let stream = match timeout(CONNECT, TcpStream::connect(host.0)).await {
+        Ok(stream) => stream.map_err(|e| e.to_string())?,
+        Err(_) => return Err(format!("no connection within {CONNECT:?}")),
+    };
+    http1::watch_peer(&stream, UNCONFIRMED, PROBE_AFTER).map_err(|e| e.to_string())?;
+    let (tx, connection) = http2::Builder::new(Local)
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING.0)
+        .keep_alive_timeout(PING.1)
+        .initial_stream_window_size(1 << 20)
+        .initial_connection_window_size(4 << 20)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| e.to_string())?;
+    actix_rt::spawn(async move {
+        // How the connection ends is told to the requests that it carries.
+        let _ = connection.await;
+    });
+    Ok(tx)
+}
+
+/// Takes requests of other hosts until the process ends.
+pub async fn listen(cx: Rc<Cx>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!("event=accept-failed listener=hosts error={e:?}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        if let Err(e) = http1::watch_peer(&stream, UNCONFIRMED, PROBE_AFTER) {
+            warn!("event=connection-dropped listener=hosts error={e:?}");
+            continue;
+        }
+        let cx = cx.clone();
+        actix_rt::spawn(async move {
+            let service = hyper::service::service_fn(|req| answer(cx.clone(), req));
+            // A connection that breaks is told to the requests that it carries.
+            let _ = hyper::server::conn::http2::Builder::new(Local)
+                .timer(TokioTimer::new())
+                .initial_stream_window_size(1 << 20)
+                .initial_connection_window_size(4 << 20)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(cx: Rc<Cx>, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    let body = Limited::new(req.into_body(), MAX_MESSAGE).collect().await;
+    let forward = match body.map(|b| decode::<Forward>(b.to_bytes())) {
+        Ok(Ok(forward)) => forward,
+        Ok(Err(e)) => {
+            warn!("event=message-refused error={e:?}");
+            return Ok(Response::new(Full::new(encode(&not_run(NotRun::Malformed), &[]))));
+        }
+        Err(e) => {
+            warn!("event=message-cut error={e:?}");
+            return Ok(Response::new(Full::new(encode(&not_run(NotRun::Malformed), &[]))));
+        }
+    };
+    let (forward, body) = forward;
+    let (outcome, body) = backend::run(&cx, &forward, body).await;
+    Ok(Response::new(Full::new(encode(&outcome, &body))))
+}
--- /dev/null
+++ b/crates/sidecar/src/ingress.rs
@@ -0,0 +1,464 @@
+//! Requests of callers on this host: where each one goes, what is tried again, and what the
+//! caller is told.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::{Asked, Refusal, refusal};
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use log::{info, warn};
+use mesh::{Config, LoadReport, Repeat, Sent};
+use model::{HostAddr, Millis, ServiceName};
+use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::state::Cx;
+use crate::wire::{End, Forward, NotRun, Outcome};
+use crate::{backend, hop};
+
+/// Hosts that may turn a request away before its caller is told. Nothing ran at any of them, so
+/// this bounds only the time that is spent.
+const MAX_REFUSALS: usize = 4;
+
+/// A keyed request waits for its key to be served up to this part of its target. Keys that move
+/// are served again within about a second.
+const KEY_WAIT: f64 = 0.5;
+
+/// Without news of the key, the owner is asked again after this.
+const ASK_AGAIN: Duration = Duration::from_millis(120);
+
+/// An owner that could not be reached for this long is not waited for.
+const OWNER_LOST: Millis = Millis(1_500);
+
+/// Callers are told to come back after this if nothing better is known, in milliseconds.
+const COME_BACK_MS: u64 = 400;
+
+/// Callers that are turned away come back spread over this part of the span on top.
+const SPREAD: f64 = 0.5;
+
+/// Callers that name no limit wait this long.
+const NO_LIMIT: Millis = Millis(60_000);
+
+/// The answer must be on its way back before the limit: the longest way between two regions and
+/// some work.
+const FAR_MARGIN: Millis = Millis(45);
+
+/// The same for hosts of the region.
+const NEAR_MARGIN: Millis = Millis(10);
+
+/// A request of a caller with what was decided about it.
+struct Call {
+    came: Millis,
+    id: String,
+    service: ServiceName,
+    route: Rc<str>,
+    repeat: Repeat,
+    attempts: u32,
+    limit: Millis,
+    target: Millis,
+    caller_until: Millis,
+    key: Option<u16>,
+    forward: Forward,
+    body: Bytes,
+}
+
+/// Why a call has no answer of a backend server.
+enum Failure {
+    NotRun { why: NotRun, after_ms: u64 },
+    Lost(String),
+    TimedOut,
+}
+
+/// Counts a request that is under way, until it is dropped.
+struct UnderWay(Rc<Cx>);
+
+impl UnderWay {
+    fn new(cx: &Rc<Cx>) -> Self {
+        cx.under_way.set(cx.under_way.get() + 1);
+        Self(cx.clone())
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.under_way.set(self.0.under_way.get().saturating_sub(1));
+    }
+}
+
+/// Tells the record of a host how a request ended, also if the caller leaves.
+struct Trial<'a> {
+    cx: &'a Cx,
+    service: &'a ServiceName,
+    host: HostAddr,
+    end: Sent,
+    report: Option<LoadReport>,
+}
+
+impl Drop for Trial<'_> {
+    fn drop(&mut self) {
+        let now = self.cx.now();
+        let mut state = self.cx.state.borrow_mut();
+        state.peers(self.service).ended(self.host, self.end, self.report, now);
+    }
+}
+
+/// Answers a caller.
+pub async fn answer(
+    cx: Rc<Cx>,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let _counted = UnderWay::new(&cx);
+    let came = cx.now();
+    let (head, body) = req.into_parts();
+    let mut answer = match adapter::read_asked(&head) {
+        Ok(asked) => serve(&cx, came, &head, asked, body).await,
+        Err(e) => {
+            info!("event=refused id=- why={e:?}");
+            refusal(Refusal::Bad, None)
+        }
+    };
+    if cx.stopping.get() {
+        answer.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+async fn serve(
+    cx: &Rc<Cx>,
+    came: Millis,
+    head: &http::request::Parts,
+    asked: Asked,
+    body: Incoming,
+) -> Response<Full<Bytes>> {
+    let id = asked.id.clone();
+    let config = cx.state.borrow().config.clone();
+    let Some((_, config)) = config else {
+        info!("event=refused id={id} why=no-configuration");
+        return refusal(Refusal::NotRun(come_back(COME_BACK_MS)), Some(&id));
+    };
+    let body = match Limited::new(body, config.limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.downcast_ref::<LengthLimitError>().is_some() => {
+            info!("event=refused id={id} why=body-too-long limit={}", config.limits.body_bytes);
+            return refusal(Refusal::TooLong, Some(&id));
+        }
+        Err(e) => {
+            info!("event=refused id={id} why=body-cut error={e:?}");
+            return refusal(Refusal::Bad, Some(&id));
+        }
+    };
+    let Some(call) = plan(cx, came, head, asked, body, &config) else {
+        info!("event=refused id={id} why=no-route version={}", config.version);
+        return refusal(Refusal::NoRoute, Some(&id));
+    };
+    let result = carry_out(cx, &call).await;
+    tell(cx, &call, &config, result)
+}
+
+fn plan(
+    cx: &Cx,
+    came: Millis,
+    head: &http::request::Parts,
+    asked: Asked,
+    body: Bytes,
+    config: &Config,
+) -> Option<Call> {
+    let route = config.route(&asked.host, head.uri.path())?;
+    let service = route.service(rand::random()).clone();
+    let keyed = config.service(&service).is_some_and(|s| s.keyed);
+    let caller_left = asked.time_left.unwrap_or(NO_LIMIT);
+    let key = asked.key.filter(|_| keyed);
+    let headers = head.headers.iter();
+    let headers = headers.map(|(n, v)| (n.as_str().to_owned(), v.as_bytes().to_vec())).collect();
+    let target = head.uri.path_and_query().map_or_else(|| "/".into(), ToString::to_string);
+    let forward = Forward {
+        id: asked.id.clone(),
+        service: service.as_str().to_owned(),
+        from: cx.settings.service.as_str().to_owned(),
+        method: head.method.as_str().to_owned(),
+        target,
+        headers,
+        key,
+        class: xxh3_64(route.name.as_bytes()),
+        priority: route.priority,
+        target_ms: 0,
+        limit_ms: 0,
+        caller_ms: 0,
+    };
+    Some(Call {
+        came,
+        id: asked.id,
+        service,
+        route: Rc::from(&*route.name),
+        repeat: route.repeat,
+        attempts: route.attempts,
+        limit: came + caller_left.min(route.time_limit),
+        target: came + route.target,
+        caller_until: came + caller_left,
+        key,
+        forward,
+        body,
+    })
+}
+
+/// Tries hosts until there is an answer, or none is to be had.
+async fn carry_out(cx: &Rc<Cx>, call: &Call) -> Result<(Outcome, Bytes), Failure> {
+    cx.state.borrow_mut().budget(&call.service, &cx.settings).first(call.came);
+    let mut tried: Vec<HostAddr> = Vec::new();
+    let mut refusals = 0;
+    let mut arrivals = 0;
+    let mut last = Failure::NotRun { why: NotRun::Unreachable, after_ms: COME_BACK_MS };
+    loop {
+        let now = cx.now();
+        if now >= call.limit {
+            return Err(if arrivals > 0 { Failure::TimedOut } else { last });
+        }
+        let Some(host) = pick(cx, call, &tried, now) else {
+            if call.key.is_some() && wait_for_key(cx, call).await {
+                continue;
+            }
+            return Err(last);
+        };
+        if arrivals > 0 && !may_repeat(cx, call, arrivals, now) {
+            return Err(last);
+        }
+        let Ok((outcome, body)) = send(cx, call, host, now).await else {
+            return Err(Failure::TimedOut);
+        };
+        if outcome.arrived {
+            arrivals += 1;
+        }
+        match &outcome.end {
+            End::Ran { status, .. } if *status < 500 => return Ok((outcome, body)),
+            End::Ran { status, .. } => {
+                let again = call.repeat == Repeat::Allowed
+                    && arrivals < call.attempts
+                    && cx.now() + Millis(100) < call.limit;
+                if !again || !may_repeat(cx, call, arrivals, cx.now()) {
+                    return Ok((outcome, body));
+                }
+                info!("event=try-again id={} host={host} status={status}", call.id);
+                let (sent_again, again_body) = match again_once(cx, call, &mut tried, host).await {
+                    Some(second) => second,
+                    None => return Ok((outcome, body)),
+                };
+                return Ok((sent_again, again_body));
+            }
+            End::Unknown { why } => {
+                info!("event=try-failed id={} host={host} why={why:?}", call.id);
+                let lost = Failure::Lost(why.clone());
+                if call.repeat == Repeat::Never || arrivals >= call.attempts {
+                    return Err(lost);
+                }
+                last = lost;
+                tried.push(host);
+            }
+            End::NotRun { why, after_ms } => {
+                let after_ms = u64::from(*after_ms).max(1);
+                info!("event=try-refused id={} host={host} why={why:?}", call.id);
+                if arrivals == 0 || !matches!(last, Failure::Lost(_)) {
+                    last = Failure::NotRun { why: *why, after_ms };
+                }
+                refusals += 1;
+                if call.key.is_some() {
+                    if *why == NotRun::NoRoom || !wait_for_key(cx, call).await {
+                        return Err(last);
+                    }
+                } else {
+                    tried.push(host);
+                    if refusals >= MAX_REFUSALS {
+                        return Err(last);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Sends a request once more that a backend server failed, if another host is to be had.
+async fn again_once(
+    cx: &Rc<Cx>,
+    call: &Call,
+    tried: &mut Vec<HostAddr>,
+    failed: HostAddr,
+) -> Option<(Outcome, Bytes)> {
+    tried.push(failed);
+    let now = cx.now();
+    let host = pick(cx, call, tried, now)?;
+    let (outcome, body) = send(cx, call, host, now).await.ok()?;
+    matches!(&outcome.end, End::Ran { status, .. } if *status < 500).then_some((outcome, body))
+}
+
+fn may_repeat(cx: &Cx, call: &Call, arrivals: u32, now: Millis) -> bool {
+    if arrivals >= call.attempts {
+        return false;
+    }
+    let mut state = cx.state.borrow_mut();
+    let processes = state.hosts.len();
+    let granted = state.budget(&call.service, &cx.settings).take(processes, now);
+    if !granted {
+        info!("event=no-repeat id={} service={} why=budget", call.id, call.service);
+    }
+    granted
+}
+
+fn pick(cx: &Cx, call: &Call, tried: &[HostAddr], now: Millis) -> Option<HostAddr> {
+    let mut state = cx.state.borrow_mut();
+    match call.key {
+        Some(key) => state.map(&call.service).map(|m| m.run(key).owner),
+        None => state.peers(&call.service).pick(tried, rand::random(), now),
+    }
+}
+
+/// Waits until the key may be served. Returns false if that is not to be expected in time.
+async fn wait_for_key(cx: &Cx, call: &Call) -> bool {
+    let span = Millis((call.target.since(call.came).0 as f64 * KEY_WAIT) as u64);
+    let now = cx.now();
+    if now.since(call.came) >= span {
+        return false;
+    }
+    let owner =
+        call.key.and_then(|key| cx.state.borrow().map(&call.service)?.run(key).owner.into());
+    let lost = owner.is_some_and(|host| {
+        let state = cx.state.borrow();
+        let at = state.unreachable.binary_search_by_key(&host, |(h, _)| *h).ok();
+        at.is_some_and(|i| now.since(state.unreachable[i].1) > OWNER_LOST)
+    });
+    if lost {
+        return false;
+    }
+    // Either way the next look decides.
+    let _ = timeout(ASK_AGAIN, cx.changed.notified()).await;
+    true
+}
+
+fn note_reached(cx: &Cx, host: HostAddr, reached: bool) {
+    let now = cx.now();
+    let mut state = cx.state.borrow_mut();
+    let at = state.unreachable.binary_search_by_key(&host, |(h, _)| *h);
+    match (at, reached) {
+        (Ok(i), true) => {
+            state.unreachable.remove(i);
+        }
+        (Err(i), false) => state.unreachable.insert(i, (host, now)),
+        (Ok(_), false) | (Err(_), true) => {}
+    }
+}
+
+/// Sends a request to one host. Fails if its time is over first.
+async fn send(
+    cx: &Rc<Cx>,
+    call: &Call,
+    host: HostAddr,
+    now: Millis,
+) -> Result<(Outcome, Bytes), tokio::time::error::Elapsed> {
+    let service = &call.service;
+    cx.state.borrow_mut().peers(service).sent(host);
+    let mut trial = Trial { cx, service, host, end: Sent::Dropped, report: None };
+    let left = call.limit.since(now);
+    let small = |m: Millis| u32::try_from(m.0).unwrap_or(u32::MAX);
+    let margin = if is_far(cx, host) { FAR_MARGIN } else { NEAR_MARGIN };
+    let mut forward = call.forward.clone();
+    forward.target_ms = small(call.target.since(now));
+    forward.limit_ms = small(left.since(margin));
+    forward.caller_ms = small(call.caller_until.since(now));
+    let sent = async {
+        if host == cx.me {
+            return backend::run(cx, &forward, call.body.clone()).await;
+        }
+        hop::send(cx, host, &forward, &call.body).await
+    };
+    let result = timeout(Duration::from(left), sent).await;
+    let Ok((outcome, body)) = result else {
+        trial.end = Sent::Failed;
+        return result;
+    };
+    trial.end = match &outcome.end {
+        End::Ran { status, .. } if *status < 500 => Sent::Well,
+        End::NotRun { why: NotRun::Unreachable, .. } => Sent::Unreachable,
+        End::NotRun { why: NotRun::TurnedAway, .. } => Sent::Failed,
+        End::NotRun { .. } => Sent::Refused,
+        End::Ran { .. } | End::Unknown { .. } => Sent::Failed,
+    };
+    let unreachable = trial.end == Sent::Unreachable;
+    let silent = outcome.report == LoadReport::default();
+    trial.report = (!silent).then_some(outcome.report);
+    drop(trial);
+    note_reached(cx, host, !unreachable);
+    Ok((outcome, body))
+}
+
+fn is_far(cx: &Cx, host: HostAddr) -> bool {
+    let state = cx.state.borrow();
+    let at = state.hosts.binary_search_by_key(&host, |(h, _)| *h);
+    at.is_ok_and(|i| cx.settings.distance(&state.hosts[i].1.zone) == mesh::Distance::Far)
+}
+
+fn come_back(after_ms: u64) -> Millis {
+    let spread = 1.0 + SPREAD * rand::random::<f64>();
+    Millis((after_ms.max(50) as f64 * spread) as u64)
+}
+
+fn tell(
+    cx: &Cx,
+    call: &Call,
+    config: &Config,
+    result: Result<(Outcome, Bytes), Failure>,
+) -> Response<Full<Bytes>> {
+    let (id, route, version) = (&call.id, &call.route, config.version);
+    let took = cx.now().since(call.came);
+    metrics::histogram!("papayarill_request_ms", "route" => route.to_string())
+        .record(took.0 as f64);
+    let count = |end: &'static str| {
+        metrics::counter!("papayarill_requests", "route" => route.to_string(), "end" => end)
+            .increment(1);
+    };
+    match result {
+        Ok((outcome, body)) => {
+            let End::Ran { status, headers } = outcome.end else {
+                return refusal(Refusal::Lost, Some(id));
+            };
+            count("answered");
+            info!(
+                "event=answered id={id} route={route} version={version} status={status} took_ms={took}"
+            );
+            rebuild(status, headers, body)
+        }
+        Err(Failure::NotRun { why, after_ms }) => {
+            count("not-run");
+            let after = come_back(if after_ms > 1 { after_ms } else { COME_BACK_MS });
+            info!(
+                "event=refused id={id} route={route} version={version} why={why:?} \
+                 key={:?} after_ms={after} took_ms={took}",
+                call.key
+            );
+            refusal(Refusal::NotRun(after), Some(id))
+        }
+        Err(Failure::Lost(why)) => {
+            count("unknown");
+            warn!("event=lost id={id} route={route} version={version} why={why:?} took_ms={took}");
+            refusal(Refusal::Lost, Some(id))
+        }
+        Err(Failure::TimedOut) => {
+            count("timed-out");
+            warn!("event=timed-out id={id} route={route} version={version} took_ms={took}");
+            refusal(Refusal::TimedOut, Some(id))
+        }
+    }
+}
+
+fn rebuild(status: u16, headers: Vec<(String, Vec<u8>)>, body: Bytes) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in headers {
+        let name = name.parse::<HeaderName>();
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            answer.headers_mut().append(name, value);
+        }
+    }
+    answer
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,19 @@
+//! The process beside one backend server that serves the callers of its host.
+//!
+//! All parts share one thread and [`state::Cx`]; decisions are in `mesh`, the platform's names in
+//! `adapter`. Each listener and each follower of the store is a task of its own.
+
+mod backend;
+mod edges;
+mod follow;
+mod hop;
+mod ingress;
+mod log_out;
+mod settings;
+mod start;
+mod state;
+mod wire;
+
+pub use log_out::Out;
+pub use settings::{Listen, Retry, Settings, SettingsError};
+pub use start::{StartError, run};
--- /dev/null
+++ b/crates/sidecar/src/log_out.rs
@@ -0,0 +1,71 @@
+//! Log lines to standard output that never hold up a request.
+//!
+//! Lines go through a bounded queue to a thread of their own. What does not fit, or exceeds the
+//! rate, is dropped and counted, and the count is written with the next line that fits.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Lines that wait for a slow reader: a few hundred kilobytes.
+const WAITING_LINES: usize = 2_048;
+
+/// Lines a second. A host with 100 requests a second writes two or three for each.
+const LINES_PER_S: u32 = 400;
+
+/// A writer that never blocks.
+pub struct Out {
+    tx: SyncSender<Vec<u8>>,
+    since: Instant,
+    lines: u32,
+    dropped: u64,
+}
+
+impl Out {
+    /// Starts the thread that writes to standard output.
+    pub fn start() -> Self {
+        let (tx, rx) = sync_channel::<Vec<u8>>(WAITING_LINES);
+        thread::spawn(move || {
+            let mut out = io::stdout().lock();
+            for line in rx {
+                if out.write_all(&line).and_then(|()| out.flush()).is_err() {
+                    // Nobody reads any more; there is no other place to say so.
+                    return;
+                }
+            }
+        });
+        Self { tx, since: Instant::now(), lines: 0, dropped: 0 }
+    }
+
+    fn send(&mut self, line: Vec<u8>) {
+        match self.tx.try_send(line) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.dropped += 1,
+        }
+    }
+}
+
+impl Write for Out {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.since.elapsed() >= Duration::from_secs(1) {
+            self.since = Instant::now();
+            self.lines = 0;
+            if self.dropped > 0 {
+                let dropped = std::mem::take(&mut self.dropped);
+                self.send(format!("event=log-dropped lines={dropped}\n").into_bytes());
+            }
+        }
+        self.lines += 1;
+        if self.lines > LINES_PER_S {
+            self.dropped += 1;
+        } else {
+            self.send(line.to_vec());
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/wire.rs
@@ -0,0 +1,140 @@
+//! What hosts say to each other about a request: a head in bincode, then the raw body.
+
+use bincode::{Decode, Encode};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use mesh::LoadReport;
+use snafu::{ResultExt, Snafu};
+
+/// The longest head. Headers of a request are bounded by 16 KiB or what the operator says.
+const MAX_HEAD_BYTES: usize = 1 << 20;
+
+/// A request on its way to the host beside its backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Forward {
+    /// The id of the request.
+    pub id: String,
+    /// The service that is to run it.
+    pub service: String,
+    /// The service beside which it began.
+    pub from: String,
+    /// The HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// The headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The key, if it has one.
+    pub key: Option<u16>,
+    /// Requests of one class take about the same time.
+    pub class: u64,
+    /// The rank; 0 is the most urgent.
+    pub priority: u8,
+    /// How long an answer counts in full, in milliseconds.
+    pub target_ms: u32,
+    /// How long an answer is of use, in milliseconds.
+    pub limit_ms: u32,
+    /// How long the caller waits, in milliseconds.
+    pub caller_ms: u32,
+}
+
+/// How a request ended at the host that it was sent to.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum End {
+    /// The backend server ran it; the body follows.
+    Ran {
+        /// The HTTP status.
+        status: u16,
+        /// The headers.
+        headers: Vec<(String, Vec<u8>)>,
+    },
+    /// It did not run and will not.
+    NotRun {
+        /// Why.
+        why: NotRun,
+        /// When room is expected, as a span in milliseconds.
+        after_ms: u32,
+    },
+    /// It may have run.
+    Unknown {
+        /// What happened.
+        why: String,
+    },
+}
+
+/// Why a request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum NotRun {
+    /// No connection to the host.
+    Unreachable,
+    /// No backend server is known to run there.
+    NoBackend,
+    /// The backend server leaves.
+    Leaving,
+    /// The backend server turned it away.
+    TurnedAway,
+    /// There is no room in time.
+    NoRoom,
+    /// Another host owns the key, or nobody does.
+    NotOwner,
+    /// The key is on its way to another host.
+    Moving,
+    /// The key is not granted to the backend server yet.
+    NotGranted,
+    /// The time was over before it started.
+    Late,
+    /// The request can't be passed on.
+    Malformed,
+}
+
+/// The answer of a host.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Outcome {
+    /// How it ended.
+    pub end: End,
+    /// The load of the backend server.
+    pub report: LoadReport,
+    /// Whether anything was sent to the backend server.
+    pub arrived: bool,
+    /// Whether the body is deflated.
+    pub packed: bool,
+}
+
+/// Why bytes are not a message.
+#[derive(Debug, Snafu)]
+pub enum WireError {
+    /// They end too early.
+    #[snafu(display("the message is cut off"))]
+    Cut,
+    /// The head can't be read.
+    #[snafu(display("the head can't be read: {source}"))]
+    Head {
+        /// What the library says.
+        source: bincode::error::DecodeError,
+    },
+}
+
+/// Puts a head before a body.
+pub fn encode(head: &impl Encode, body: &[u8]) -> Bytes {
+    // Encoding plain data into memory has no way to fail; the reader refuses an empty head.
+    let head = bincode::encode_to_vec(head, bincode::config::standard()).unwrap_or_default();
+    let mut buf = BytesMut::with_capacity(4 + head.len() + body.len());
+    buf.put_u32(u32::try_from(head.len()).unwrap_or(u32::MAX));
+    buf.put_slice(&head);
+    buf.put_slice(body);
+    buf.freeze()
+}
+
+/// Reads a head and what follows it.
+pub fn decode<T: Decode<()>>(mut bytes: Bytes) -> Result<(T, Bytes), WireError> {
+    if bytes.len() < 4 {
+        return CutSnafu.fail();
+    }
+    let length = bytes.get_u32() as usize;
+    if length > bytes.len() || length > MAX_HEAD_BYTES {
+        return CutSnafu.fail();
+    }
+    let config = bincode::config::standard().with_limit::<MAX_HEAD_BYTES>();
+    let (head, _) =
+        bincode::decode_from_slice(&bytes.split_to(length), config).context(HeadSnafu)?;
+    Ok((head, bytes))
+}
