--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -51,6 +51,10 @@
     }
 }
 
+/// The longest list of grants, in bytes of text. Backend servers ignore answers above 4 KiB, and
+/// the frame around the list takes some.
+const GRANTS_BYTES: usize = 3_900;
+
 /// A clock that measures a grant may run slow by one part in this many.
 const SLOW_CLOCK: u64 = 50;
 
@@ -129,6 +133,29 @@
     pub handover: String,
 }
 
+impl Grant {
+    /// Returns the length of the grant as text: numbers, quotes, commas and brackets.
+    fn bytes(&self) -> usize {
+        let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
+        let Held { from, to, fence } = self.held;
+        digits(from.into()) + digits(to.into()) + digits(fence.0) + self.handover.len() + 8
+    }
+}
+
+/// Joins neighbours under the higher of their fences. All fences are drawn from one counter, so
+/// the next holder's fence is still above it.
+fn join_grants(grants: &mut Vec<Grant>) {
+    grants.dedup_by(|next, grant| {
+        let touch = u32::from(grant.held.to) + 1 == u32::from(next.held.from);
+        if touch {
+            grant.held.to = next.held.to;
+            grant.held.fence = grant.held.fence.max(next.held.fence);
+            grant.handover.clear();
+        }
+        touch
+    });
+}
+
 /// The answer to a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct BeatReply {
@@ -227,7 +254,7 @@
         }
         let backend = self.backend.as_ref().filter(|b| now < b.granted_until);
         let held = |b: &&Backend| {
-            b.granted.iter().any(|h| h.from <= key && key <= h.to && h.fence == run.fence)
+            b.granted.iter().any(|h| h.from <= key && key <= h.to && h.fence >= run.fence)
         };
         match backend.filter(held) {
             Some(_) => Ok(run.fence),
@@ -761,6 +788,14 @@
             let handover = if known { String::new() } else { run.handover.clone() };
             grants.push(Grant { held, handover });
         }
+        if grants.iter().map(Grant::bytes).sum::<usize>() > GRANTS_BYTES {
+            join_grants(&mut grants);
+        }
+        let mut bytes = 0;
+        grants.retain(|g| {
+            bytes += g.bytes();
+            bytes <= GRANTS_BYTES
+        });
         b.granted = grants.iter().map(|g| g.held).collect();
         b.granted_until = now + hold;
         let end = now + hold + Millis(hold.0 / SLOW_CLOCK + 100);
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -145,6 +145,9 @@
 /// Tells whether the request may go to the backend server now.
 fn ours(state: &State, cx: &Cx, forward: &Forward) -> Result<(), NotRun> {
     let now = cx.now();
+    if cx.closed.get() {
+        return Err(NotRun::Leaving);
+    }
     if state.keeper.backend().is_none() {
         return Err(NotRun::NoBackend);
     }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -11,9 +11,13 @@
 
 use crate::state::Cx;
 
-/// How long one question for changes waits. Longer waits cost fewer calls; a store that went
-/// silent shows after it.
-const WAIT: Millis = Millis(10_000);
+/// How long one question for changes of the configuration waits. A connection that went silent
+/// with the store shows a second later, which is before a stable store has to be obeyed again:
+/// 4 s after its outage, and 2.5 s for the change.
+const CONFIG_WAIT: Millis = Millis(5_000);
+
+/// The same for changes of the fleet, which other hosts also tell of by turning requests away.
+const FLEET_WAIT: Millis = Millis(8_000);
 
 /// A failed question is asked again after this.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -54,7 +58,7 @@
     loop {
         let result = match known {
             None => cx.store.config().await,
-            Some(version) => cx.store.follow_config(version, WAIT).await,
+            Some(version) => cx.store.follow_config(version, CONFIG_WAIT).await,
         };
         match result {
             Ok((news, version)) => {
@@ -84,7 +88,7 @@
     loop {
         let result = match known {
             None => read_fleet(&cx).await,
-            Some(version) => cx.store.follow_fleet(version, WAIT).await,
+            Some(version) => cx.store.follow_fleet(version, FLEET_WAIT).await,
         };
         match result {
             Ok((news, version)) => {
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -135,6 +135,10 @@
     body: Incoming,
 ) -> Response<Full<Bytes>> {
     let id = asked.id.clone();
+    if cx.closed.get() {
+        info!("event=refused id={id} why=stopping");
+        return refusal(Refusal::NotRun(come_back(COME_BACK_MS)), Some(&id));
+    }
     let config = cx.state.borrow().config.clone();
     let Some((_, config)) = config else {
         info!("event=refused id={id} why=no-configuration");
--- a/crates/sidecar/src/start.rs
+++ b/crates/sidecar/src/start.rs
@@ -133,6 +133,7 @@
             break;
         }
         if span >= KEEP_SERVING {
+            cx.closed.set(true);
             cx.stop.notify_waiters();
         }
         sleep(Duration::from_millis(30)).await;
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -74,6 +74,8 @@
     pub stop: Notify,
     /// Set once the process is told to stop.
     pub stopping: Cell<bool>,
+    /// Set once a process that stops takes no more requests.
+    pub closed: Cell<bool>,
     /// Requests of callers and other hosts that are under way.
     pub under_way: Cell<usize>,
 }
@@ -113,6 +115,7 @@
             due: Notify::new(),
             stop: Notify::new(),
             stopping: Cell::new(false),
+            closed: Cell::new(false),
             under_way: Cell::new(0),
             settings,
             clock,
