Keep the granularity of the key map, and bind registrations and releases to each other

Cause, all found by a random walk over the shipped keepers and by directed cases: neighbours joined in the map could end as one run of all keys, which then moved as a whole for ever; grants joined on the way took a lower fence later; a release of an earlier process could be made after the next process registered; a process could register on an old map. Change: runs keep their size, only grants are joined, a list above 4 KiB is joined by a write under a new fence; registrations name the map, releases name the lease.

--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -142,20 +142,37 @@
     }
 }
 
-/// Joins neighbours under the higher of their fences. All fences are drawn from one counter, so
-/// the next holder's fence is still above it.
-fn join_grants(grants: &mut Vec<Grant>) {
+impl From<&Run> for Grant {
+    fn from(run: &Run) -> Self {
+        let held = Held { from: run.from, to: run.to, fence: run.fence };
+        Self { held, handover: run.handover.clone() }
+    }
+}
+
+/// Joins neighbours with one fence, so that the list stays short.
+fn join(grants: &mut Vec<Grant>) {
     grants.dedup_by(|next, grant| {
         let touch = u32::from(grant.held.to) + 1 == u32::from(next.held.from);
-        if touch {
+        let alike = grant.held.fence == next.held.fence
+            && grant.handover.is_empty()
+            && next.handover.is_empty();
+        if touch && alike {
             grant.held.to = next.held.to;
-            grant.held.fence = grant.held.fence.max(next.held.fence);
-            grant.handover.clear();
         }
-        touch
+        touch && alike
     });
 }
 
+fn own_grants(map: &KeyMap, owner: HostAddr) -> Vec<Grant> {
+    let mut grants = map.owned_by(owner).map(Grant::from).collect();
+    join(&mut grants);
+    grants
+}
+
+fn grants_bytes(grants: &[Grant]) -> usize {
+    grants.iter().map(Grant::bytes).sum()
+}
+
 /// The answer to a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct BeatReply {
@@ -225,6 +242,7 @@
     found: Option<(RowVersion, LeaseRow)>,
     asked: bool,
     map: Option<(RowVersion, KeyMap)>,
+    map_read: bool,
     backend: Option<Backend>,
     releases: Vec<Release>,
     watch: LeaseWatch,
@@ -254,7 +272,7 @@
         }
         let backend = self.backend.as_ref().filter(|b| now < b.granted_until);
         let held = |b: &&Backend| {
-            b.granted.iter().any(|h| h.from <= key && key <= h.to && h.fence >= run.fence)
+            b.granted.iter().any(|h| h.from <= key && key <= h.to && h.fence == run.fence)
         };
         match backend.filter(held) {
             Some(_) => Ok(run.fence),
@@ -320,6 +338,7 @@
             found: None,
             asked: false,
             map: None,
+            map_read: false,
             backend: None,
             releases: Vec::new(),
             watch: LeaseWatch::default(),
@@ -333,6 +352,11 @@
         }
     }
 
+    /// Tells that the map was looked for, whether there is one or not.
+    pub fn map_read(&mut self) {
+        self.map_read = true;
+    }
+
     /// Takes in a version of the map; older ones are ignored.
     pub fn learn_map(&mut self, version: RowVersion, map: KeyMap) -> bool {
         if self.map.as_ref().is_some_and(|(known, _)| *known >= version) {
@@ -418,6 +442,7 @@
             .register()
             .or_else(|| self.follow_boot())
             .or_else(|| self.finish_releases(now))
+            .or_else(|| self.join_own_runs())
             .or_else(|| self.renew(now))
             .or_else(|| self.plan(now))?;
         self.under_way = Some((todo.clone(), now));
@@ -511,7 +536,7 @@
 
     /// A lease of an earlier process on this host goes on; its backend server may live.
     fn register(&mut self) -> Option<Todo> {
-        if self.lease.is_some() || self.backend.is_none() {
+        if self.lease.is_some() || self.backend.is_none() || !self.map_read {
             return None;
         }
         let version = match &self.found {
@@ -525,8 +550,11 @@
                 RowVersion(0)
             }
         };
+        // The map that is known has to be the newest: a write of the process before may have been
+        // made after the map was read. From here on such a write fails, as it names the lease.
+        let map = self.map.as_ref().map_or(RowVersion(0), |(version, _)| *version);
         Some(Todo {
-            expect: vec![(RowName::Lease(self.me), version)],
+            expect: vec![(RowName::Lease(self.me), version), (RowName::Map, map)],
             put: vec![(RowName::Lease(self.me), self.fresh_row().encode())],
             why: "register",
             ..Todo::default()
@@ -635,7 +663,7 @@
     }
 
     fn finish_releases(&mut self, now: Millis) -> Option<Todo> {
-        self.lease?;
+        let lease = self.lease?;
         if self.backend_gone(now) {
             self.release_all();
         }
@@ -669,15 +697,45 @@
         if turn == 0 || map.runs == self.map.as_ref()?.1.runs {
             return None;
         }
-        map.join_neighbours();
         Some(Todo {
-            expect: vec![(RowName::Map, *version)],
+            expect: vec![(RowName::Map, *version), (RowName::Lease(self.me), lease.version)],
             put: vec![(RowName::Map, map.encode())],
             why: "release",
             ..Todo::default()
         })
     }
 
+    /// Joins the own neighbours under a new fence if a grant of all can't be told any more.
+    fn join_own_runs(&self) -> Option<Todo> {
+        let lease = self.lease?;
+        let (version, map) = self.map.as_ref()?;
+        if !self.releases.is_empty() || grants_bytes(&own_grants(map, self.me)) <= GRANTS_BYTES {
+            return None;
+        }
+        let mut joined = map.clone();
+        let fence = joined.draw_fence();
+        let me = self.me;
+        let own = |r: &Run| r.owner == me && r.next.is_none();
+        for i in 1..joined.runs.len() {
+            if own(&joined.runs[i - 1]) && own(&joined.runs[i]) {
+                for run in &mut joined.runs[i - 1..=i] {
+                    run.fence = fence;
+                    run.handover.clear();
+                }
+            }
+        }
+        if own_grants(&joined, me).len() == own_grants(map, me).len() {
+            return None;
+        }
+        let map = joined;
+        Some(Todo {
+            expect: vec![(RowName::Map, *version), (RowName::Lease(self.me), lease.version)],
+            put: vec![(RowName::Map, map.encode())],
+            why: "join",
+            ..Todo::default()
+        })
+    }
+
     fn takers(&self) -> Vec<HostAddr> {
         let hosts = self.watch.hosts().into_iter();
         let ready = hosts.filter(|(h, row)| row.takes_keys && *h != self.me);
@@ -788,9 +846,6 @@
             let handover = if known { String::new() } else { run.handover.clone() };
             grants.push(Grant { held, handover });
         }
-        if grants.iter().map(Grant::bytes).sum::<usize>() > GRANTS_BYTES {
-            join_grants(&mut grants);
-        }
         let mut bytes = 0;
         grants.retain(|g| {
             bytes += g.bytes();
--- a/crates/mesh/src/keys.rs
+++ b/crates/mesh/src/keys.rs
@@ -1,7 +1,8 @@
 //! Which host owns which keys of a service: the one row that all hosts of the service change.
 //!
 //! Keys are numbers and busy ones lie together, so the map is a list of short runs that are dealt
-//! to all owners in turn: a busy neighbourhood is shared by several owners without any move.
+//! to all owners in turn: a busy neighbourhood is shared by several owners without any move. Runs
+//! keep their size also where neighbours have one owner, so that keys can be spread again.
 
 use std::io::{Read, Write};
 
@@ -109,21 +110,6 @@
         self.top
     }
 
-    /// Joins neighbours that differ in nothing.
-    pub fn join_neighbours(&mut self) {
-        self.runs.dedup_by(|next, run| {
-            let same = next.owner == run.owner
-                && next.fence == run.fence
-                && next.handover.is_empty()
-                && run.handover.is_empty()
-                && next.next == run.next;
-            if same {
-                run.to = next.to;
-            }
-            same
-        });
-    }
-
     /// Returns the bytes of the row.
     pub fn encode(&self) -> Vec<u8> {
         let wire = WireMap::from(self);
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -60,7 +60,6 @@
         let owner = hosts[i % hosts.len()];
         map.runs.push(Run { from, to, owner, fence, handover: String::new(), next: None });
     }
-    map.join_neighbours();
     Some(map)
 }
 
@@ -88,7 +87,6 @@
         let run = &mut map.runs[i];
         *run = Run { owner, fence, handover: String::new(), next: None, ..run.clone() };
     }
-    map.join_neighbours();
     Some(map)
 }
 
--- /dev/null
+++ b/crates/mesh/tests/keeper/steps.rs
@@ -0,0 +1,144 @@
+//! Directed cases: each step by hand.
+
+use mesh::{Beat, Boot, Keeper, KeeperTimes, RowName, Todo, Written, evict, first_map};
+use model::{HostAddr, Millis, RowVersion};
+
+use crate::world::{Store, addr};
+
+struct Bed {
+    store: Store,
+    now: Millis,
+}
+
+impl Bed {
+    fn new() -> Self {
+        Self { store: Store::default(), now: Millis(10_000) }
+    }
+
+    fn keeper(&mut self, i: usize, process: u64) -> Keeper {
+        let mut keeper = Keeper::new(addr(i), process, KeeperTimes::default(), self.now);
+        keeper.learn_leases(self.store.leases(), self.now);
+        keeper.map_read();
+        if let Some((version, map)) = self.store.map() {
+            keeper.learn_map(version, map);
+        }
+        keeper
+    }
+
+    fn beat(&self, keeper: &mut Keeper, i: usize, seq: u64) -> mesh::BeatReply {
+        let boot = Boot { started: 1, id: format!("b{i}") };
+        keeper.beat(&Beat { boot, seq, ..Beat::default() }, self.now)
+    }
+
+    fn settle(&mut self, keeper: &mut Keeper) {
+        while let Some(todo) = keeper.todo(self.now) {
+            let written = self.store.apply(&todo);
+            keeper.written(written, self.now);
+            self.now += Millis(50);
+        }
+    }
+
+    fn put_map(&mut self, change: impl Fn(Option<mesh::KeyMap>) -> mesh::KeyMap) {
+        let old = self.store.map();
+        let version = old.as_ref().map_or(RowVersion(0), |(v, _)| *v);
+        let map = change(old.map(|(_, m)| m));
+        let todo = Todo {
+            expect: vec![(RowName::Map, version)],
+            put: vec![(RowName::Map, map.encode())],
+            ..Todo::default()
+        };
+        assert!(matches!(self.store.apply(&todo), Written::Done(_)));
+    }
+
+    /// Makes two hosts that own all keys, with leases.
+    fn two_owners(&mut self) -> [Keeper; 2] {
+        self.put_map(|_| first_map(&[addr(0), addr(1)]).unwrap());
+        let mut both = [self.keeper(0, 1), self.keeper(1, 2)];
+        for (i, keeper) in both.iter_mut().enumerate() {
+            self.beat(keeper, i, 1);
+            self.settle(keeper);
+        }
+        both
+    }
+
+    fn ask_for_move(&mut self, from: HostAddr, to: HostAddr) {
+        self.put_map(|map| {
+            let mut map = map.unwrap();
+            let run = map.runs.iter_mut().find(|r| r.owner == from).unwrap();
+            run.next = Some(to);
+            map
+        });
+    }
+}
+
+#[test]
+fn a_release_of_an_earlier_process_is_not_made_after_the_next_one_registered() {
+    let mut bed = Bed::new();
+    let [mut keeper, _other] = bed.two_owners();
+    bed.ask_for_move(addr(0), addr(1));
+    let (version, map) = bed.store.map().unwrap();
+    keeper.learn_map(version, map);
+    keeper.learn_leases(bed.store.leases(), bed.now);
+    bed.beat(&mut keeper, 0, 2);
+    bed.beat(&mut keeper, 0, 3);
+    let late = keeper.todo(bed.now).unwrap();
+    assert_eq!(late.why, "release");
+
+    let mut next = bed.keeper(0, 9);
+    bed.beat(&mut next, 0, 4);
+    let register = next.todo(bed.now).unwrap();
+    let registered = bed.store.apply(&register);
+    let end = bed.store.apply(&late);
+
+    assert!(matches!(registered, Written::Done(_)), "{registered:?}");
+    assert!(matches!(end, Written::Conflict(_)), "the late release was made: {end:?}");
+}
+
+#[test]
+fn a_process_that_read_an_old_map_does_not_register() {
+    let mut bed = Bed::new();
+    let [_first, _other] = bed.two_owners();
+    let mut next = bed.keeper(0, 9);
+    bed.put_map(|map| evict(&map.unwrap(), &[addr(0)], &[addr(1)]).unwrap());
+
+    bed.beat(&mut next, 0, 5);
+    let todo = next.todo(bed.now).unwrap();
+    let end = bed.store.apply(&todo);
+
+    assert_eq!(todo.why, "register");
+    assert!(matches!(end, Written::Conflict(_)), "registered on an old map: {end:?}");
+}
+
+#[test]
+fn nothing_is_granted_without_a_lease_or_to_an_earlier_start() {
+    let mut bed = Bed::new();
+    let [mut keeper, _other] = bed.two_owners();
+    let granted = bed.beat(&mut keeper, 0, 2).grants;
+    assert!(granted.is_some_and(|g| !g.is_empty()));
+
+    let boot = Boot { started: 2, id: "b0".into() };
+    let other_start = keeper.beat(&Beat { boot, seq: 1, ..Beat::default() }, bed.now);
+    assert_eq!(other_start.grants, None, "the fence still is that of the former start");
+
+    let late = bed.beat(&mut keeper, 0, 3);
+    assert_eq!(late.grants, None, "a late heartbeat of the former start");
+
+    bed.now += KeeperTimes::default().term;
+    let boot = Boot { started: 2, id: "b0".into() };
+    let expired = keeper.beat(&Beat { boot, seq: 2, ..Beat::default() }, bed.now);
+    assert_eq!(expired.grants, None, "the lease is over");
+}
+
+#[test]
+fn a_grant_ends_before_the_lease_that_backs_it() {
+    let mut bed = Bed::new();
+    let [mut keeper, _other] = bed.two_owners();
+    let until = keeper.lease_until().unwrap();
+    for (seq, before_end) in [(2, 9_000), (3, 3_000), (4, 1_000), (5, 150)] {
+        let now = until - Millis(before_end);
+        let boot = Boot { started: 1, id: "b0".into() };
+        let reply = keeper.beat(&Beat { boot, seq, ..Beat::default() }, now);
+        let slow_clock = Millis(reply.hold.0 * 102 / 100);
+        assert!(now + slow_clock < until, "{before_end} ms before the end: {:?}", reply.hold);
+    }
+}
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -95,6 +95,7 @@
                 dependency.answered();
                 news.into_iter().for_each(|n| learn(&cx, n));
                 known = Some(known.map_or(version, |k| k.max(version)));
+                cx.state.borrow_mut().keeper.map_read();
             }
             Err(StoreError::HistoryGone) => {
                 info!("event=history-gone table=fleet version={known:?}");
