Let hosts tell each other the version of their configuration

Change: messages between hosts carry the version; a host that is behind drops its question and reads.

--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -59,7 +59,8 @@
 pub async fn run(cx: &Rc<Cx>, forward: &Forward, body: Bytes) -> (Outcome, Bytes) {
     let came = cx.now();
     let (end, arrived, body) = attempt(cx, forward, body, came).await;
-    let outcome = Outcome { end, report: cx.report(), arrived, packed: false };
+    let version = cx.version();
+    let outcome = Outcome { version, end, report: cx.report(), arrived, packed: false };
     log_end(cx, forward, &outcome, came);
     (outcome, body)
 }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -1,9 +1,11 @@
 //! What the process learns from the store, and what it writes there.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use adapter::{HostRow, News, StoreError};
+use futures_util::future::{Either, select};
 use log::{info, warn};
 use mesh::Written;
 use model::{Millis, RowVersion};
@@ -56,9 +58,22 @@
     let mut dependency = Dependency::new("store-config");
     let mut known: Option<RowVersion> = None;
     loop {
-        let result = match known {
-            None => cx.store.config().await,
-            Some(version) => cx.store.follow_config(version, CONFIG_WAIT).await,
+        let before = cx.version();
+        // While the store fails, short questions show soonest that it is back.
+        let wait = if dependency.lost { Millis::ZERO } else { CONFIG_WAIT };
+        let ask = async {
+            match known {
+                None => cx.store.config().await,
+                Some(version) => cx.store.follow_config(version, wait).await,
+            }
+        };
+        let (result, hinted) = match select(pin!(ask), pin!(cx.newer.notified())).await {
+            Either::Left((result, _)) => (result, false),
+            Either::Right(_) => {
+                // The question may hang on a connection that went silent; dropping it closes that.
+                info!("event=configuration-behind version={before}");
+                (cx.store.config().await, true)
+            }
         };
         match result {
             Ok((news, version)) => {
@@ -67,6 +82,10 @@
                 // An answer from the past would make the next question miss nothing, but a
                 // version never goes back.
                 known = Some(known.map_or(version, |k| k.max(version)));
+                if hinted && cx.version() == before {
+                    // The store answered from the past, or the hint was wrong.
+                    sleep(PAUSE).await;
+                }
             }
             Err(StoreError::HistoryGone) => {
                 info!("event=history-gone table=config version={known:?}");
@@ -88,7 +107,10 @@
     loop {
         let result = match known {
             None => read_fleet(&cx).await,
-            Some(version) => cx.store.follow_fleet(version, FLEET_WAIT).await,
+            Some(version) => {
+                let wait = if dependency.lost { Millis::ZERO } else { FLEET_WAIT };
+                cx.store.follow_fleet(version, wait).await
+            }
         };
         match result {
             Ok((news, version)) => {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -90,12 +90,12 @@
 
 fn not_run(why: NotRun) -> Outcome {
     let end = End::NotRun { why, after_ms: 0 };
-    Outcome { end, report: LoadReport::default(), arrived: false, packed: false }
+    Outcome { version: 0, end, report: LoadReport::default(), arrived: false, packed: false }
 }
 
 fn unknown(why: String) -> Outcome {
     let end = End::Unknown { why };
-    Outcome { end, report: LoadReport::default(), arrived: true, packed: false }
+    Outcome { version: 0, end, report: LoadReport::default(), arrived: true, packed: false }
 }
 
 /// Sends a request to `host` and returns how it ended there. Dropping the future cancels it there.
@@ -123,7 +123,10 @@
             Err(e) => return (unknown(e.to_string()), Bytes::new()),
         };
         return match decode::<Outcome>(body) {
-            Ok(answer) => answer,
+            Ok((outcome, body)) => {
+                cx.heard_version(outcome.version);
+                (outcome, body)
+            }
             Err(e) => (unknown(e.to_string()), Bytes::new()),
         };
     }
@@ -231,6 +234,7 @@
         }
     };
     let (forward, body) = forward;
+    cx.heard_version(forward.version);
     let (outcome, body) = backend::run(&cx, &forward, body).await;
     Ok(Response::new(Full::new(encode(&outcome, &body))))
 }
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -180,6 +180,7 @@
     let headers = headers.map(|(n, v)| (n.as_str().to_owned(), v.as_bytes().to_vec())).collect();
     let target = head.uri.path_and_query().map_or_else(|| "/".into(), ToString::to_string);
     let forward = Forward {
+        version: config.version.0,
         id: asked.id.clone(),
         service: service.as_str().to_owned(),
         from: cx.settings.service.as_str().to_owned(),
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -68,6 +68,8 @@
     pub process: u64,
     /// Tells that a map, a grant, the configuration or a host changed.
     pub changed: Notify,
+    /// Tells that another host has a newer configuration.
+    pub newer: Notify,
     /// Tells the keeper's loop that something may be due.
     pub due: Notify,
     /// Tells connections to close after the answer under way.
@@ -112,6 +114,7 @@
             store: adapter::Store::new(settings.store, clock.clone()),
             process,
             changed: Notify::new(),
+            newer: Notify::new(),
             due: Notify::new(),
             stop: Notify::new(),
             stopping: Cell::new(false),
@@ -127,6 +130,18 @@
         self.clock.now()
     }
 
+    /// Returns the version of the configuration in force, or 0.
+    pub fn version(&self) -> u64 {
+        self.state.borrow().config.as_ref().map_or(0, |(_, c)| c.version.0)
+    }
+
+    /// Takes in the version of the configuration that another host has.
+    pub fn heard_version(&self, version: u64) {
+        if version > self.version() {
+            self.newer.notify_one();
+        }
+    }
+
     /// Returns what other hosts are told about the load of the backend server.
     pub fn report(&self) -> LoadReport {
         let state = self.state.borrow();
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -11,6 +11,8 @@
 /// A request on its way to the host beside its backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Forward {
+    /// The version of the configuration at the sender.
+    pub version: u64,
     /// The id of the request.
     pub id: String,
     /// The service that is to run it.
@@ -89,6 +91,8 @@
 /// The answer of a host.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Outcome {
+    /// The version of the configuration at the host.
+    pub version: u64,
     /// How it ended.
     pub end: End,
     /// The load of the backend server.
