Move the busiest keys of an overloaded owner, and turn away what can't meet its target

Change: owners count requests per 32 keys and give away the busiest pieces to hosts with room whose lease is renewed; a job is refused if it would miss its target; requests for moving keys wait for 0.65 of the target and at most half of their time.

--- a/crates/mesh/src/budget.rs
+++ b/crates/mesh/src/budget.rs
@@ -31,7 +31,7 @@
 /// The part of the budget that is spent on sending a request again. The rest is for what a repeat
 /// causes further on: the calls that its run makes, two as a rule, count as repeats at the services
 /// that they go to.
-const OWN_PART: f64 = 0.3;
+const OWN_PART: f64 = 0.4;
 
 /// Counts first attempts and repeats of one service.
 #[derive(Debug)]
--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -10,7 +10,7 @@
 
 use crate::leases::{Boot, LeaseRow, LeaseWatch};
 use crate::plan::{self, Member};
-use crate::{KeyMap, Run};
+use crate::{Demand, KeyMap, Run};
 
 /// How long things last. All spans in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,12 +23,16 @@
     pub retry_after: Millis,
     /// A grant runs at most this long.
     pub hold: Millis,
+    /// A host whose renewal is late by this is given no keys.
+    pub doubt: Millis,
     /// Others wait this much longer than the term before they take the keys.
     pub margin: Millis,
     /// The first map waits this long for other hosts to show up.
     pub gather: Millis,
     /// Leases are read this often by the first member; later members read less often.
     pub watch_every: Millis,
+    /// Loads are measured anew for this long before more keys are given away.
+    pub settle: Millis,
     /// A backend server without heartbeats for this long after its last grant ended is gone.
     pub silence: Millis,
 }
@@ -42,10 +46,14 @@
             retry_after: Millis(300),
             // Outlasts three heartbeats, so one or two may be lost.
             hold: Millis(4_000),
+            // Leases are read each second, and a renewal takes some of the next.
+            doubt: Millis(1_300),
             margin: Millis(500),
             // Hosts of a new deployment start within 0.3 s; the rest is their first renewal.
             gather: Millis(2_000),
             watch_every: Millis(1_000),
+            // A move takes about a second, and the counts fade in 1.5 s.
+            settle: Millis(3_000),
             silence: Millis(500),
         }
     }
@@ -169,6 +177,29 @@
     grants
 }
 
+/// Returns what is left of a run without the keys that are being released.
+fn without(run: &Run, releases: &[Release]) -> Vec<Run> {
+    let mut left = vec![run.clone()];
+    for r in releases {
+        left = left.into_iter().flat_map(|run| cut(run, r.from, r.to)).collect();
+    }
+    left
+}
+
+fn cut(run: Run, from: u16, to: u16) -> Vec<Run> {
+    if to < run.from || run.to < from {
+        return vec![run];
+    }
+    let mut left = Vec::new();
+    if run.from < from {
+        left.push(Run { to: from - 1, ..run.clone() });
+    }
+    if to < run.to {
+        left.push(Run { from: to + 1, ..run });
+    }
+    left
+}
+
 fn grants_bytes(grants: &[Grant]) -> usize {
     grants.iter().map(Grant::bytes).sum()
 }
@@ -228,6 +259,8 @@
     done: bool,
     /// What it gave for the next holder.
     handover: String,
+    /// Who is to get the keys; a neighbour if there is none.
+    target: Option<HostAddr>,
 }
 
 /// The keys of one host.
@@ -253,6 +286,7 @@
     store_heard: Millis,
     load: (u32, u32),
     rebalanced: Millis,
+    shed: Millis,
 }
 
 /// Queries.
@@ -314,10 +348,17 @@
         let hosts = self.watch.hosts();
         let rank = hosts.iter().position(|(h, _)| *h == self.me).unwrap_or(hosts.len());
         let rank = u64::try_from(rank).unwrap_or(u64::MAX).min(4);
+        let rank = if self.crowded() { 0 } else { rank };
         let every = Millis(self.times.watch_every.0 * (1 + 2 * rank));
         self.lease.is_some() && now.since(self.watched_at) >= every
     }
 
+    /// Tells whether there is more work than room, so that the loads of others matter.
+    fn crowded(&self) -> bool {
+        let (load, room) = self.load;
+        room > 0 && load * 3 > room * 2
+    }
+
     /// Returns whether the host has keys or a lease to give back.
     pub fn idle(&self) -> bool {
         self.map.as_ref().is_none_or(|(_, m)| m.owned_by(self.me).next().is_none())
@@ -349,6 +390,7 @@
             store_heard: Millis::ZERO,
             load: (0, 0),
             rebalanced: now,
+            shed: now,
         }
     }
 
@@ -386,6 +428,27 @@
         self.load = (load, room);
     }
 
+    /// Starts to give away keys if there is more work than room and others have room, but not to
+    /// `lost` hosts. Returns how many pieces.
+    pub fn shed(&mut self, demand: &Demand, lost: &[HostAddr], now: Millis) -> usize {
+        let fresh = now.since(self.watched_at) <= self.times.watch_every + Millis(500);
+        let settled = self.releases.is_empty() && now.since(self.shed) >= self.times.settle;
+        if !fresh || !settled || !self.store_answers(now) || self.lease.is_none() {
+            return 0;
+        }
+        let me = Member { host: self.me, takes_keys: true, load: self.load.0, room: self.load.1 };
+        let mut others = self.members(now);
+        others.retain(|m| !lost.contains(&m.host));
+        let pieces = plan::shed(me, &self.own_runs(), &others, demand);
+        if !pieces.is_empty() {
+            self.shed = now;
+        }
+        for p in &pieces {
+            self.release(p.from, p.to, Some(p.to_host));
+        }
+        pieces.len()
+    }
+
     /// Answers a heartbeat. A late one, of an earlier start or out of order, renews nothing.
     pub fn beat(&mut self, beat: &Beat, now: Millis) -> BeatReply {
         if self.is_late(beat, now) {
@@ -632,34 +695,34 @@
 
     fn release_all(&mut self) {
         for run in self.own_runs() {
-            self.release(&run);
+            self.release(run.from, run.to, run.next);
         }
     }
 
+    /// A release that can't be written leaves its keys without an owner.
+    fn store_answers(&self, now: Millis) -> bool {
+        now.since(self.store_heard) <= self.times.renew_after + Millis(500)
+    }
+
     fn release_asked(&mut self, now: Millis) {
-        // A release that can't be written leaves its keys without an owner.
-        if now.since(self.store_heard) > self.times.renew_after + Millis(500) {
+        if !self.store_answers(now) {
             return;
         }
         let asked = self.own_runs().into_iter().filter(|r| r.next.is_some_and(|n| n != self.me));
         for run in asked.collect::<Vec<_>>() {
-            self.release(&run);
+            self.release(run.from, run.to, run.next);
         }
     }
 
-    fn release(&mut self, run: &Run) {
-        if self.releases.iter().any(|r| r.from == run.from) {
+    fn release(&mut self, from: u16, to: u16, target: Option<HostAddr>) {
+        let under_way = |r: &Release| r.from <= to && from <= r.to;
+        if self.releases.iter().any(under_way) {
             return;
         }
-        let holds = self.backend.as_ref().map(|b| b.holds.as_slice()).unwrap_or_default();
-        let held = holds.iter().any(|h| h.from <= run.to && run.from <= h.to);
-        let granted = self
-            .backend
-            .as_ref()
-            .is_some_and(|b| b.granted.iter().any(|h| h.from <= run.to && run.from <= h.to));
-        let done = !held && !granted;
-        let handover = String::new();
-        self.releases.push(Release { from: run.from, to: run.to, done, handover });
+        let overlaps = |all: &[Held]| all.iter().any(|h| h.from <= to && from <= h.to);
+        let held =
+            self.backend.as_ref().is_some_and(|b| overlaps(&b.holds) || overlaps(&b.granted));
+        self.releases.push(Release { from, to, done: !held, handover: String::new(), target });
     }
 
     fn finish_releases(&mut self, now: Millis) -> Option<Todo> {
@@ -671,30 +734,37 @@
         if !self.releases.iter().any(|r| r.done || ended) {
             return None;
         }
-        let takers = self.takers();
-        let (version, map) = self.map.as_ref()?;
-        let mut map = map.clone();
+        let takers = self.takers(now);
+        let (version, known) = self.map.as_ref()?;
+        let mut map = known.clone();
         let fence = map.draw_fence();
-        let mut turn = 0;
+        let ready: Vec<&Release> = self.releases.iter().filter(|r| r.done || ended).collect();
+        for r in &ready {
+            map.split_at(r.from);
+            if let Some(after) = r.to.checked_add(1) {
+                map.split_at(after);
+            }
+        }
+        let mut given = 0;
         for i in 0..map.runs.len() {
             let run = &map.runs[i];
-            let of = |r: &&Release| r.from <= run.from && run.to <= r.to;
-            let Some(r) = self.releases.iter().find(of) else { continue };
-            if run.owner != self.me || !(r.done || ended) {
+            let of = |r: &&&Release| r.from <= run.from && run.to <= r.to;
+            let Some(r) = ready.iter().find(of) else { continue };
+            if run.owner != self.me {
                 continue;
             }
             let near = [i.checked_sub(1), Some(i + 1)].into_iter().flatten();
             let mut near = near.filter_map(|n| map.runs.get(n)).map(|n| n.owner);
             let near = near.find(|h| *h != self.me && takers.contains(h));
-            turn += 1;
-            let any = (!takers.is_empty()).then(|| takers[turn % takers.len()]);
-            let Some(owner) = run.next.filter(|n| takers.contains(n)).or(near).or(any) else {
+            let any = (!takers.is_empty()).then(|| takers[given % takers.len()]);
+            let Some(owner) = r.target.filter(|n| takers.contains(n)).or(near).or(any) else {
                 continue;
             };
+            given += 1;
             let handover = r.handover.clone();
             map.runs[i] = Run { owner, fence, handover, next: None, ..run.clone() };
         }
-        if turn == 0 || map.runs == self.map.as_ref()?.1.runs {
+        if given == 0 {
             return None;
         }
         Some(Todo {
@@ -736,17 +806,20 @@
         })
     }
 
-    fn takers(&self) -> Vec<HostAddr> {
-        let hosts = self.watch.hosts().into_iter();
-        let ready = hosts.filter(|(h, row)| row.takes_keys && *h != self.me);
-        ready.map(|(h, _)| h).collect()
+    /// Returns the other hosts that may be given keys.
+    fn takers(&self, now: Millis) -> Vec<HostAddr> {
+        let ready = self.members(now).into_iter().filter(|m| m.takes_keys && m.host != self.me);
+        ready.map(|m| m.host).collect()
     }
 
-    fn members(&self) -> Vec<Member> {
+    /// Returns the hosts with a lease. One that missed a renewal is given nothing: its row shows
+    /// no load because it is cut off.
+    fn members(&self, now: Millis) -> Vec<Member> {
+        let late = self.watch.silent(self.times.renew_after + self.times.doubt, now);
         let hosts = self.watch.hosts().into_iter();
         let member = |(host, row): (HostAddr, &LeaseRow)| Member {
             host,
-            takes_keys: row.takes_keys,
+            takes_keys: row.takes_keys && !late.iter().any(|(h, _)| *h == host),
             load: row.load,
             room: row.room,
         };
@@ -767,7 +840,7 @@
         let unknown = map.owners().into_iter().filter(|h| !self.watch.knows(*h));
         gone.extend(unknown.map(|h| (h, RowVersion(0))));
         let names: Vec<HostAddr> = gone.iter().map(|(h, _)| *h).collect();
-        let mut takers = self.takers();
+        let mut takers = self.takers(now);
         if self.fresh_row().takes_keys {
             takers.push(self.me);
         }
@@ -790,7 +863,7 @@
         if !first || now.since(self.rebalanced) < Millis(2 * self.times.watch_every.0) {
             return None;
         }
-        let map = plan::rebalance(map, &self.members())?;
+        let map = plan::rebalance(map, &self.members(now))?;
         self.rebalanced = now;
         Some(Todo {
             expect: vec![expect_map],
@@ -833,19 +906,17 @@
             return BeatReply::default();
         }
         let mut grants = Vec::new();
-        for run in map.owned_by(self.me) {
-            let released = self.releases.iter().any(|r| r.from <= run.from && run.to <= r.to);
-            if released || run.fence.0 <= self.row.floor {
-                continue;
+        let own = map.owned_by(self.me).filter(|r| r.fence.0 > self.row.floor);
+        for run in own.flat_map(|run| without(run, &self.releases)) {
+            let mut grant = Grant::from(&run);
+            let Held { from, to, fence } = grant.held;
+            let holds = |h: &Held| h.from <= from && to <= h.to && h.fence == fence;
+            if b.holds.iter().any(holds) {
+                grant.handover.clear();
             }
-            let held = Held { from: run.from, to: run.to, fence: run.fence };
-            let known = b
-                .holds
-                .iter()
-                .any(|h| h.from <= held.from && held.to <= h.to && h.fence == held.fence);
-            let handover = if known { String::new() } else { run.handover.clone() };
-            grants.push(Grant { held, handover });
+            grants.push(grant);
         }
+        join(&mut grants);
         let mut bytes = 0;
         grants.retain(|g| {
             bytes += g.bytes();
--- a/crates/mesh/src/keys.rs
+++ b/crates/mesh/src/keys.rs
@@ -104,6 +104,18 @@
         owners
     }
 
+    /// Makes sure that a run starts at `key`.
+    pub fn split_at(&mut self, key: u16) {
+        let at = self.runs.partition_point(|r| r.from <= key) - 1;
+        if self.runs[at].from == key {
+            return;
+        }
+        let mut rest = self.runs[at].clone();
+        rest.from = key;
+        self.runs[at].to = key - 1;
+        self.runs.insert(at + 1, rest);
+    }
+
     /// Takes the next fence.
     pub fn draw_fence(&mut self) -> Fence {
         self.top = Fence(self.top.0 + 1);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod config;
+mod demand;
 mod keeper;
 mod keys;
 mod leases;
@@ -14,11 +15,12 @@
 
 pub use budget::{Budget, BudgetLimits};
 pub use config::{Config, Limits, Repeat, Route, Service, Share};
+pub use demand::Demand;
 pub use keeper::{
     Beat, BeatReply, Grant, Held, Keeper, KeeperTimes, Refused, RowName, Todo, Written,
 };
 pub use keys::{KeyMap, KeyMapError, MAX_KEY, Run};
 pub use leases::{Boot, LeaseRow, LeaseRowError, LeaseWatch};
 pub use peers::{Distance, LoadReport, Peer, Peers, Sent};
-pub use plan::{Member, evict, first_map, rebalance};
+pub use plan::{Member, Piece, evict, first_map, rebalance, shed};
 pub use queue::{Job, Offer, Origin, Queue, QueueLimits, Ticket};
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -1,11 +1,14 @@
-//! Which host gets which keys: at the start, after a loss, and when hosts come or are overloaded.
+//! Which host gets which keys: at the start, after a loss, when hosts come, and when an owner has
+//! more work than room.
 //!
 //! Answers busy neighbourhoods (runs are dealt in turn), lost hosts (a neighbour takes each run, so
-//! the number of ranges per owner stays) and uneven speeds (runs move towards free room).
+//! the number of ranges per owner stays), and hot keys and uneven speeds (the busiest runs of an
+//! overloaded owner move to free room, split if they are too hot for one).
 
 use model::{HostAddr, derive_common};
 
-use crate::{KeyMap, MAX_KEY, Run};
+use crate::demand::BUCKET_KEYS;
+use crate::{Demand, KeyMap, MAX_KEY, Run};
 
 /// The most ranges that an owner gets at the start. A grant is told in at most 4 KiB, which holds
 /// about 180 ranges; losses of half of the owners must still fit.
@@ -14,14 +17,20 @@
 /// The shortest run, in keys: short enough that 200 busy neighbours meet several owners.
 const SHORTEST_RUN: u32 = 64;
 
-/// Work in hundredths of a slot per unit of room above which an owner counts as overloaded.
-const OVERLOADED: f64 = 0.75;
+/// An owner sheds keys above this load per room; servers slow down when nearly full.
+const OVERLOADED: f64 = 0.7;
 
-/// An owner gives up keys only to one whose load per room is lower by this much; less churns.
-const GAP: f64 = 0.35;
+/// An owner sheds only what it has above the mean of all by this much; less would churn.
+const GAP: f64 = 0.15;
 
-/// The part of an owner's runs that moves in one step, so that loads are measured in between.
-const STEP: usize = 4;
+/// A taker's load per room stays below this in the plan.
+const FILL: f64 = 0.75;
+
+/// The least load that is worth a move, as a part of the room: the keys rest for about a second.
+const LEAST_GAIN: f64 = 0.04;
+
+/// The most pieces that move at once, so that loads are measured in between.
+const MAX_PIECES: usize = 24;
 
 derive_common! {
     value
@@ -90,19 +99,16 @@
     Some(map)
 }
 
-/// Asks owners to release some runs: to members without keys first, then from the most to the
-/// least loaded. Returns `None` if nothing is worth a move, or moves are under way.
+/// Asks owners to release some runs to members without keys. Returns `None` if there are none, or
+/// moves are under way.
 pub fn rebalance(map: &KeyMap, members: &[Member]) -> Option<KeyMap> {
     if map.runs.iter().any(|r| r.next.is_some()) {
         return None;
     }
-    let takers: Vec<Member> = members.iter().copied().filter(|m| m.takes_keys).collect();
+    let takers: Vec<HostAddr> = members.iter().filter(|m| m.takes_keys).map(|m| m.host).collect();
     let owns = |h: HostAddr| map.runs.iter().any(|r| r.owner == h);
-    let newcomers: Vec<HostAddr> = takers.iter().map(|m| m.host).filter(|&h| !owns(h)).collect();
-    if !newcomers.is_empty() {
-        return Some(share_with(map, &newcomers, takers.len()));
-    }
-    relieve(map, &takers)
+    let newcomers: Vec<HostAddr> = takers.iter().copied().filter(|&h| !owns(h)).collect();
+    (!newcomers.is_empty()).then(|| share_with(map, &newcomers, takers.len()))
 }
 
 fn share_with(map: &KeyMap, newcomers: &[HostAddr], all: usize) -> KeyMap {
@@ -127,20 +133,59 @@
     map
 }
 
-fn relieve(map: &KeyMap, takers: &[Member]) -> Option<KeyMap> {
-    let by_pressure = |a: &&Member, b: &&Member| a.pressure().total_cmp(&b.pressure());
-    let most = takers.iter().max_by(by_pressure)?;
-    let least = takers.iter().min_by(by_pressure)?;
-    if most.pressure() < OVERLOADED || most.pressure() - least.pressure() < GAP {
-        return None;
+/// A range of keys that an owner gives to another host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Piece {
+    /// The first key.
+    pub from: u16,
+    /// The last key.
+    pub to: u16,
+    /// Who gets it.
+    pub to_host: HostAddr,
+}
+
+/// Picks what an owner with more work than room gives away. `load` tells the occupied slots in
+/// hundredths that a range causes, of keys as `demand` counts them.
+pub fn shed(me: Member, own: &[Run], others: &[Member], demand: &Demand) -> Vec<Piece> {
+    let takers = others.iter().filter(|m| m.takes_keys && m.host != me.host && m.room > 0);
+    let mut takers: Vec<(HostAddr, f64, f64)> =
+        takers.map(|m| (m.host, f64::from(m.load), f64::from(m.room))).collect();
+    let room = f64::from(me.room.max(1));
+    let all_load: f64 = takers.iter().map(|t| t.1).sum::<f64>() + f64::from(me.load);
+    let all_room: f64 = takers.iter().map(|t| t.2).sum::<f64>() + room;
+    let mean = all_load / all_room;
+    if me.pressure() < OVERLOADED || me.pressure() < mean + GAP {
+        return Vec::new();
     }
-    let mut map = map.clone();
-    let mut count = 0;
-    for run in map.runs.iter_mut().filter(|r| r.owner == most.host) {
-        count += 1;
-        if count % STEP == 0 {
-            run.next = Some(least.host);
+    let per_count = f64::from(me.load) / demand.total().max(1e-9);
+    let load = |from, to| demand.of(from, to) * per_count;
+    let mut excess = (me.pressure() - mean) * room;
+    let mut runs: Vec<(u16, u16, f64)> =
+        own.iter().map(|r| (r.from, r.to, load(r.from, r.to))).collect();
+    let mut pieces = Vec::new();
+    while excess > LEAST_GAIN * room && pieces.len() < MAX_PIECES {
+        // The busiest first: the fewest keys move.
+        let Some(at) = (0..runs.len()).max_by(|a, b| runs[*a].2.total_cmp(&runs[*b].2)) else {
+            break;
+        };
+        let (from, to, work) = runs.swap_remove(at);
+        if work <= 0.0 {
+            break;
+        }
+        let free = |t: &(HostAddr, f64, f64)| t.2 * FILL - t.1;
+        let Some(taker) = takers.iter_mut().max_by(|a, b| free(a).total_cmp(&free(b))) else {
+            break;
+        };
+        if work <= excess && work <= free(taker) {
+            taker.1 += work;
+            excess -= work;
+            pieces.push(Piece { from, to, to_host: taker.0 });
+        } else if to - from >= 2 * BUCKET_KEYS - 1 {
+            let middle = from + (to - from) / 2;
+            runs.push((from, middle, load(from, middle)));
+            runs.push((middle + 1, to, load(middle + 1, to)));
         }
     }
-    (count >= STEP).then_some(map)
+    pieces.sort_by_key(|p| p.from);
+    pieces
 }
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -185,7 +185,7 @@
         let wait = self.wait_behind(ahead, now);
         let run = Millis(self.expected(job.class) as u64);
         let full = self.waiting.len() >= self.limits.waiting_per_slot * self.slots;
-        if now + wait + run > job.limit || full {
+        if now + wait + run > job.limit.min(job.target.max(now + run)) || full {
             return Offer::Refuse(self.room_after(now));
         }
         self.last += 1;
--- a/crates/mesh/tests/keeper/world.rs
+++ b/crates/mesh/tests/keeper/world.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use mesh::{
-    Beat, Boot, Held, Keeper, KeeperTimes, KeyMap, LeaseRow, MAX_KEY, RowName, Todo, Written,
+    Beat, Boot, Demand, Held, Keeper, KeeperTimes, KeyMap, LeaseRow, MAX_KEY, RowName, Todo,
+    Written,
 };
 use model::{Fence, HostAddr, Millis, RowVersion};
 use rand::rngs::StdRng;
@@ -300,6 +301,9 @@
         if self.moving && self.rng.random_bool(0.01) {
             let load = self.rng.random_range(0..1_200);
             self.hosts[i].keeper.learn_load(load, 600);
+            let mut demand = Demand::default();
+            (0..50).for_each(|_| demand.count(self.rng.random()));
+            self.hosts[i].keeper.shed(&demand, &[], Millis(now));
         }
         let todo = self.hosts[i].keeper.todo(Millis(now));
         if let Some(todo) = todo {
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -92,6 +92,9 @@
     if forward.service != cx.settings.service.as_str() {
         return not_run(NotRun::NotOwner);
     }
+    if let Some(key) = forward.key {
+        cx.state.borrow_mut().demand.count(key);
+    }
     if let Err(why) = wait_until_ours(cx, forward, came).await {
         return not_run(why);
     }
@@ -127,7 +130,8 @@
 }
 
 async fn wait_until_ours(cx: &Cx, forward: &Forward, came: Millis) -> Result<(), NotRun> {
-    let wait = Millis((f64::from(forward.target_ms) * GRANT_WAIT) as u64);
+    let half = Millis(u64::from(forward.limit_ms) / 2);
+    let wait = Millis((f64::from(forward.target_ms) * GRANT_WAIT) as u64).min(half);
     loop {
         let changed = cx.changed.notified();
         let why = match ours(&cx.state.borrow(), cx, forward) {
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -8,7 +8,7 @@
 use futures_util::future::{Either, select};
 use log::{info, warn};
 use mesh::Written;
-use model::{Millis, RowVersion};
+use model::{HostAddr, Millis, RowVersion};
 use tokio::time::{sleep, timeout};
 
 use crate::state::Cx;
@@ -255,10 +255,19 @@
 async fn write_due(cx: &Rc<Cx>, dependency: &mut Dependency) {
     let todo = {
         let mut state = cx.state.borrow_mut();
-        let load = (state.queue.load() * 100.0) as u32;
+        let now = cx.now();
+        let state = &mut *state;
+        state.demand.fade(now);
+        let run_s = state.queue.mean_run().0 as f64 / 1_000.0;
+        let load = (state.demand.per_second() * run_s * 100.0) as u32;
         let room = state.queue.slots() as u32 * 100;
         state.keeper.learn_load(load, room);
-        state.keeper.todo(cx.now())
+        let lost: Vec<HostAddr> = state.unreachable.iter().map(|(host, _)| *host).collect();
+        let shed = state.keeper.shed(&state.demand, &lost, now);
+        if shed > 0 {
+            info!("event=shed pieces={shed} load={load} room={room}");
+        }
+        state.keeper.todo(now)
     };
     let Some(todo) = todo else { return };
     let (written, error) = cx.store.write(&cx.settings.service, &todo).await;
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -25,8 +25,11 @@
 const MAX_REFUSALS: usize = 4;
 
 /// A keyed request waits for its key to be served up to this part of its target. Keys that move
-/// are served again within about a second.
-const KEY_WAIT: f64 = 0.5;
+/// are served again within about a second, and the run takes the rest of the target.
+const MOVE_WAIT: f64 = 0.65;
+
+/// The same while the owner can't be reached, which may last.
+const LOST_WAIT: f64 = 0.4;
 
 /// Without news of the key, the owner is asked again after this.
 const ASK_AGAIN: Duration = Duration::from_millis(120);
@@ -223,7 +226,7 @@
             return Err(if arrivals > 0 { Failure::TimedOut } else { last });
         }
         let Some(host) = pick(cx, call, &tried, now) else {
-            if call.key.is_some() && wait_for_key(cx, call).await {
+            if call.key.is_some() && wait_for_key(cx, call, LOST_WAIT).await {
                 continue;
             }
             return Err(last);
@@ -270,7 +273,15 @@
                 }
                 refusals += 1;
                 if call.key.is_some() {
-                    if *why == NotRun::NoRoom || !wait_for_key(cx, call).await {
+                    let part = match why {
+                        NotRun::NoRoom | NotRun::Late | NotRun::Malformed => return Err(last),
+                        NotRun::Moving | NotRun::NotGranted | NotRun::NotOwner => MOVE_WAIT,
+                        NotRun::Unreachable
+                        | NotRun::NoBackend
+                        | NotRun::Leaving
+                        | NotRun::TurnedAway => LOST_WAIT,
+                    };
+                    if !wait_for_key(cx, call, part).await {
                         return Err(last);
                     }
                 } else {
@@ -320,8 +331,10 @@
 }
 
 /// Waits until the key may be served. Returns false if that is not to be expected in time.
-async fn wait_for_key(cx: &Cx, call: &Call) -> bool {
-    let span = Millis((call.target.since(call.came).0 as f64 * KEY_WAIT) as u64);
+async fn wait_for_key(cx: &Cx, call: &Call, part: f64) -> bool {
+    // A caller with little time left needs it to come back.
+    let half = Millis(call.limit.since(call.came).0 / 2);
+    let span = Millis((call.target.since(call.came).0 as f64 * part) as u64).min(half);
     let now = cx.now();
     if now.since(call.came) >= span {
         return false;
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -5,7 +5,8 @@
 
 use adapter::HostRow;
 use mesh::{
-    Budget, Config, Distance, Keeper, KeeperTimes, KeyMap, LoadReport, Peers, Queue, QueueLimits,
+    Budget, Config, Demand, Distance, Keeper, KeeperTimes, KeyMap, LoadReport, Peers, Queue,
+    QueueLimits,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
@@ -29,6 +30,8 @@
     pub queue: Queue,
     /// Who waits in the queue.
     pub waiters: Vec<(mesh::Ticket, oneshot::Sender<Start>)>,
+    /// How often the own keys are asked for.
+    pub demand: Demand,
     /// The keys of the own backend server.
     pub keeper: Keeper,
     /// When the backend server said that it leaves without further heartbeats.
@@ -99,6 +102,7 @@
             budgets: Vec::new(),
             queue: Queue::new(QueueLimits::default()),
             waiters: Vec::new(),
+            demand: Demand::default(),
             keeper: Keeper::new(me, process, times, now),
             left: None,
             refused: None,
