Let answers to heartbeats wait for news, and start jobs first that can meet their target

Cause: a key that moves waited for the next heartbeat of its new owner, 0.4 s on average, and after a restart a host needed two heartbeats. Change: an answer waits up to 0.6 s for a change of what the backend server is to hold.

--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -213,6 +213,19 @@
     pub hold: Millis,
 }
 
+derive_common! {
+    value
+    /// What to do with a heartbeat.
+    pub enum Heard {
+        /// It is older than what is known.
+        Late,
+        /// Its sender has to do something.
+        AnswerNow,
+        /// Nothing changes yet; an answer that waits brings the next change sooner.
+        MayWait,
+    }
+}
+
 derive_common! {
     value
     /// Why a keyed request may not run here now.
@@ -449,10 +462,19 @@
         pieces.len()
     }
 
-    /// Answers a heartbeat. A late one, of an earlier start or out of order, renews nothing.
+    /// Answers a heartbeat at once. A late one, of an earlier start or out of order, renews
+    /// nothing.
     pub fn beat(&mut self, beat: &Beat, now: Millis) -> BeatReply {
+        match self.hear(beat, now) {
+            Heard::Late => BeatReply::default(),
+            Heard::AnswerNow | Heard::MayWait => self.reply(beat, now),
+        }
+    }
+
+    /// Takes in a heartbeat and tells whether its answer may wait for news.
+    pub fn hear(&mut self, beat: &Beat, now: Millis) -> Heard {
         if self.is_late(beat, now) {
-            return BeatReply::default();
+            return Heard::Late;
         }
         if self.backend.as_ref().is_none_or(|b| b.boot != beat.boot) {
             // Of the start before nothing is left: one host runs one backend server. What this
@@ -463,7 +485,7 @@
             self.backend = Some(Backend { boot, grants_end, ..Backend::default() });
             self.releases.clear();
         }
-        let Some(b) = self.backend.as_mut() else { return BeatReply::default() };
+        let Some(b) = self.backend.as_mut() else { return Heard::Late };
         b.seq = beat.seq;
         b.heard = now;
         b.leaving = beat.leaving;
@@ -473,7 +495,33 @@
             self.release_all();
         }
         self.release_asked(now);
-        self.grant(now)
+        if beat.leaving || !self.releases.is_empty() || self.has_news(beat, now) {
+            return Heard::AnswerNow;
+        }
+        Heard::MayWait
+    }
+
+    /// Tells whether the answer to a heartbeat would change what its sender holds.
+    pub fn has_news(&self, beat: &Beat, came: Millis) -> bool {
+        let Some((grants, _)) = self.grants(came) else { return false };
+        let mut held = beat.holds.clone();
+        held.sort_unstable();
+        !self.releases.is_empty() || held != grants.iter().map(|g| g.held).collect::<Vec<_>>()
+    }
+
+    /// Answers a heartbeat that came at `came`, unless a later one came since.
+    pub fn reply(&mut self, beat: &Beat, came: Millis) -> BeatReply {
+        let current =
+            self.backend.as_ref().is_some_and(|b| b.boot == beat.boot && b.seq == beat.seq);
+        let granted = if current { self.grants(came) } else { None };
+        let (Some((grants, hold)), Some(b)) = (granted, &mut self.backend) else {
+            return BeatReply::default();
+        };
+        b.granted = grants.iter().map(|g| g.held).collect();
+        b.granted_until = came + hold;
+        let end = came + hold + Millis(hold.0 / SLOW_CLOCK + 100);
+        b.grants_end = b.grants_end.max(end);
+        BeatReply { grants: Some(grants), hold }
     }
 
     fn is_late(&self, beat: &Beat, now: Millis) -> bool {
@@ -894,16 +942,14 @@
         })
     }
 
-    fn grant(&mut self, now: Millis) -> BeatReply {
-        let (Some(lease), Some((_, map))) = (self.lease, &self.map) else {
-            return BeatReply::default();
-        };
-        let Some(b) = &mut self.backend else { return BeatReply::default() };
+    /// Returns what the backend server is to hold and how long, from `came`.
+    fn grants(&self, came: Millis) -> Option<(Vec<Grant>, Millis)> {
+        let (lease, (_, map), b) = (self.lease?, self.map.as_ref()?, self.backend.as_ref()?);
         // A grant that a slow clock measures still ends before the lease.
-        let left = lease.until.since(now + Millis(100));
+        let left = lease.until.since(came + Millis(100));
         let hold = self.times.hold.min(left - Millis(left.0 / SLOW_CLOCK));
         if b.boot != self.row.boot || hold == Millis::ZERO {
-            return BeatReply::default();
+            return None;
         }
         let mut grants = Vec::new();
         let own = map.owned_by(self.me).filter(|r| r.fence.0 > self.row.floor);
@@ -922,10 +968,6 @@
             bytes += g.bytes();
             bytes <= GRANTS_BYTES
         });
-        b.granted = grants.iter().map(|g| g.held).collect();
-        b.granted_until = now + hold;
-        let end = now + hold + Millis(hold.0 / SLOW_CLOCK + 100);
-        b.grants_end = b.grants_end.max(end);
-        BeatReply { grants: Some(grants), hold }
+        Some((grants, hold))
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,7 +17,7 @@
 pub use config::{Config, Limits, Repeat, Route, Service, Share};
 pub use demand::Demand;
 pub use keeper::{
-    Beat, BeatReply, Grant, Held, Keeper, KeeperTimes, Refused, RowName, Todo, Written,
+    Beat, BeatReply, Grant, Heard, Held, Keeper, KeeperTimes, Refused, RowName, Todo, Written,
 };
 pub use keys::{KeyMap, KeyMapError, MAX_KEY, Run};
 pub use leases::{Boot, LeaseRow, LeaseRowError, LeaseWatch};
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -185,7 +185,7 @@
         let wait = self.wait_behind(ahead, now);
         let run = Millis(self.expected(job.class) as u64);
         let full = self.waiting.len() >= self.limits.waiting_per_slot * self.slots;
-        if now + wait + run > job.limit.min(job.target.max(now + run)) || full {
+        if now + wait + run > job.limit || full {
             return Offer::Refuse(self.room_after(now));
         }
         self.last += 1;
@@ -204,7 +204,7 @@
         self.count_busy(now);
         let (mut started, mut late) = (Vec::new(), Vec::new());
         while self.running.len() < self.slots && !self.waiting.is_empty() {
-            let w = self.waiting.remove(0);
+            let w = self.waiting.remove(self.first_in_time(now));
             // Half of the mean: many runs are shorter, and the limit still bounds the rest.
             let least = Millis((self.expected(w.job.class) * 0.5) as u64);
             if now + least > w.job.limit {
@@ -237,6 +237,12 @@
         self.waiting.retain(|w| w.ticket != ticket);
     }
 
+    /// Finds the first job that can still meet its target; those that can't have time to wait.
+    fn first_in_time(&self, now: Millis) -> usize {
+        let in_time = |w: &Waiting| now + Millis(self.expected(w.job.class) as u64) <= w.job.target;
+        self.waiting.iter().position(in_time).unwrap_or(0)
+    }
+
     fn room_after(&self, now: Millis) -> Millis {
         Millis(self.wait(now).0.clamp(RETURN_MS.0, RETURN_MS.1))
     }
--- a/crates/sidecar/src/edges.rs
+++ b/crates/sidecar/src/edges.rs
@@ -14,9 +14,11 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
+use mesh::{Beat, BeatReply, Heard};
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::Millis;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 use crate::ingress;
 use crate::state::Cx;
@@ -24,6 +26,10 @@
 /// The longest heartbeat, in bytes: all keys of a service in short ranges.
 const MAX_BEAT: usize = 1 << 20;
 
+/// An answer to a heartbeat waits this long for news. It has to come within a second, and the next
+/// heartbeat comes a little less than a second after the last.
+const BEAT_WAIT: Millis = Millis(600);
+
 /// Written bytes have to be confirmed by callers within this.
 const UNCONFIRMED: Millis = Millis(10_000);
 
@@ -115,7 +121,7 @@
         }
     };
     match read_call(&target, &body) {
-        Ok(ServiceCall::Heartbeat(heartbeat)) => Ok(beat(&cx, &heartbeat)),
+        Ok(ServiceCall::Heartbeat(heartbeat)) => Ok(beat(&cx, &heartbeat).await),
         Ok(ServiceCall::Leave(id)) => {
             leave(&cx, &id);
             Ok(json(Bytes::from_static(b"{}")))
@@ -127,15 +133,29 @@
     }
 }
 
-fn beat(cx: &Cx, heartbeat: &adapter::Heartbeat) -> Response<Full<Bytes>> {
+async fn beat(cx: &Cx, heartbeat: &adapter::Heartbeat) -> Response<Full<Bytes>> {
     if heartbeat.service != cx.settings.service {
         warn!("event=beat-refused why=other-service service={}", heartbeat.service);
         return plain(StatusCode::BAD_REQUEST, Bytes::from_static(b"another service"));
     }
-    let now = cx.now();
+    let came = cx.now();
+    let beat = &heartbeat.beat;
+    let heard = hear(cx, heartbeat, came);
+    if heard == Heard::MayWait && cx.owns_keys() {
+        wait_for_news(cx, beat, came).await;
+    }
+    let reply = match heard {
+        Heard::Late => BeatReply::default(),
+        Heard::AnswerNow | Heard::MayWait => cx.state.borrow_mut().keeper.reply(beat, came),
+    };
+    cx.changed.notify_waiters();
+    json(reply_to_beat(&reply))
+}
+
+fn hear(cx: &Cx, heartbeat: &adapter::Heartbeat, came: Millis) -> Heard {
     let mut state = cx.state.borrow_mut();
     let before = (state.keeper.backend().cloned(), state.keeper.serving());
-    let reply = state.keeper.beat(&heartbeat.beat, now);
+    let heard = state.keeper.hear(&heartbeat.beat, came);
     let after = (state.keeper.backend().cloned(), state.keeper.serving());
     if after.0.as_ref() == Some(&heartbeat.beat.boot) {
         state.queue.set_slots(heartbeat.slots);
@@ -144,16 +164,26 @@
     if before.0 != after.0 {
         state.left = None;
     }
-    let granted = reply.grants.as_ref().map_or(0, Vec::len);
     drop(state);
-    if before != after {
-        let Some(boot) = &after.0 else { return json(reply_to_beat(&reply)) };
-        let (id, started, open) = (&boot.id, boot.started, after.1);
-        info!("event=backend id={id} started={started} open={open} granted={granted}");
+    if let (true, Some(boot)) = (before != after, &after.0) {
+        info!("event=backend id={} started={} open={}", boot.id, boot.started, after.1);
     }
     cx.changed.notify_waiters();
     cx.due.notify_one();
-    json(reply_to_beat(&reply))
+    heard
+}
+
+/// Waits until the answer would change what the backend server holds.
+async fn wait_for_news(cx: &Cx, beat: &Beat, came: Millis) {
+    loop {
+        let changed = cx.changed.notified();
+        let left = BEAT_WAIT.since(cx.now().since(came));
+        if left == Millis::ZERO || cx.state.borrow().keeper.has_news(beat, came) {
+            return;
+        }
+        // Either way the next look decides.
+        let _ = timeout(Duration::from(left), changed).await;
+    }
 }
 
 fn leave(cx: &Cx, id: &str) {
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -229,12 +229,10 @@
     loop {
         // Either way the next look decides.
         let _ = timeout(LOOK, cx.due.notified()).await;
-        let config = cx.state.borrow().config.clone();
-        let service = cx.settings.service.clone();
-        let keyed = config.and_then(|(_, c)| c.service(&service).map(|s| s.keyed));
-        if keyed != Some(true) {
+        if !cx.owns_keys() {
             continue;
         }
+        let service = cx.settings.service.clone();
         let now = cx.now();
         if cx.state.borrow().keeper.wants_watch(now) {
             match cx.store.leases(&service).await {
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -139,6 +139,13 @@
         self.state.borrow().config.as_ref().map_or(0, |(_, c)| c.version.0)
     }
 
+    /// Tells whether the backend server of this host owns keys.
+    pub fn owns_keys(&self) -> bool {
+        let state = self.state.borrow();
+        let config = state.config.as_ref();
+        config.and_then(|(_, c)| c.service(&self.settings.service)).is_some_and(|s| s.keyed)
+    }
+
     /// Takes in the version of the configuration that another host has.
     pub fn heard_version(&self, version: u64) {
         if version > self.version() {
