--- /dev/null
+++ b/crates/papayarill/tests/sidecar.rs
@@ -0,0 +1,239 @@
+//! The whole path of sidecars as separate processes: a stand-in store, backend servers that send
+//! heartbeats, and callers.
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use adapter_stand_in::{Answer, Asking, Backend, Fault, Store, ask};
+use serde_json::json;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Far longer than anything here takes, so that only a real fault fails.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+const KEYED: &str = "board";
+const PLAIN: &str = "orders";
+
+struct Host {
+    child: Child,
+    settings: std::path::PathBuf,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
+    backend: Backend,
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // It may have ended already; either way it has to be gone before the next test.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Finds ports that are free now.
+fn free_ports<const N: usize>() -> [SocketAddr; N] {
+    let bound: Vec<_> = (0..N).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    std::array::from_fn(|i| bound[i].local_addr().unwrap())
+}
+
+fn spawn(settings: &std::path::Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_papayarill"))
+        .args(["sidecar", "--settings"])
+        .arg(settings)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+async fn host(store: &Store, service: &str, name: &str) -> Host {
+    let [callers, hosts, ready, control, metrics, server] = free_ports();
+    let text = format!(
+        "host: {name}\nzone: a\nregions: {{a: r}}\nservice: {service}\nbackend_server: '{server}'\n\
+         store: '{}'\nlisten: {{callers: '{callers}', hosts: '{hosts}', ready: '{ready}', \
+         backend: '{control}', metrics: '{metrics}'}}\ndrain_ms: 2500\nstop_ms: 6000\n\
+         hold_max_ms: 10000\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\n",
+        store.address()
+    );
+    let settings =
+        std::env::temp_dir().join(format!("papayarill-{}-{name}.yaml", std::process::id()));
+    std::fs::write(&settings, text).unwrap();
+    let child = spawn(&settings);
+    let backend = Backend::start(server, control, service, name, service == KEYED).await;
+    Host { child, settings, callers, ready, metrics, backend }
+}
+
+fn document(version: u64) -> serde_json::Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({"name": name, "host": "h.example", "prefix": format!("/{name}/"), "type": kind,
+               "timeout_ms": 5_000, "target_latency_ms": 2_000, "priority": 1, "attempts": 2,
+               "service": service})
+    };
+    let mut routes = vec![route("read", "safe", KEYED), route("order", "unsafe", PLAIN)];
+    if version > 1 {
+        routes.push(route("late", "safe", PLAIN));
+    }
+    json!({"version": version, "routes": routes, "limits": {}, "services": [
+        {"name": KEYED, "sharded": true, "max_conns": 20}, {"name": PLAIN, "max_conns": 20}]})
+}
+
+fn asking(path: &str, id: &str, key: Option<u16>) -> Asking {
+    let method = if path.starts_with("/order") { "POST" } else { "GET" };
+    Asking {
+        method,
+        host: "h.example".into(),
+        path: path.into(),
+        id: id.into(),
+        key,
+        limit_ms: 10_000,
+        body: if method == "POST" { "an order" } else { "" },
+    }
+}
+
+/// Asks with new ids until the status is `status`.
+async fn ask_until(host: &Host, path: &str, key: Option<u16>, status: u16) -> Answer {
+    let deadline = Instant::now() + PATIENCE;
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let answer = ask(host.callers, &asking(path, &format!("{path}-{tries}"), key)).await;
+        match answer {
+            Some(answer) if answer.status == status => return answer,
+            other => assert!(Instant::now() < deadline, "{path} at last: {other:?}"),
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let wait = async {
+        while !holds() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("never: {what}"));
+}
+
+const ALL_KEYS: usize = 65_536;
+
+fn held(hosts: &[&Host]) -> usize {
+    hosts.iter().map(|h| h.backend.held_keys()).sum()
+}
+
+#[actix_rt::test]
+async fn requests_reach_the_owner_of_their_key_and_the_service_of_their_route() {
+    let store = Store::start().await;
+    store.configure(&document(1));
+    let a = host(&store, KEYED, "path-a").await;
+    let b = host(&store, KEYED, "path-b").await;
+    let c = host(&store, PLAIN, "path-c").await;
+    until("all keys are held", || held(&[&a, &b]) == ALL_KEYS).await;
+
+    for key in [0, 1, 127, 128, 30_000, 65_535] {
+        let answer = ask_until(&c, "/read/x", Some(key), 200).await;
+        assert!(answer.sealed, "key {key}: {answer:?}");
+    }
+    let order = ask_until(&a, "/order/x?q=1", None, 200).await;
+    let nowhere = ask_until(&a, "/nowhere/", None, 404).await;
+
+    assert!(order.sealed && !nowhere.sealed);
+    let owners = [a.backend.ran().len(), b.backend.ran().len()];
+    assert!(owners.iter().all(|n| *n > 0), "both owners serve: {owners:?}");
+    let orders = c.backend.ran();
+    assert_eq!(
+        orders.last().map(|r| (r.from.as_str(), &r.body[..])),
+        Some((KEYED, &b"an order"[..]))
+    );
+    let ready = ask(c.ready, &asking("/v1/ready", "r", None)).await.map(|a| a.status);
+    let metrics = ask(a.metrics, &asking("/metrics", "m", None)).await.unwrap();
+    assert_eq!(ready, Some(200));
+    assert!(String::from_utf8_lossy(&metrics.body).contains("papayarill_requests"));
+}
+
+#[actix_rt::test]
+async fn a_change_of_the_configuration_comes_into_force_and_an_old_one_does_not() {
+    let store = Store::start().await;
+    store.configure(&document(1));
+    let a = host(&store, PLAIN, "config-a").await;
+    ask_until(&a, "/order/x", None, 200).await;
+    ask_until(&a, "/late/x", None, 404).await;
+
+    store.configure(&document(2));
+    ask_until(&a, "/late/x", None, 200).await;
+    store.configure(&document(1));
+    store.configure(&json!({"version": 9, "routes": "no list"}));
+    sleep(Duration::from_millis(300)).await;
+
+    ask_until(&a, "/late/x", None, 200).await;
+}
+
+#[actix_rt::test]
+async fn keys_are_served_while_the_store_is_away_and_a_host_restarts() {
+    let store = Store::start().await;
+    store.configure(&document(1));
+    let mut a = host(&store, KEYED, "away-a").await;
+    let b = host(&store, KEYED, "away-b").await;
+    until("all keys are held", || held(&[&a, &b]) == ALL_KEYS).await;
+
+    store.fail(Fault::Busy);
+    sleep(Duration::from_millis(1_500)).await;
+    let away = ask_until(&b, "/read/x", Some(7), 200).await;
+    store.fail(Fault::None);
+    a.child.kill().unwrap();
+    a.child.wait().unwrap();
+    a.child = spawn(&a.settings);
+    until("all keys are held again", || held(&[&a, &b]) == ALL_KEYS).await;
+    let back = ask_until(&b, "/read/y", Some(7), 200).await;
+
+    assert!(away.sealed && back.sealed);
+    assert_eq!(store.keys("leases").len(), 2);
+}
+
+#[actix_rt::test]
+async fn a_leaving_backend_server_gives_its_keys_away_and_gets_nothing_more() {
+    let store = Store::start().await;
+    store.configure(&document(1));
+    let a = host(&store, KEYED, "leave-a").await;
+    let b = host(&store, KEYED, "leave-b").await;
+    until("all keys are held", || held(&[&a, &b]) == ALL_KEYS).await;
+
+    a.backend.drain();
+    until("the other holds all", || b.backend.held_keys() == ALL_KEYS).await;
+    let before = a.backend.ran().len();
+    for key in [0, 128, 256, 384, 30_000] {
+        ask_until(&a, "/read/x", Some(key), 200).await;
+    }
+
+    assert_eq!(a.backend.ran().len(), before);
+}
+
+#[actix_rt::test]
+async fn no_host_says_ready_or_404_before_it_knows_a_configuration() {
+    let store = Store::start().await;
+    let a = host(&store, PLAIN, "early-a").await;
+    let refused = ask_until(&a, "/order/x", None, 503).await;
+    let ready = ask(a.ready, &asking("/v1/ready", "r", None)).await.map(|a| a.status);
+
+    assert!(refused.come_back.is_some(), "{refused:?}");
+    assert_eq!(ready, Some(503));
+    store.configure(&document(1));
+    ask_until(&a, "/order/x", None, 200).await;
+}
+
+#[actix_rt::test]
+async fn a_planned_stop_answers_what_is_under_way() {
+    let store = Store::start().await;
+    store.configure(&document(1));
+    let mut a = host(&store, PLAIN, "stop-a").await;
+    ask_until(&a, "/order/x", None, 200).await;
+
+    let pid = rustix::process::Pid::from_child(&a.child);
+    rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    let under_way = ask(a.callers, &asking("/order/y", "stop-1", None)).await;
+    until("it ends by itself", || a.child.try_wait().unwrap().is_some()).await;
+
+    assert_eq!(under_way.map(|a| a.status), Some(200));
+    assert!(a.child.wait().unwrap().success());
+}
