Let witnesses confirm a holder that lost the store, and replace a lost one after 3 s

Change: a lease ends 3 s after its last renewal was sent unless a majority of its witnesses confirm the holder, up to 12 s; a host that sees a lease silent asks the witnesses to confirm it no more and waits for what they confirmed before. Random walks with hosts cut from the store, from each other, or both.

--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -1,5 +1,8 @@
 //! The keys of one host: its lease, what its backend server was granted, and releases.
 //!
+//! A lease that the store does not renew lasts a short span, or longer while witnesses confirm its
+//! holder ([`crate::Witness`]).
+//!
 //! Three promises hold each other up. The backend server holds keys until the end that a grant
 //! gave; a grant ends before the lease that backs it; a lease ends, for everyone else, only after
 //! its holder stopped counting on it. A key changes hands by one conditional write of the map,
@@ -10,13 +13,20 @@
 
 use crate::leases::{Boot, LeaseRow, LeaseWatch};
 use crate::plan::{self, Member};
+use crate::witness::{self, Ask, Question, Word};
 use crate::{Demand, KeyMap, Run};
 
 /// How long things last. All spans in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeeperTimes {
-    /// A lease runs this long from before its renewal was sent.
+    /// A lease runs this long from before its renewal was sent, if nobody confirms its holder.
+    pub short: Millis,
+    /// A lease runs at most this long from before its renewal was sent, if witnesses confirm.
     pub term: Millis,
+    /// Witnesses are asked if the last renewal was sent longer ago than this.
+    pub ask_after: Millis,
+    /// Witnesses are asked again after this.
+    pub ask_every: Millis,
     /// A lease is renewed this long after the last renewal was sent.
     pub renew_after: Millis,
     /// A renewal that failed is sent again after this.
@@ -40,15 +50,21 @@
 impl Default for KeeperTimes {
     fn default() -> Self {
         Self {
+            // Users want a key served again within 3 s of a loss; two renewals may fail before.
+            short: Millis(3_000),
             // Outages of the store of 9 s occur; shorter leases would stop all keyed work in them.
             term: Millis(12_000),
-            renew_after: Millis(2_000),
+            // A renewal takes up to 0.4 s while the store is slow.
+            ask_after: Millis(1_500),
+            // Two questions may be lost before a witness counts the holder as silent.
+            ask_every: Millis(500),
+            renew_after: Millis(1_000),
             retry_after: Millis(300),
             // Outlasts three heartbeats, so one or two may be lost.
             hold: Millis(4_000),
             // Leases are read each second, and a renewal takes some of the next.
             doubt: Millis(1_300),
-            margin: Millis(500),
+            margin: Millis(300),
             // Hosts of a new deployment start within 0.3 s; the rest is their first renewal.
             gather: Millis(2_000),
             watch_every: Millis(1_000),
@@ -260,9 +276,36 @@
 #[derive(Clone, Copy, Debug)]
 struct Lease {
     version: RowVersion,
-    until: Millis,
+    /// When the last confirmed renewal was sent.
+    sent: Millis,
+    /// When the questions were sent that a majority of the witnesses answered.
+    confirmed: Millis,
+}
+
+/// The answers of witnesses to one question.
+#[derive(Clone, Debug)]
+struct Round {
+    sent: Millis,
+    confirmed: usize,
 }
 
+/// A witness's word that it confirms a lease no more.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    holder: HostAddr,
+    process: u64,
+    generation: u64,
+    witness: u64,
+    /// What it confirmed before has ended by then.
+    ended: Millis,
+}
+
+/// The most witnesses of a lease: two may be lost.
+const WITNESSES: usize = 5;
+
+/// A denial helps only the eviction that it was asked for.
+const DENIAL_AGE: Millis = Millis(10_000);
+
 /// A release under way.
 #[derive(Clone, Debug)]
 struct Release {
@@ -276,6 +319,21 @@
     target: Option<HostAddr>,
 }
 
+impl Denial {
+    fn is_for(&self, ask: &Ask) -> bool {
+        let holder = self.holder == HostAddr(ask.holder) && self.process == ask.process;
+        holder && self.generation == ask.generation && self.witness == ask.witness
+    }
+}
+
+fn asks_of(holder: HostAddr, row: &LeaseRow, question: Question) -> Vec<(HostAddr, Ask)> {
+    let ask = |&(host, witness): &(std::net::SocketAddr, u64)| {
+        let (process, generation) = (row.process, row.generation);
+        (HostAddr(host), Ask { question, holder: holder.0, process, generation, witness })
+    };
+    row.witnesses.iter().map(ask).collect()
+}
+
 /// The keys of one host.
 #[derive(Debug)]
 pub struct Keeper {
@@ -296,6 +354,12 @@
     next_write: Millis,
     renewed: Millis,
     under_way: Option<(Todo, Millis)>,
+    /// Whether the store can hold no other witnesses than the known row.
+    settled: bool,
+    refused: bool,
+    asked_at: Millis,
+    rounds: Vec<Round>,
+    denials: Vec<Denial>,
     store_heard: Millis,
     load: (u32, u32),
     rebalanced: Millis,
@@ -311,7 +375,7 @@
         if run.owner != self.me {
             return Err(Refused::Owner(run.owner));
         }
-        if !self.lease.is_some_and(|l| now < l.until) {
+        if !self.lease_until().is_some_and(|until| now < until) {
             return Err(Refused::NoLease);
         }
         if self.releases.iter().any(|r| r.from <= key && key <= r.to) {
@@ -349,7 +413,11 @@
 
     /// Returns when the lease ends, if there is one.
     pub fn lease_until(&self) -> Option<Millis> {
-        self.lease.map(|l| l.until)
+        let times = &self.times;
+        self.lease.map(|l| {
+            let confirmed = l.sent.max(l.confirmed) + times.short;
+            confirmed.min(l.sent + times.term)
+        })
     }
 
     /// Returns whether the leases are to be read now.
@@ -362,7 +430,10 @@
         let rank = hosts.iter().position(|(h, _)| *h == self.me).unwrap_or(hosts.len());
         let rank = u64::try_from(rank).unwrap_or(u64::MAX).min(4);
         let rank = if self.crowded() { 0 } else { rank };
+        let doubtful = self.times.renew_after + Millis(600);
+        let doubt = rank == 0 && !self.watch.silent(doubtful, now).is_empty();
         let every = Millis(self.times.watch_every.0 * (1 + 2 * rank));
+        let every = if doubt { self.times.retry_after } else { every };
         self.lease.is_some() && now.since(self.watched_at) >= every
     }
 
@@ -400,6 +471,11 @@
             next_write: Millis::ZERO,
             renewed: Millis::ZERO,
             under_way: None,
+            settled: true,
+            refused: false,
+            asked_at: Millis::ZERO,
+            rounds: Vec::new(),
+            denials: Vec::new(),
             store_heard: Millis::ZERO,
             load: (0, 0),
             rebalanced: now,
@@ -546,7 +622,7 @@
         if self.under_way.is_some() || now < self.next_write || !self.asked {
             return None;
         }
-        if self.lease.is_some_and(|l| now >= l.until) {
+        if self.lease_until().is_some_and(|until| now >= until) {
             self.lease = None;
         }
         let todo = self
@@ -556,10 +632,116 @@
             .or_else(|| self.join_own_runs())
             .or_else(|| self.renew(now))
             .or_else(|| self.plan(now))?;
+        if self.puts_other_witnesses(&todo) {
+            self.settled = false;
+        }
         self.under_way = Some((todo.clone(), now));
         Some(todo)
     }
 
+    fn puts_other_witnesses(&self, todo: &Todo) -> bool {
+        let own = RowName::Lease(self.me);
+        let row = todo.put.iter().find(|(name, _)| *name == own);
+        let row = row.and_then(|(_, bytes)| LeaseRow::decode(bytes).ok());
+        row.is_some_and(|row| row.generation != self.row.generation)
+    }
+
+    /// Returns the questions that are due to other hosts, to be answered soon or not at all. Each
+    /// answer is told with [`Keeper::told`].
+    pub fn asks(&mut self, now: Millis) -> Vec<(HostAddr, Ask)> {
+        if now.since(self.asked_at) < self.times.ask_every {
+            return Vec::new();
+        }
+        let mut asks = self.own_asks(now);
+        asks.extend(self.denial_asks(now));
+        if !asks.is_empty() {
+            self.asked_at = now;
+        }
+        asks
+    }
+
+    fn own_asks(&mut self, now: Millis) -> Vec<(HostAddr, Ask)> {
+        let waits = |l: &Lease| now.since(l.sent) > self.times.ask_after;
+        if !self.settled || !self.lease.as_ref().is_some_and(waits) {
+            self.rounds.clear();
+            return Vec::new();
+        }
+        self.rounds.push(Round { sent: now, confirmed: 0 });
+        asks_of(self.me, &self.row, Question::Confirm)
+    }
+
+    fn denial_asks(&mut self, now: Millis) -> Vec<(HostAddr, Ask)> {
+        self.denials.retain(|d| now.since(d.ended) < DENIAL_AGE);
+        let fresh = now.since(self.watched_at) <= self.times.watch_every + Millis(500);
+        if !fresh || self.lease.is_none() {
+            return Vec::new();
+        }
+        // Asked a little early, so that the words are there when the short span ends.
+        let early = self.times.short.since(Millis(500));
+        let mut asks = Vec::new();
+        for (holder, _) in self.watch.silent(early, now) {
+            if holder == self.me {
+                continue;
+            }
+            let Some((_, row, _)) = self.watch.row(holder, now) else { continue };
+            let of_row = asks_of(holder, row, Question::Deny);
+            let told = |ask: &Ask| self.denials.iter().any(|d| d.is_for(ask));
+            asks.extend(of_row.into_iter().filter(|(_, ask)| !told(ask)));
+        }
+        asks
+    }
+
+    /// Takes in the answer of a witness to a question that was sent at `sent`.
+    pub fn told(&mut self, ask: &Ask, word: Word, sent: Millis, now: Millis) {
+        match (ask.question, word) {
+            (Question::Confirm, Word::Confirmed) => self.confirmed(ask, sent),
+            (Question::Confirm, _) => self.refused = true,
+            (Question::Deny, Word::Denied { confirmed_ago_ms }) => {
+                let left = confirmed_ago_ms.map_or(Millis::ZERO, |ago| {
+                    (self.times.short + self.times.margin).since(Millis(ago))
+                });
+                self.denials.push(Denial {
+                    holder: HostAddr(ask.holder),
+                    process: ask.process,
+                    generation: ask.generation,
+                    witness: ask.witness,
+                    ended: now + left,
+                });
+            }
+            (Question::Deny, Word::Confirmed | Word::Refused) => {}
+        }
+    }
+
+    fn confirmed(&mut self, ask: &Ask, sent: Millis) {
+        let current = ask.generation == self.row.generation && self.settled;
+        let needed = witness::majority(self.row.witnesses.len());
+        let Some(round) = self.rounds.iter_mut().find(|r| r.sent == sent) else { return };
+        round.confirmed += 1;
+        if current
+            && round.confirmed >= needed
+            && let Some(lease) = &mut self.lease
+        {
+            lease.confirmed = lease.confirmed.max(sent);
+        }
+    }
+
+    /// Tells whether the lease of `holder` surely ended, as the store has it.
+    fn ended(&self, holder: HostAddr, now: Millis) -> bool {
+        let Some((_, row, silent)) = self.watch.row(holder, now) else { return true };
+        if silent > self.times.term + self.times.margin {
+            return true;
+        }
+        if silent <= self.times.short + self.times.margin {
+            return false;
+        }
+        let asks = asks_of(holder, row, Question::Deny);
+        let denied = |(_, ask): &&(HostAddr, Ask)| {
+            self.denials.iter().any(|d| d.is_for(ask) && d.ended <= now)
+        };
+        row.witnesses.is_empty()
+            || asks.iter().filter(denied).count() >= witness::majority(row.witnesses.len())
+    }
+
     /// Takes in how the write under way ended.
     pub fn written(&mut self, end: Written, now: Millis) {
         let Some((todo, sent)) = self.under_way.take() else { return };
@@ -578,9 +760,11 @@
         for (name, bytes) in &todo.put {
             match name {
                 RowName::Lease(_) => {
-                    self.lease = Some(Lease { version, until: sent + self.times.term });
+                    self.lease = Some(Lease { version, sent, confirmed: sent });
+                    self.settled = true;
                     self.renewed = sent;
                     if let Ok(row) = LeaseRow::decode(bytes) {
+                        self.refused = self.refused && row.generation == self.row.generation;
                         self.row = row;
                     }
                 }
@@ -618,6 +802,7 @@
             Some(row) if row.process == self.process => {
                 // An earlier write of this process whose answer was lost.
                 self.row = row;
+                self.settled = true;
                 match &mut self.lease {
                     Some(lease) => lease.version = version,
                     None => self.found = Some((version, self.row.clone())),
@@ -636,15 +821,27 @@
 
     fn fresh_row(&self) -> LeaseRow {
         let takes = self.backend.as_ref().is_some_and(|b| !b.leaving);
+        let witnesses = self.wanted_witnesses();
+        let changed = self.refused || witnesses != self.row.witnesses;
         LeaseRow {
             process: self.process,
             takes_keys: takes,
+            generation: self.row.generation + u64::from(changed),
+            witnesses,
             load: self.load.0,
             room: self.load.1,
             ..self.row.clone()
         }
     }
 
+    /// Picks the next hosts by address, so that all are picked about as often.
+    fn wanted_witnesses(&self) -> Vec<(std::net::SocketAddr, u64)> {
+        let hosts = self.watch.hosts();
+        let after = hosts.partition_point(|(h, _)| *h <= self.me);
+        let others = hosts[after..].iter().chain(&hosts[..after]).filter(|(h, _)| *h != self.me);
+        others.take(WITNESSES).map(|(h, row)| (h.0, row.process)).collect()
+    }
+
     /// A lease of an earlier process on this host goes on; its backend server may live.
     fn register(&mut self) -> Option<Todo> {
         if self.lease.is_some() || self.backend.is_none() || !self.map_read {
@@ -882,9 +1079,9 @@
             return None;
         }
         let Some((version, map)) = &self.map else { return self.first(now) };
-        let silent = self.watch.silent(self.times.term + self.times.margin, now);
+        let silent = self.watch.silent(self.times.short + self.times.margin, now);
         let mut gone: Vec<(HostAddr, RowVersion)> =
-            silent.into_iter().filter(|(h, _)| *h != self.me).collect();
+            silent.into_iter().filter(|(h, _)| *h != self.me && self.ended(*h, now)).collect();
         let unknown = map.owners().into_iter().filter(|h| !self.watch.knows(*h));
         gone.extend(unknown.map(|h| (h, RowVersion(0))));
         let names: Vec<HostAddr> = gone.iter().map(|(h, _)| *h).collect();
@@ -944,9 +1141,9 @@
 
     /// Returns what the backend server is to hold and how long, from `came`.
     fn grants(&self, came: Millis) -> Option<(Vec<Grant>, Millis)> {
-        let (lease, (_, map), b) = (self.lease?, self.map.as_ref()?, self.backend.as_ref()?);
+        let ((_, map), b) = (self.map.as_ref()?, self.backend.as_ref()?);
         // A grant that a slow clock measures still ends before the lease.
-        let left = lease.until.since(came + Millis(100));
+        let left = self.lease_until()?.since(came + Millis(100));
         let hold = self.times.hold.min(left - Millis(left.0 / SLOW_CLOCK));
         if b.boot != self.row.boot || hold == Millis::ZERO {
             return None;
--- a/crates/mesh/src/leases.rs
+++ b/crates/mesh/src/leases.rs
@@ -19,6 +19,11 @@
         pub floor: u64,
         /// Whether the host may be given keys.
         pub takes_keys: bool,
+        /// Counts the changes of witnesses and the times that a witness refused.
+        pub generation: u64,
+        /// The hosts that confirm the holder while it can't reach the store, each with the start
+        /// of its process.
+        pub witnesses: Vec<(std::net::SocketAddr, u64)>,
         /// Slots that keyed work occupies on average, in hundredths.
         pub load: u32,
         /// Keyed work that the backend server can do at once, in hundredths of a slot.
@@ -96,6 +101,11 @@
         old.map(|s| (s.host, s.version)).collect()
     }
 
+    /// Returns a host's row with its version and how long it has not changed.
+    pub fn row(&self, host: HostAddr, now: Millis) -> Option<(RowVersion, &LeaseRow, Millis)> {
+        self.get(host).map(|s| (s.version, &s.row, now.since(s.since)))
+    }
+
     /// Returns all hosts with a row, sorted.
     pub fn hosts(&self) -> Vec<(HostAddr, &LeaseRow)> {
         self.seen.iter().map(|s| (s.host, &s.row)).collect()
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod plan;
 mod queue;
+mod witness;
 
 pub use budget::{Budget, BudgetLimits};
 pub use config::{Config, Limits, Repeat, Route, Service, Share};
@@ -24,3 +25,4 @@
 pub use peers::{Distance, LoadReport, Peer, Peers, Sent};
 pub use plan::{Member, Piece, evict, first_map, rebalance, shed};
 pub use queue::{Job, Offer, Origin, Queue, QueueLimits, Ticket};
+pub use witness::{Ask, Question, Witness, Word};
--- a/crates/mesh/tests/keeper/walk.rs
+++ b/crates/mesh/tests/keeper/walk.rs
@@ -33,6 +33,20 @@
     (200..240).for_each(|seed| check(seed, faults));
 }
 
+#[test]
+fn keys_have_one_holder_while_hosts_lose_the_store_and_each_other() {
+    let faults = Faults {
+        cuts: 8,
+        alone: 6,
+        outages: 4,
+        restarts: 3,
+        late: 10,
+        lost: 10,
+        ..Faults::default()
+    };
+    (500..580).for_each(|seed| check(seed, faults));
+}
+
 #[test]
 fn keys_have_one_holder_under_all_faults_at_once() {
     let faults = Faults {
@@ -44,6 +58,8 @@
         late: 20,
         lost: 10,
         stale: 20,
+        cuts: 3,
+        alone: 3,
     };
     (300..380).for_each(|seed| check(seed, faults));
 }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -11,6 +11,7 @@
 use model::{HostAddr, Millis, RowVersion};
 use tokio::time::{sleep, timeout};
 
+use crate::hop;
 use crate::state::Cx;
 
 /// How long one question for changes of the configuration waits. A connection that went silent
@@ -24,6 +25,9 @@
 /// A failed question is asked again after this.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// The keeper is asked this often whether it has questions to witnesses.
+const ASK: Duration = Duration::from_millis(250);
+
 /// The keeper looks for what is due at least this often.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -223,6 +227,28 @@
     }
 }
 
+/// Asks witnesses whatever the keeper wants to know, apart from its calls to the store.
+pub async fn ask_witnesses(cx: Rc<Cx>) {
+    loop {
+        sleep(ASK).await;
+        let now = cx.now();
+        let asks = cx.state.borrow_mut().keeper.asks(now);
+        for (host, ask) in asks {
+            let cx = cx.clone();
+            actix_rt::spawn(async move {
+                let Some(word) = hop::ask(&cx, host, &ask).await else { return };
+                let question = ask.question;
+                let holder = ask.holder;
+                info!(
+                    "event=told witness={host} question={question:?} holder={holder} word={word:?}"
+                );
+                cx.state.borrow_mut().keeper.told(&ask, word, now, cx.now());
+                cx.due.notify_one();
+            });
+        }
+    }
+}
+
 /// Keeps the lease and the keys of this host, if its service has keys, until the process ends.
 pub async fn keep(cx: Rc<Cx>) {
     let mut dependency = Dependency::new("store-keys");
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -13,7 +13,7 @@
 use hyper::rt::Executor;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
-use mesh::LoadReport;
+use mesh::{Ask, LoadReport, Word};
 use model::{HostAddr, Millis};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
@@ -39,6 +39,9 @@
 /// Probes on idle connections start after this.
 const PROBE_AFTER: Millis = Millis(20_000);
 
+/// A witness that doesn't answer within this counts as silent.
+const ASK: Duration = Duration::from_millis(400);
+
 /// The longest message between hosts, in bytes.
 const MAX_MESSAGE: usize = 80 << 20;
 
@@ -191,6 +194,18 @@
     Ok(tx)
 }
 
+/// Asks a witness. Returns nothing if there is no answer soon.
+pub async fn ask(cx: &Cx, host: HostAddr, ask: &Ask) -> Option<Word> {
+    let asked = async {
+        let mut tx = connect(cx, host).await?;
+        let req = Request::post("http://host/ask").body(Full::new(encode(ask, &[]))).ok()?;
+        let answer = tx.send_request(req).await.ok()?;
+        let body = Limited::new(answer.into_body(), MAX_MESSAGE).collect().await.ok()?.to_bytes();
+        decode::<Word>(body).ok().map(|(word, _)| word)
+    };
+    timeout(ASK, asked).await.ok().flatten()
+}
+
 /// Takes requests of other hosts until the process ends.
 pub async fn listen(cx: Rc<Cx>, listener: TcpListener) {
     loop {
@@ -221,7 +236,13 @@
 }
 
 async fn answer(cx: Rc<Cx>, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    let asked = req.uri().path() == "/ask";
     let body = Limited::new(req.into_body(), MAX_MESSAGE).collect().await;
+    if asked {
+        let ask = body.ok().and_then(|b| decode::<Ask>(b.to_bytes()).ok());
+        let word = ask.map_or(Word::Refused, |(ask, _)| bear_witness(&cx, &ask));
+        return Ok(Response::new(Full::new(encode(&word, &[]))));
+    }
     let forward = match body.map(|b| decode::<Forward>(b.to_bytes())) {
         Ok(Ok(forward)) => forward,
         Ok(Err(e)) => {
@@ -238,3 +259,12 @@
     let (outcome, body) = backend::run(&cx, &forward, body).await;
     Ok(Response::new(Full::new(encode(&outcome, &body))))
 }
+
+fn bear_witness(cx: &Cx, ask: &Ask) -> Word {
+    let word = cx.state.borrow_mut().witness.answer(ask, cx.process, cx.now());
+    info!(
+        "event=witness question={:?} holder={} generation={} word={word:?}",
+        ask.question, ask.holder, ask.generation
+    );
+    word
+}
--- a/crates/sidecar/src/start.rs
+++ b/crates/sidecar/src/start.rs
@@ -90,6 +90,7 @@
     actix_rt::spawn(follow::fleet(cx.clone()));
     actix_rt::spawn(follow::announce(cx.clone()));
     actix_rt::spawn(follow::keep(cx.clone()));
+    actix_rt::spawn(follow::ask_witnesses(cx.clone()));
     loop {
         tokio::select! {
             _ = term.recv() => break,
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -6,7 +6,7 @@
 use adapter::HostRow;
 use mesh::{
     Budget, Config, Demand, Distance, Keeper, KeeperTimes, KeyMap, LoadReport, Peers, Queue,
-    QueueLimits,
+    QueueLimits, Witness,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
@@ -34,6 +34,8 @@
     pub demand: Demand,
     /// The keys of the own backend server.
     pub keeper: Keeper,
+    /// What this process said of other hosts' leases.
+    pub witness: Witness,
     /// When the backend server said that it leaves without further heartbeats.
     pub left: Option<Millis>,
     /// No connection to the backend server could be made at this time.
@@ -104,6 +106,7 @@
             waiters: Vec::new(),
             demand: Demand::default(),
             keeper: Keeper::new(me, process, times, now),
+            witness: Witness::default(),
             left: None,
             refused: None,
             unreachable: Vec::new(),
