Try hosts that said nothing yet, and let the feeds wait longer

Ruled out: compressing answers between regions; their bytes are random. Change: a host that never reported, or not for 4 s, is tried with one request; feeds wait a random span, and a host that is turned away by an owner asks for changes at once.

--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -79,6 +79,15 @@
 /// A report says nothing about the load after this span, in milliseconds.
 const REPORT_MS: f64 = 2_000.0;
 
+/// A host that said nothing for this long, or never, is tried again before others of its zone.
+const FORGOTTEN: Millis = Millis(4_000);
+
+/// The run time that is assumed of such a host, in milliseconds: less than any server takes.
+const HOPE_MS: f64 = 20.0;
+
+/// The run time that is assumed before the first report, in milliseconds.
+const FIRST_RUN_MS: u32 = 150;
+
 /// One host of a service, as this process knows it.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -104,7 +113,10 @@
     fn cost_ms(&self, now: Millis) -> f64 {
         let r = &self.report;
         let slots = f64::from(r.slots.max(1));
-        let run = f64::from(if r.run_ms == 0 { 150 } else { r.run_ms });
+        let forgotten = self.reported == Millis::ZERO || now.since(self.reported) > FORGOTTEN;
+        // Only one request at a time goes to find out.
+        let hopeful = forgotten && self.sent == 0;
+        let run = if hopeful { HOPE_MS } else { f64::from(r.run_ms.max(1)) };
         let age = now.since(self.reported).0 as f64;
         let fresh = (1.0 - age / REPORT_MS).max(0.0);
         let reported = f64::from(r.running + r.waiting) * fresh;
@@ -161,7 +173,7 @@
         let peer = Peer {
             host,
             distance,
-            report: LoadReport { open: true, ..LoadReport::default() },
+            report: LoadReport { run_ms: FIRST_RUN_MS, open: true, ..LoadReport::default() },
             reported: Millis::ZERO,
             sent: 0,
             failing: 0.0,
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -60,7 +60,7 @@
     let came = cx.now();
     let (end, arrived, body) = attempt(cx, forward, body, came).await;
     let version = cx.version();
-    let outcome = Outcome { version, end, report: cx.report(), arrived, packed: false };
+    let outcome = Outcome { version, end, report: cx.report(), arrived };
     log_end(cx, forward, &outcome, came);
     (outcome, body)
 }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -14,13 +14,13 @@
 use crate::hop;
 use crate::state::Cx;
 
-/// How long one question for changes of the configuration waits. A connection that went silent
-/// with the store shows a second later, which is before a stable store has to be obeyed again:
-/// 4 s after its outage, and 2.5 s for the change.
-const CONFIG_WAIT: Millis = Millis(5_000);
+/// How long one question for changes of the configuration waits, in milliseconds: a random span
+/// between these. A connection that went silent with the store shows a second after it, on one of
+/// many hosts soon, and the others hear from that one.
+const CONFIG_WAIT_MS: (u64, u64) = (4_000, 12_000);
 
-/// The same for changes of the fleet, which other hosts also tell of by turning requests away.
-const FLEET_WAIT: Millis = Millis(8_000);
+/// The same for changes of the fleet, of which a host also hears when it is turned away.
+const FLEET_WAIT_MS: (u64, u64) = (8_000, 20_000);
 
 /// A failed question is asked again after this.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -42,6 +42,12 @@
         Self { name, lost: false }
     }
 
+    /// Draws how long a question waits. While the store fails, short ones show soonest that it is
+    /// back.
+    fn wait(&self, (least, most): (u64, u64)) -> Millis {
+        if self.lost { Millis::ZERO } else { Millis(rand::random_range(least..most)) }
+    }
+
     fn failed(&mut self, error: &StoreError) {
         if !self.lost {
             warn!("event=dependency-lost name={} error={:?}", self.name, error.to_string());
@@ -63,8 +69,7 @@
     let mut known: Option<RowVersion> = None;
     loop {
         let before = cx.version();
-        // While the store fails, short questions show soonest that it is back.
-        let wait = if dependency.lost { Millis::ZERO } else { CONFIG_WAIT };
+        let wait = dependency.wait(CONFIG_WAIT_MS);
         let ask = async {
             match known {
                 None => cx.store.config().await,
@@ -109,11 +114,19 @@
     let mut dependency = Dependency::new("store-fleet");
     let mut known: Option<RowVersion> = None;
     loop {
-        let result = match known {
-            None => read_fleet(&cx).await,
-            Some(version) => {
-                let wait = if dependency.lost { Millis::ZERO } else { FLEET_WAIT };
-                cx.store.follow_fleet(version, wait).await
+        let wait = dependency.wait(FLEET_WAIT_MS);
+        let ask = async {
+            match known {
+                None => read_fleet(&cx).await,
+                Some(version) => cx.store.follow_fleet(version, wait).await,
+            }
+        };
+        let result = match (select(pin!(ask), pin!(cx.turned_away.notified())).await, known) {
+            (Either::Left((result, _)), _) => result,
+            (Either::Right(_), None) => continue,
+            (Either::Right(_), Some(version)) => {
+                sleep(PAUSE).await;
+                cx.store.follow_fleet(version, Millis::ZERO).await
             }
         };
         match result {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -93,12 +93,12 @@
 
 fn not_run(why: NotRun) -> Outcome {
     let end = End::NotRun { why, after_ms: 0 };
-    Outcome { version: 0, end, report: LoadReport::default(), arrived: false, packed: false }
+    Outcome { version: 0, end, report: LoadReport::default(), arrived: false }
 }
 
 fn unknown(why: String) -> Outcome {
     let end = End::Unknown { why };
-    Outcome { version: 0, end, report: LoadReport::default(), arrived: true, packed: false }
+    Outcome { version: 0, end, report: LoadReport::default(), arrived: true }
 }
 
 /// Sends a request to `host` and returns how it ended there. Dropping the future cancels it there.
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -272,6 +272,9 @@
                     last = Failure::NotRun { why: *why, after_ms };
                 }
                 refusals += 1;
+                if *why == NotRun::NotOwner {
+                    cx.turned_away.notify_one();
+                }
                 if call.key.is_some() {
                     let part = match why {
                         NotRun::NoRoom | NotRun::Late | NotRun::Malformed => return Err(last),
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -75,6 +75,8 @@
     pub changed: Notify,
     /// Tells that another host has a newer configuration.
     pub newer: Notify,
+    /// Tells that a host does not own the keys that it is thought to own.
+    pub turned_away: Notify,
     /// Tells the keeper's loop that something may be due.
     pub due: Notify,
     /// Tells connections to close after the answer under way.
@@ -122,6 +124,7 @@
             process,
             changed: Notify::new(),
             newer: Notify::new(),
+            turned_away: Notify::new(),
             due: Notify::new(),
             stop: Notify::new(),
             stopping: Cell::new(false),
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -99,8 +99,6 @@
     pub report: LoadReport,
     /// Whether anything was sent to the backend server.
     pub arrived: bool,
-    /// Whether the body is deflated.
-    pub packed: bool,
 }
 
 /// Why bytes are not a message.
