Don't skip changes that the feed held back, nor drop a read of the fleet over and over

A feed that hears nothing answers without rows and with the newest version; going on from there misses the changes. And each refusal by a former owner dropped the read that would have brought the new map.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -22,6 +22,13 @@
 /// The same for changes of the fleet, of which a host also hears when it is turned away.
 const FLEET_WAIT_MS: (u64, u64) = (8_000, 20_000);
 
+/// After a lost history, rows are read again until this much later: answers may come from some
+/// seconds ago and would hide what the lost history told.
+const DOUBT: Millis = Millis(10_000);
+
+/// Waits are this short while there is doubt, in milliseconds.
+const DOUBT_WAIT_MS: (u64, u64) = (1_000, 2_000);
+
 /// A failed question is asked again after this.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -35,19 +42,25 @@
 struct Dependency {
     name: &'static str,
     lost: bool,
+    doubt_until: Millis,
 }
 
 impl Dependency {
     fn new(name: &'static str) -> Self {
-        Self { name, lost: false }
+        Self { name, lost: false, doubt_until: Millis::ZERO }
     }
 
     /// Draws how long a question waits. While the store fails, short ones show soonest that it is
     /// back.
-    fn wait(&self, (least, most): (u64, u64)) -> Millis {
+    fn wait(&self, now: Millis, usual: (u64, u64)) -> Millis {
+        let (least, most) = if self.doubts(now) { DOUBT_WAIT_MS } else { usual };
         if self.lost { Millis::ZERO } else { Millis(rand::random_range(least..most)) }
     }
 
+    fn doubts(&self, now: Millis) -> bool {
+        now < self.doubt_until
+    }
+
     fn failed(&mut self, error: &StoreError) {
         if !self.lost {
             warn!("event=dependency-lost name={} error={:?}", self.name, error.to_string());
@@ -69,7 +82,7 @@
     let mut known: Option<RowVersion> = None;
     loop {
         let before = cx.version();
-        let wait = dependency.wait(CONFIG_WAIT_MS);
+        let wait = dependency.wait(cx.now(), CONFIG_WAIT_MS);
         let ask = async {
             match known {
                 None => cx.store.config().await,
@@ -91,6 +104,11 @@
                 // An answer from the past would make the next question miss nothing, but a
                 // version never goes back.
                 known = Some(known.map_or(version, |k| k.max(version)));
+                if dependency.doubts(cx.now())
+                    && let Ok((news, _)) = cx.store.config().await
+                {
+                    news.into_iter().for_each(|n| learn(&cx, n));
+                }
                 if hinted && cx.version() == before {
                     // The store answered from the past, or the hint was wrong.
                     sleep(PAUSE).await;
@@ -99,6 +117,7 @@
             Err(StoreError::HistoryGone) => {
                 info!("event=history-gone table=config version={known:?}");
                 known = None;
+                dependency.doubt_until = cx.now() + DOUBT;
                 sleep(PAUSE).await;
             }
             Err(e) => {
@@ -114,7 +133,7 @@
     let mut dependency = Dependency::new("store-fleet");
     let mut known: Option<RowVersion> = None;
     loop {
-        let wait = dependency.wait(FLEET_WAIT_MS);
+        let wait = dependency.wait(cx.now(), FLEET_WAIT_MS);
         let ask = async {
             match known {
                 None => read_fleet(&cx).await,
@@ -123,7 +142,8 @@
         };
         let result = match (select(pin!(ask), pin!(cx.turned_away.notified())).await, known) {
             (Either::Left((result, _)), _) => result,
-            (Either::Right(_), None) => continue,
+            // Not dropped again: hosts may turn this one away all the time until it is up to date.
+            (Either::Right(_), None) => read_fleet(&cx).await,
             (Either::Right(_), Some(version)) => {
                 sleep(PAUSE).await;
                 cx.store.follow_fleet(version, Millis::ZERO).await
@@ -134,11 +154,17 @@
                 dependency.answered();
                 news.into_iter().for_each(|n| learn(&cx, n));
                 known = Some(known.map_or(version, |k| k.max(version)));
+                if dependency.doubts(cx.now())
+                    && let Ok((news, _)) = read_fleet(&cx).await
+                {
+                    news.into_iter().for_each(|n| learn(&cx, n));
+                }
                 cx.state.borrow_mut().keeper.map_read();
             }
             Err(StoreError::HistoryGone) => {
                 info!("event=history-gone table=fleet version={known:?}");
                 known = None;
+                dependency.doubt_until = cx.now() + DOUBT;
                 sleep(PAUSE).await;
             }
             Err(e) => {
@@ -165,7 +191,7 @@
     match news {
         News::Config(version, bytes) => learn_config(cx, version, &bytes),
         News::Host(host, Some(row)) => {
-            if host != cx.me {
+            if host != cx.me && !cx.state.borrow().knows_host(host, &row) {
                 info!("event=host host={host} service={} zone={}", row.service, row.zone);
             }
             let distance =
@@ -184,7 +210,9 @@
             cx.hops.forget(host);
         }
         News::Map(service, version, map) => {
-            info!("event=key-map service={service} version={version} runs={}", map.runs.len());
+            if !cx.state.borrow().knows_map(&service, version) {
+                info!("event=key-map service={service} version={version} runs={}", map.runs.len());
+            }
             let mut state = cx.state.borrow_mut();
             if service == cx.settings.service {
                 state.keeper.learn_map(version, map.clone());
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -223,6 +223,18 @@
         }
     }
 
+    /// Tells whether a host's row is known as it is.
+    pub fn knows_host(&self, host: HostAddr, row: &HostRow) -> bool {
+        let at = self.hosts.binary_search_by_key(&host, |(h, _)| *h);
+        at.is_ok_and(|i| self.hosts[i].1 == *row)
+    }
+
+    /// Tells whether this version of a key map or a newer one is known.
+    pub fn knows_map(&self, service: &ServiceName, version: RowVersion) -> bool {
+        let at = self.maps.binary_search_by(|(s, ..)| s.cmp(service));
+        at.is_ok_and(|i| self.maps[i].1 >= version)
+    }
+
     /// Returns the key map of a service.
     pub fn map(&self, service: &ServiceName) -> Option<&Rc<KeyMap>> {
         let at = self.maps.binary_search_by(|(s, ..)| s.cmp(service)).ok()?;
