--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -375,7 +375,7 @@
         if run.owner != self.me {
             return Err(Refused::Owner(run.owner));
         }
-        if !self.lease_until().is_some_and(|until| now < until) {
+        if self.lease_until().is_none_or(|until| now >= until) {
             return Err(Refused::NoLease);
         }
         if self.releases.iter().any(|r| r.from <= key && key <= r.to) {
--- a/crates/mesh/src/keys.rs
+++ b/crates/mesh/src/keys.rs
@@ -130,10 +130,7 @@
         // the decoder of every reader.
         let plain = bincode::encode_to_vec(wire, config).unwrap_or_default();
         let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
-        match encoder.write_all(&plain).and_then(|()| encoder.finish()) {
-            Ok(bytes) => bytes,
-            Err(_) => Vec::new(),
-        }
+        encoder.write_all(&plain).and_then(|()| encoder.finish()).unwrap_or_default()
     }
 
     /// Reads the bytes of the row.
--- a/crates/sidecar/src/edges.rs
+++ b/crates/sidecar/src/edges.rs
@@ -43,12 +43,15 @@
 /// default; the head of the next request has to come within this.
 const HEAD_WAIT: Duration = Duration::from_secs(20);
 
+/// What an edge answers; it has no errors of its own.
+pub type Answer = Result<Response<Full<Bytes>>, Infallible>;
+
 /// Answers requests on a listener with `answer` until the process ends. Connections close after
 /// the answer under way once the process is told to stop.
 pub async fn listen<F, R>(cx: Rc<Cx>, name: &'static str, listener: TcpListener, answer: F)
 where
     F: Fn(Rc<Cx>, Request<Incoming>) -> R + Clone + 'static,
-    R: Future<Output = Result<Response<Full<Bytes>>, Infallible>> + 'static,
+    R: Future<Output = Answer> + 'static,
 {
     loop {
         let stream = match listener.accept().await {
@@ -70,7 +73,7 @@
 async fn serve<F, R>(cx: Rc<Cx>, stream: TcpStream, answer: F)
 where
     F: Fn(Rc<Cx>, Request<Incoming>) -> R + 'static,
-    R: Future<Output = Result<Response<Full<Bytes>>, Infallible>> + 'static,
+    R: Future<Output = Answer> + 'static,
 {
     let shared = cx.clone();
     let service = hyper::service::service_fn(move |req| answer(shared.clone(), req));
@@ -89,28 +92,19 @@
 }
 
 /// Answers callers.
-pub async fn callers(
-    cx: Rc<Cx>,
-    req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+pub async fn callers(cx: Rc<Cx>, req: Request<Incoming>) -> Answer {
     ingress::answer(cx, req).await
 }
 
 /// Answers whether the process takes requests.
-pub async fn ready(
-    cx: Rc<Cx>,
-    _req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+pub async fn ready(cx: Rc<Cx>, _req: Request<Incoming>) -> Answer {
     let ready = cx.state.borrow().config.is_some() && !cx.stopping.get();
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     Ok(plain(status, Bytes::new()))
 }
 
 /// Answers the backend server of this host.
-pub async fn backend_calls(
-    cx: Rc<Cx>,
-    req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+pub async fn backend_calls(cx: Rc<Cx>, req: Request<Incoming>) -> Answer {
     let (head, body) = req.into_parts();
     let target = head.uri.path_and_query().map_or("", |t| t.as_str()).to_owned();
     let body = match Limited::new(body, MAX_BEAT).collect().await {
@@ -205,9 +199,7 @@
 /// Returns an answer function that prints metrics.
 pub fn metrics(
     handle: PrometheusHandle,
-) -> impl Fn(Rc<Cx>, Request<Incoming>) -> std::future::Ready<Result<Response<Full<Bytes>>, Infallible>>
-+ Clone
-+ 'static {
+) -> impl Fn(Rc<Cx>, Request<Incoming>) -> std::future::Ready<Answer> + Clone + 'static {
     move |_, _| {
         let text = Bytes::from(handle.render());
         std::future::ready(Ok(plain(StatusCode::OK, text)))
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -1,6 +1,6 @@
 //! The process beside one backend server that serves the callers of its host.
 //!
-//! All parts share one thread and [`state::Cx`]; decisions are in `mesh`, the platform's names in
+//! All parts share one thread and `state::Cx`; decisions are in `mesh`, the platform's names in
 //! `adapter`. Each listener and each follower of the store is a task of its own.
 
 mod backend;
