Read the sidecar as a newcomer: one loop of attempts, limits of the configuration, no unused parts

The second sending after a failure of a backend server is part of the same loop; heads are bounded as the configuration says, connections to the backend server too; what nothing used is gone.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -78,18 +78,12 @@
     settings: Settings,
     clock: Clock,
     idle: Rc<RefCell<Vec<Idle>>>,
-    opened: Rc<std::cell::Cell<u64>>,
 }
 
 impl Client {
     /// Makes a client without connections. It must be used inside a local task set.
     pub fn new(to: SocketAddr, settings: Settings, clock: Clock) -> Self {
-        Self { to, settings, clock, idle: Rc::default(), opened: Rc::default() }
-    }
-
-    /// Returns how many connections were opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
+        Self { to, settings, clock, idle: Rc::default() }
     }
 
     /// Closes all idle connections.
@@ -164,7 +158,6 @@
             .map_err(|e| not_sent(e.to_string()))?;
         let (tx, connection) =
             handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(e.to_string()))?;
-        self.opened.set(self.opened.get() + 1);
         actix_rt::spawn(async move {
             // How the connection ends is told to the request that it carries, if any.
             let _ = connection.await;
--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -47,6 +47,17 @@
     pub silence: Millis,
 }
 
+impl KeeperTimes {
+    model::setters! {
+        /// Sets how long a grant runs at most.
+        hold: Millis,
+        /// Sets how long a lease runs that nobody confirms.
+        short: Millis,
+        /// Sets how long a lease runs at most.
+        term: Millis,
+    }
+}
+
 impl Default for KeeperTimes {
     fn default() -> Self {
         Self {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -24,5 +24,5 @@
 pub use leases::{Boot, LeaseRow, LeaseRowError, LeaseWatch};
 pub use peers::{Distance, LoadReport, Peer, Peers, Sent};
 pub use plan::{Member, Piece, evict, first_map, rebalance, shed};
-pub use queue::{Job, Offer, Origin, Queue, QueueLimits, Ticket};
+pub use queue::{Job, Offer, Queue, QueueLimits, Ticket};
 pub use witness::{Ask, Question, Witness, Word};
--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -150,11 +150,6 @@
         open.min_by_key(cost).map(|(_, p)| p.host)
     }
 
-    /// Returns the known hosts.
-    pub fn all(&self) -> &[Peer] {
-        &self.all
-    }
-
     /// Returns whether a host is left alone at the moment.
     pub fn avoided(&self, host: HostAddr, now: Millis) -> bool {
         self.find(host).is_ok_and(|i| self.all[i].avoid_until > now)
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers load above capacity. Only the process beside a backend server sends to it, so slots are
 //! counted exactly and a refusal is true: nothing was sent. Work that would end after its limit is
-//! turned away when it comes, not when it is late; calls of running work go first, because their
-//! callers already occupy slots; then priority, then the earliest end that still helps.
+//! turned away when it comes, not when it is late. What waits starts by priority and by the target
+//! that ends first; work that can't meet its target any more waits for work that can.
 
 use model::{Millis, derive_common};
 
@@ -13,22 +13,11 @@
     pub struct Ticket(pub u64);
 }
 
-/// Where a request comes from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Origin {
-    /// A backend server that runs a request of its own.
-    Call,
-    /// A caller.
-    Caller,
-}
-
 /// A request that wants to run.
 #[derive(Clone, Copy, Debug)]
 pub struct Job {
     /// Requests of one class take about the same time.
     pub class: u64,
-    /// Where it comes from.
-    pub origin: Origin,
     /// Its rank; 0 is the most urgent.
     pub priority: u8,
     /// An answer until then counts in full.
@@ -75,7 +64,7 @@
 
 #[derive(Debug)]
 struct Waiting {
-    rank: (Origin, u8, Millis),
+    rank: (u8, Millis),
     ticket: Ticket,
     job: Job,
 }
@@ -97,8 +86,6 @@
     waiting: Vec<Waiting>,  // Sorted by rank, then ticket.
     means: Vec<(u64, f64)>, // Sorted by class.
     mean: f64,
-    busy: f64,
-    busy_at: Millis,
 }
 
 /// Queries.
@@ -123,11 +110,6 @@
         Millis(self.mean as u64)
     }
 
-    /// Returns the slots that were occupied on average over the last second or two.
-    pub fn load(&self) -> f64 {
-        self.busy
-    }
-
     /// Returns how long a new job of the lowest rank would wait.
     pub fn wait(&self, now: Millis) -> Millis {
         self.wait_behind(self.waiting.len(), now)
@@ -167,8 +149,6 @@
             waiting: Vec::new(),
             means: Vec::new(),
             mean: limits.first_guess.0 as f64,
-            busy: 0.0,
-            busy_at: Millis::ZERO,
         }
     }
 
@@ -179,8 +159,7 @@
 
     /// Asks what happens to a job that comes now.
     pub fn offer(&mut self, job: Job, now: Millis) -> Offer {
-        self.count_busy(now);
-        let rank = (job.origin, job.priority, job.target);
+        let rank = (job.priority, job.target);
         let ahead = self.waiting.partition_point(|w| w.rank <= rank);
         let wait = self.wait_behind(ahead, now);
         let run = Millis(self.expected(job.class) as u64);
@@ -201,7 +180,6 @@
     /// Starts waiting jobs while slots are free. The second list names jobs that can no longer
     /// end in time.
     pub fn next(&mut self, now: Millis) -> (Vec<Ticket>, Vec<Ticket>) {
-        self.count_busy(now);
         let (mut started, mut late) = (Vec::new(), Vec::new());
         while self.running.len() < self.slots && !self.waiting.is_empty() {
             let w = self.waiting.remove(self.first_in_time(now));
@@ -219,7 +197,6 @@
 
     /// Tells that a job ended with an answer.
     pub fn finished(&mut self, ticket: Ticket, now: Millis) {
-        self.count_busy(now);
         let Some(i) = self.running.iter().position(|r| r.ticket == ticket) else { return };
         let run = self.running.swap_remove(i);
         let took = now.since(run.since).0 as f64;
@@ -231,8 +208,7 @@
     }
 
     /// Tells that a job is given up, whether it runs or waits.
-    pub fn dropped(&mut self, ticket: Ticket, now: Millis) {
-        self.count_busy(now);
+    pub fn dropped(&mut self, ticket: Ticket) {
         self.running.retain(|r| r.ticket != ticket);
         self.waiting.retain(|w| w.ticket != ticket);
     }
@@ -246,12 +222,4 @@
     fn room_after(&self, now: Millis) -> Millis {
         Millis(self.wait(now).0.clamp(RETURN_MS.0, RETURN_MS.1))
     }
-
-    fn count_busy(&mut self, now: Millis) {
-        // An exponential mean over one second.
-        let span = now.since(self.busy_at).0 as f64 / 1_000.0;
-        let demand = (self.running.len() + self.waiting.len()) as f64;
-        self.busy += (demand - self.busy) * (1.0 - (-span).exp());
-        self.busy_at = now;
-    }
 }
--- a/crates/mesh/tests/load.rs
+++ b/crates/mesh/tests/load.rs
@@ -2,7 +2,7 @@
 //! where work goes, what is repeated, which keys move. Times are simulated, seeds are fixed.
 
 use mesh::{
-    Budget, BudgetLimits, Demand, Distance, Job, LoadReport, Member, Offer, Origin, Peers, Queue,
+    Budget, BudgetLimits, Demand, Distance, Job, LoadReport, Member, Offer, Peers, Queue,
     QueueLimits, Sent, Ticket, evict, first_map, rebalance, shed,
 };
 use model::{HostAddr, Millis};
@@ -14,13 +14,7 @@
 }
 
 fn job(class: u64, priority: u8, now: u64, target: u64, limit: u64) -> Job {
-    Job {
-        class,
-        origin: Origin::Caller,
-        priority,
-        target: Millis(now + target),
-        limit: Millis(now + limit),
-    }
+    Job { class, priority, target: Millis(now + target), limit: Millis(now + limit) }
 }
 
 const RUN: u64 = 200;
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -10,7 +10,7 @@
 use http::{HeaderName, HeaderValue, Method};
 use http1::SendError;
 use log::{info, warn};
-use mesh::{Job, Offer, Origin, Refused, Ticket};
+use mesh::{Job, Offer, Refused, Ticket};
 use model::{Millis, ServiceName};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -47,7 +47,7 @@
     fn drop(&mut self) {
         if let Some(ticket) = self.ticket.take() {
             let mut state = self.cx.state.borrow_mut();
-            state.queue.dropped(ticket, self.cx.now());
+            state.queue.dropped(ticket);
             state.waiters.retain(|(t, _)| *t != ticket);
             drop(state);
             self.cx.start_waiting();
@@ -100,7 +100,6 @@
     }
     let job = Job {
         class: forward.class,
-        origin: Origin::Caller,
         priority: forward.priority,
         target: came + Millis(u64::from(forward.target_ms)),
         limit,
--- a/crates/sidecar/src/edges.rs
+++ b/crates/sidecar/src/edges.rs
@@ -39,10 +39,6 @@
 /// The longest head of a request, in bytes; the smallest buffer that the library takes is 8 KiB.
 const HEAD_BYTES: usize = 64 << 10;
 
-/// Callers may leave a connection idle for four fifths of the operator's limit, which is 15 s by
-/// default; the head of the next request has to come within this.
-const HEAD_WAIT: Duration = Duration::from_secs(20);
-
 /// What an edge answers; it has no errors of its own.
 pub type Answer = Result<Response<Full<Bytes>>, Infallible>;
 
@@ -75,11 +71,13 @@
     F: Fn(Rc<Cx>, Request<Incoming>) -> R + 'static,
     R: Future<Output = Answer> + 'static,
 {
+    // The head of the next request has to come while the connection may be idle.
+    let limits = cx.state.borrow().config.as_ref().map(|(_, c)| c.limits).unwrap_or_default();
     let shared = cx.clone();
     let service = hyper::service::service_fn(move |req| answer(shared.clone(), req));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_WAIT)
+        .header_read_timeout(Duration::from(limits.idle))
         .max_buf_size(HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let connection = std::pin::pin!(connection);
@@ -147,12 +145,14 @@
 }
 
 fn hear(cx: &Cx, heartbeat: &adapter::Heartbeat, came: Millis) -> Heard {
+    let connections = cx.connections();
     let mut state = cx.state.borrow_mut();
     let before = (state.keeper.backend().cloned(), state.keeper.serving());
     let heard = state.keeper.hear(&heartbeat.beat, came);
     let after = (state.keeper.backend().cloned(), state.keeper.serving());
     if after.0.as_ref() == Some(&heartbeat.beat.boot) {
-        state.queue.set_slots(heartbeat.slots);
+        // One connection a job.
+        state.queue.set_slots(heartbeat.slots.min(connections));
         state.refused = None;
     }
     if before.0 != after.0 {
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -43,6 +43,9 @@
 /// Callers that are turned away come back spread over this part of the span on top.
 const SPREAD: f64 = 0.5;
 
+/// A request is not sent again with less time left than the shortest run takes.
+const LEAST_TIME: Millis = Millis(100);
+
 /// Callers that name no limit wait this long.
 const NO_LIMIT: Millis = Millis(60_000);
 
@@ -147,6 +150,11 @@
         info!("event=refused id={id} why=no-configuration");
         return refusal(Refusal::NotRun(come_back(COME_BACK_MS)), Some(&id));
     };
+    let head_bytes: usize = head.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
+    if head_bytes > config.limits.header_bytes {
+        info!("event=refused id={id} why=head-too-long limit={}", config.limits.header_bytes);
+        return refusal(Refusal::HeadTooLong, Some(&id));
+    }
     let body = match Limited::new(body, config.limits.body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) if e.downcast_ref::<LengthLimitError>().is_some() => {
@@ -213,8 +221,19 @@
     })
 }
 
-/// Tries hosts until there is an answer, or none is to be had.
+/// Tries hosts until there is an answer, or none is to be had. A backend server's failure is the
+/// answer if trying again brings none.
 async fn carry_out(cx: &Rc<Cx>, call: &Call) -> Result<(Outcome, Bytes), Failure> {
+    let mut failed = None;
+    let result = attempts(cx, call, &mut failed).await;
+    result.or_else(|failure| failed.ok_or(failure))
+}
+
+async fn attempts(
+    cx: &Rc<Cx>,
+    call: &Call,
+    failed: &mut Option<(Outcome, Bytes)>,
+) -> Result<(Outcome, Bytes), Failure> {
     cx.state.borrow_mut().budget(&call.service, &cx.settings).first(call.came);
     let mut tried: Vec<HostAddr> = Vec::new();
     let mut refusals = 0;
@@ -245,16 +264,14 @@
             End::Ran { status, .. } => {
                 let again = call.repeat == Repeat::Allowed
                     && arrivals < call.attempts
-                    && cx.now() + Millis(100) < call.limit;
-                if !again || !may_repeat(cx, call, arrivals, cx.now()) {
+                    && cx.now() + LEAST_TIME < call.limit;
+                if !again {
                     return Ok((outcome, body));
                 }
                 info!("event=try-again id={} host={host} status={status}", call.id);
-                let (sent_again, again_body) = match again_once(cx, call, &mut tried, host).await {
-                    Some(second) => second,
-                    None => return Ok((outcome, body)),
-                };
-                return Ok((sent_again, again_body));
+                last = Failure::Lost(format!("status {status}"));
+                *failed = Some((outcome, body));
+                tried.push(host);
             }
             End::Unknown { why } => {
                 info!("event=try-failed id={} host={host} why={why:?}", call.id);
@@ -298,20 +315,6 @@
     }
 }
 
-/// Sends a request once more that a backend server failed, if another host is to be had.
-async fn again_once(
-    cx: &Rc<Cx>,
-    call: &Call,
-    tried: &mut Vec<HostAddr>,
-    failed: HostAddr,
-) -> Option<(Outcome, Bytes)> {
-    tried.push(failed);
-    let now = cx.now();
-    let host = pick(cx, call, tried, now)?;
-    let (outcome, body) = send(cx, call, host, now).await.ok()?;
-    matches!(&outcome.end, End::Ran { status, .. } if *status < 500).then_some((outcome, body))
-}
-
 fn may_repeat(cx: &Cx, call: &Call, arrivals: u32, now: Millis) -> bool {
     if arrivals >= call.attempts {
         return false;
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -6,7 +6,7 @@
 use adapter::HostRow;
 use mesh::{
     Budget, Config, Demand, Distance, Keeper, KeeperTimes, KeyMap, LoadReport, Peers, Queue,
-    QueueLimits, Witness,
+    QueueLimits, Service, Witness,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
@@ -97,7 +97,7 @@
         let me = HostAddr(settings.listen.hosts);
         let process: u64 = rand::random();
         let times = KeeperTimes::default();
-        let times = KeeperTimes { hold: times.hold.min(Millis(settings.hold_max_ms)), ..times };
+        let times = times.hold(times.hold.min(Millis(settings.hold_max_ms)));
         let state = State {
             config: None,
             hosts: Vec::new(),
@@ -147,9 +147,18 @@
 
     /// Tells whether the backend server of this host owns keys.
     pub fn owns_keys(&self) -> bool {
+        self.own_service().is_some_and(|s| s.keyed)
+    }
+
+    /// Returns how many connections the backend server of this host accepts.
+    pub fn connections(&self) -> usize {
+        self.own_service().map_or(usize::MAX, |s| s.max_connections)
+    }
+
+    fn own_service(&self) -> Option<Service> {
         let state = self.state.borrow();
-        let config = state.config.as_ref();
-        config.and_then(|(_, c)| c.service(&self.settings.service)).is_some_and(|s| s.keyed)
+        let (_, config) = state.config.as_ref()?;
+        config.service(&self.settings.service).cloned()
     }
 
     /// Takes in the version of the configuration that another host has.
