--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -7,16 +7,17 @@
 
 use adapter::{Asked, Refusal, refusal};
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use log::{info, warn};
+use log::info;
 use mesh::{Config, LoadReport, Repeat, Sent};
 use model::{HostAddr, Millis, ServiceName};
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::state::Cx;
+use crate::tell::{COME_BACK_MS, come_back, tell};
 use crate::wire::{End, Forward, NotRun, Outcome};
 use crate::{backend, hop};
 
@@ -37,12 +38,6 @@
 /// An owner that could not be reached for this long is not waited for.
 const OWNER_LOST: Millis = Millis(1_500);
 
-/// Callers are told to come back after this if nothing better is known, in milliseconds.
-const COME_BACK_MS: u64 = 400;
-
-/// Callers that are turned away come back spread over this part of the span on top.
-const SPREAD: f64 = 0.5;
-
 /// A request is not sent again with less time left than the shortest run takes.
 const LEAST_TIME: Millis = Millis(100);
 
@@ -57,23 +52,23 @@
 const NEAR_MARGIN: Millis = Millis(10);
 
 /// A request of a caller with what was decided about it.
-struct Call {
-    came: Millis,
-    id: String,
-    service: ServiceName,
-    route: Rc<str>,
-    repeat: Repeat,
-    attempts: u32,
-    limit: Millis,
-    target: Millis,
-    caller_until: Millis,
-    key: Option<u16>,
-    forward: Forward,
-    body: Bytes,
+pub(crate) struct Call {
+    pub(crate) came: Millis,
+    pub(crate) id: String,
+    pub(crate) service: ServiceName,
+    pub(crate) route: Rc<str>,
+    pub(crate) repeat: Repeat,
+    pub(crate) attempts: u32,
+    pub(crate) limit: Millis,
+    pub(crate) target: Millis,
+    pub(crate) caller_until: Millis,
+    pub(crate) key: Option<u16>,
+    pub(crate) forward: Forward,
+    pub(crate) body: Bytes,
 }
 
 /// Why a call has no answer of a backend server.
-enum Failure {
+pub(crate) enum Failure {
     NotRun { why: NotRun, after_ms: u64 },
     Lost(String),
     TimedOut,
@@ -421,68 +416,3 @@
     let at = state.hosts.binary_search_by_key(&host, |(h, _)| *h);
     at.is_ok_and(|i| cx.settings.distance(&state.hosts[i].1.zone) == mesh::Distance::Far)
 }
-
-fn come_back(after_ms: u64) -> Millis {
-    let spread = 1.0 + SPREAD * rand::random::<f64>();
-    Millis((after_ms.max(50) as f64 * spread) as u64)
-}
-
-fn tell(
-    cx: &Cx,
-    call: &Call,
-    config: &Config,
-    result: Result<(Outcome, Bytes), Failure>,
-) -> Response<Full<Bytes>> {
-    let (id, route, version) = (&call.id, &call.route, config.version);
-    let took = cx.now().since(call.came);
-    metrics::histogram!("papayarill_request_ms", "route" => route.to_string())
-        .record(took.0 as f64);
-    let count = |end: &'static str| {
-        metrics::counter!("papayarill_requests", "route" => route.to_string(), "end" => end)
-            .increment(1);
-    };
-    match result {
-        Ok((outcome, body)) => {
-            let End::Ran { status, headers } = outcome.end else {
-                return refusal(Refusal::Lost, Some(id));
-            };
-            count("answered");
-            info!(
-                "event=answered id={id} route={route} version={version} status={status} took_ms={took}"
-            );
-            rebuild(status, headers, body)
-        }
-        Err(Failure::NotRun { why, after_ms }) => {
-            count("not-run");
-            let after = come_back(if after_ms > 1 { after_ms } else { COME_BACK_MS });
-            info!(
-                "event=refused id={id} route={route} version={version} why={why:?} \
-                 key={:?} after_ms={after} took_ms={took}",
-                call.key
-            );
-            refusal(Refusal::NotRun(after), Some(id))
-        }
-        Err(Failure::Lost(why)) => {
-            count("unknown");
-            warn!("event=lost id={id} route={route} version={version} why={why:?} took_ms={took}");
-            refusal(Refusal::Lost, Some(id))
-        }
-        Err(Failure::TimedOut) => {
-            count("timed-out");
-            warn!("event=timed-out id={id} route={route} version={version} took_ms={took}");
-            refusal(Refusal::TimedOut, Some(id))
-        }
-    }
-}
-
-fn rebuild(status: u16, headers: Vec<(String, Vec<u8>)>, body: Bytes) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(body));
-    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for (name, value) in headers {
-        let name = name.parse::<HeaderName>();
-        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
-            answer.headers_mut().append(name, value);
-        }
-    }
-    answer
-}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -12,6 +12,7 @@
 mod settings;
 mod start;
 mod state;
+mod tell;
 mod wire;
 
 pub use log_out::Out;
--- /dev/null
+++ b/crates/sidecar/src/tell.rs
@@ -0,0 +1,85 @@
+//! What a caller is told, with the line and the counters that say so.
+
+use adapter::{Refusal, refusal};
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http_body_util::Full;
+use log::{info, warn};
+use mesh::Config;
+use model::Millis;
+
+use crate::ingress::{Call, Failure};
+use crate::state::Cx;
+use crate::wire::{End, Outcome};
+
+/// Callers are told to come back after this if nothing better is known, in milliseconds.
+pub(crate) const COME_BACK_MS: u64 = 400;
+
+/// Callers that are turned away come back spread over this part of the span on top.
+const SPREAD: f64 = 0.5;
+
+pub(crate) fn come_back(after_ms: u64) -> Millis {
+    let spread = 1.0 + SPREAD * rand::random::<f64>();
+    Millis((after_ms.max(50) as f64 * spread) as u64)
+}
+
+/// Makes the answer to a caller.
+pub(crate) fn tell(
+    cx: &Cx,
+    call: &Call,
+    config: &Config,
+    result: Result<(Outcome, Bytes), Failure>,
+) -> Response<Full<Bytes>> {
+    let (id, route, version) = (&call.id, &call.route, config.version);
+    let took = cx.now().since(call.came);
+    metrics::histogram!("papayarill_request_ms", "route" => route.to_string())
+        .record(took.0 as f64);
+    let count = |end: &'static str| {
+        metrics::counter!("papayarill_requests", "route" => route.to_string(), "end" => end)
+            .increment(1);
+    };
+    match result {
+        Ok((outcome, body)) => {
+            let End::Ran { status, headers } = outcome.end else {
+                return refusal(Refusal::Lost, Some(id));
+            };
+            count("answered");
+            info!(
+                "event=answered id={id} route={route} version={version} status={status} took_ms={took}"
+            );
+            rebuild(status, headers, body)
+        }
+        Err(Failure::NotRun { why, after_ms }) => {
+            count("not-run");
+            let after = come_back(if after_ms > 1 { after_ms } else { COME_BACK_MS });
+            info!(
+                "event=refused id={id} route={route} version={version} why={why:?} \
+                 key={:?} after_ms={after} took_ms={took}",
+                call.key
+            );
+            refusal(Refusal::NotRun(after), Some(id))
+        }
+        Err(Failure::Lost(why)) => {
+            count("unknown");
+            warn!("event=lost id={id} route={route} version={version} why={why:?} took_ms={took}");
+            refusal(Refusal::Lost, Some(id))
+        }
+        Err(Failure::TimedOut) => {
+            count("timed-out");
+            warn!("event=timed-out id={id} route={route} version={version} took_ms={took}");
+            refusal(Refusal::TimedOut, Some(id))
+        }
+    }
+}
+
+fn rebuild(status: u16, headers: Vec<(String, Vec<u8>)>, body: Bytes) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in headers {
+        let name = name.parse::<HeaderName>();
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            answer.headers_mut().append(name, value);
+        }
+    }
+    answer
+}
