Tell writes that the store turned away from writes of unknown outcome

A renewal that names other witnesses and ends as unknown makes the holder count on no confirmation; but a 503 or 429 promises that nothing was done. Change: such an end puts things back as they were before the write. A directed test failed before (the end did not exist), and the random walk now has both ends.

--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -73,6 +73,7 @@
     under_way: Option<(Todo, Millis)>,
     /// Whether the store can hold no other witnesses than the known row.
     settled: bool,
+    settled_before: bool,
     refused: bool,
     asked_at: Millis,
     rounds: Vec<Round>,
@@ -189,6 +190,7 @@
             renewed: Millis::ZERO,
             under_way: None,
             settled: true,
+            settled_before: true,
             refused: false,
             asked_at: Millis::ZERO,
             rounds: Vec::new(),
--- a/crates/mesh/src/keeper/words.rs
+++ b/crates/mesh/src/keeper/words.rs
@@ -39,6 +39,8 @@
     Done(RowVersion),
     /// A row had another version; these are the rows as they are, `None` if they don't exist.
     Conflict(Vec<(RowName, RowVersion, Option<Vec<u8>>)>),
+    /// It was surely not made, and won't be.
+    NotMade,
     /// It may have been made, or may be made later.
     Unknown,
 }
--- a/crates/mesh/src/keeper/writes.rs
+++ b/crates/mesh/src/keeper/writes.rs
@@ -23,6 +23,7 @@
             .or_else(|| self.join_own_runs())
             .or_else(|| self.renew(now))
             .or_else(|| self.plan(now))?;
+        self.settled_before = self.settled;
         if self.puts_other_witnesses(&todo) {
             self.settled = false;
         }
@@ -39,6 +40,10 @@
                 self.store_heard = now;
                 self.conflicted(rows, now);
             }
+            Written::NotMade => {
+                self.settled = self.settled_before;
+                self.next_write = now + self.times.retry_after;
+            }
             Written::Unknown => self.next_write = now + self.times.retry_after,
         }
     }
--- a/crates/mesh/tests/keeper/steps.rs
+++ b/crates/mesh/tests/keeper/steps.rs
@@ -1,6 +1,6 @@
 //! Directed cases: each step by hand.
 
-use mesh::{Beat, Boot, Keeper, KeeperTimes, RowName, Todo, Written, evict, first_map};
+use mesh::{Beat, Boot, Keeper, KeeperTimes, RowName, Todo, Word, Written, evict, first_map};
 use model::{HostAddr, Millis, RowVersion};
 
 use crate::world::{Store, addr};
@@ -109,6 +109,39 @@
     assert!(matches!(end, Written::Conflict(_)), "registered on an old map: {end:?}");
 }
 
+/// A host whose next renewal names other witnesses, which ends as `end` says, then asks the ones
+/// that the store has.
+fn stretched_after(end: Written) -> bool {
+    let mut bed = Bed::new();
+    let [mut keeper, other] = bed.two_owners();
+    keeper.learn_leases(bed.store.leases(), bed.now);
+    bed.now += Millis(1_100);
+    let renewal = keeper.todo(bed.now).unwrap();
+    keeper.written(Written::Done(RowVersion(900)), bed.now);
+    assert_eq!(renewal.why, "renew");
+    let before = keeper.lease_until().unwrap();
+    // The other host restarted, so it is a witness under another start.
+    drop(other);
+    let mut next = bed.keeper(1, 33);
+    bed.beat(&mut next, 1, 9);
+    bed.settle(&mut next);
+    keeper.learn_leases(bed.store.leases(), bed.now);
+    bed.now += Millis(1_100);
+    assert!(keeper.todo(bed.now).is_some());
+    keeper.written(end, bed.now);
+    bed.now += Millis(1_000);
+    for (_, ask) in keeper.asks(bed.now) {
+        keeper.told(&ask, Word::Confirmed, bed.now, bed.now);
+    }
+    keeper.lease_until().unwrap() > before
+}
+
+#[test]
+fn witnesses_count_only_while_the_store_can_hold_no_others() {
+    assert!(stretched_after(Written::NotMade), "the store surely has the known witnesses");
+    assert!(!stretched_after(Written::Unknown), "the store may have others");
+}
+
 #[test]
 fn nothing_is_granted_without_a_lease_or_to_an_earlier_start() {
     let mut bed = Bed::new();
--- a/crates/mesh/tests/keeper/world.rs
+++ b/crates/mesh/tests/keeper/world.rs
@@ -415,6 +415,8 @@
             let at = now + self.rng.random_range(50..6_000);
             self.late.push(LateWrite { at, todo });
             (now + 1_500, Written::Unknown)
+        } else if away && self.rng.random_bool(0.5) {
+            (now + delay, Written::NotMade)
         } else if away {
             (now + 1_500, Written::Unknown)
         } else if self.share(lost) {
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -345,6 +345,7 @@
         Written::Done(version) if why == "renew" => log::debug!("event=renewed version={version}"),
         Written::Done(version) => info!("event=row-written why={why} version={version}"),
         Written::Conflict(_) => info!("event=row-conflict why={why} expected={:?}", todo.expect),
+        Written::NotMade => info!("event=row-refused why={why} error={error:?}"),
         Written::Unknown => info!("event=row-unknown why={why} error={error:?}"),
     }
     let mut state = cx.state.borrow_mut();
