Handle errors of both feeds in one place, and log a re-read that fails

Formatter, linter, and the tests of the adapter and of sidecars as separate processes passed; the whole script was not run again.

--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -109,11 +109,6 @@
         }
     }
 
-    /// Returns the host that owns `key`.
-    pub fn owner(&self, key: u16) -> Option<HostAddr> {
-        self.map.as_ref().map(|(_, m)| m.run(key).owner)
-    }
-
     /// Returns the start of the backend server that was heard last.
     pub fn backend(&self) -> Option<&Boot> {
         self.backend.as_ref().map(|b| &b.boot)
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -61,6 +61,22 @@
         now < self.doubt_until
     }
 
+    /// Tells where to go on after an error: from the start if the history is gone.
+    fn resume_from(
+        &mut self,
+        error: &StoreError,
+        known: Option<RowVersion>,
+        now: Millis,
+    ) -> Option<RowVersion> {
+        if matches!(error, StoreError::HistoryGone) {
+            info!("event=history-gone name={} version={known:?}", self.name);
+            self.doubt_until = now + DOUBT;
+            return None;
+        }
+        self.failed(error);
+        known
+    }
+
     fn failed(&mut self, error: &StoreError) {
         if !self.lost {
             warn!("event=dependency-lost name={} error={:?}", self.name, error.to_string());
@@ -104,24 +120,19 @@
                 // An answer from the past would make the next question miss nothing, but a
                 // version never goes back.
                 known = Some(known.map_or(version, |k| k.max(version)));
-                if dependency.doubts(cx.now())
-                    && let Ok((news, _)) = cx.store.config().await
-                {
-                    news.into_iter().for_each(|n| learn(&cx, n));
+                if dependency.doubts(cx.now()) {
+                    match cx.store.config().await {
+                        Ok((news, _)) => news.into_iter().for_each(|n| learn(&cx, n)),
+                        Err(e) => dependency.failed(&e),
+                    }
                 }
                 if hinted && cx.version() == before {
                     // The store answered from the past, or the hint was wrong.
                     sleep(PAUSE).await;
                 }
             }
-            Err(StoreError::HistoryGone) => {
-                info!("event=history-gone table=config version={known:?}");
-                known = None;
-                dependency.doubt_until = cx.now() + DOUBT;
-                sleep(PAUSE).await;
-            }
             Err(e) => {
-                dependency.failed(&e);
+                known = dependency.resume_from(&e, known, cx.now());
                 sleep(PAUSE).await;
             }
         }
@@ -154,21 +165,16 @@
                 dependency.answered();
                 news.into_iter().for_each(|n| learn(&cx, n));
                 known = Some(known.map_or(version, |k| k.max(version)));
-                if dependency.doubts(cx.now())
-                    && let Ok((news, _)) = read_fleet(&cx).await
-                {
-                    news.into_iter().for_each(|n| learn(&cx, n));
+                if dependency.doubts(cx.now()) {
+                    match read_fleet(&cx).await {
+                        Ok((news, _)) => news.into_iter().for_each(|n| learn(&cx, n)),
+                        Err(e) => dependency.failed(&e),
+                    }
                 }
                 cx.state.borrow_mut().keeper.map_read();
             }
-            Err(StoreError::HistoryGone) => {
-                info!("event=history-gone table=fleet version={known:?}");
-                known = None;
-                dependency.doubt_until = cx.now() + DOUBT;
-                sleep(PAUSE).await;
-            }
             Err(e) => {
-                dependency.failed(&e);
+                known = dependency.resume_from(&e, known, cx.now());
                 sleep(PAUSE).await;
             }
         }
