Deliver the head of an answer that breaks off at once

Cause: an answer that broke off reset its h2 stream, and h2 drops what still waits to be sent on a stream that is reset: on a busy machine also the head of the answer. Ruled out: the stand-in (it flushes before it breaks off) and the client of backend servers. Change: a body that breaks off ends with a trailer that says so, in order behind the head.

--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -6,6 +6,8 @@
 use futures_util::StreamExt;
 use futures_util::stream::{self, LocalBoxStream};
 use h2::{Reason, RecvStream, SendStream};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use log::debug;
 use snafu::Snafu;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
@@ -76,8 +78,12 @@
     Ok(tx.capacity().min(wanted))
 }
 
-/// Sends a body to its end. A body that fails, or whose length is not the announced one, resets
-/// the stream, so that the receiver cannot take it for whole.
+/// Trailer of an answer that broke off. A reset would drop what still waits to be sent, with it
+/// the head of the answer.
+const CUT_TRAILER: HeaderName = HeaderName::from_static("papayarill-cut");
+
+/// Sends a body to its end. One that fails, or whose length is not the announced one, ends with a
+/// trailer that says so, so that the receiver cannot take it for whole.
 pub(crate) async fn send_body(tx: &mut SendStream<Bytes>, body: Body, expected: Option<u64>) {
     let mut body = checked(body, expected);
     loop {
@@ -89,7 +95,10 @@
         let sent = match piece {
             Some(Ok(data)) => send(tx, data, Then::GoOn).await,
             None => return drop(send(tx, Bytes::new(), Then::End).await),
-            Some(Err(_)) => return tx.send_reset(Reason::INTERNAL_ERROR),
+            Some(Err(e)) => {
+                debug!("wire: an answer broke off: {e}");
+                return send_cut(tx);
+            }
         };
         if sent.is_err() {
             return;
@@ -97,6 +106,19 @@
     }
 }
 
+fn send_cut(tx: &mut SendStream<Bytes>) {
+    let mut trailers = HeaderMap::new();
+    trailers.insert(CUT_TRAILER, HeaderValue::from_static("1"));
+    if let Err(e) = tx.send_trailers(trailers) {
+        debug!("wire: the end of a broken answer was not sent: {e}");
+        tx.send_reset(Reason::INTERNAL_ERROR);
+    }
+}
+
+fn is_cut(trailers: Option<&HeaderMap>) -> bool {
+    trailers.is_some_and(|t| t.contains_key(CUT_TRAILER))
+}
+
 /// What [`checked`] has seen of a body.
 struct Checked {
     body: Body,
@@ -268,12 +290,16 @@
         state.received += data.len() as u64;
         return Some((Ok(data), Some(state)));
     }
-    match state.inbox.rx.data().await? {
-        Ok(data) => {
+    match state.inbox.rx.data().await {
+        Some(Ok(data)) => {
             state.held = data.len();
             state.received += data.len() as u64;
             Some((Ok(data), Some(state)))
         }
-        Err(_) => Some((Err(BodyError::Cut { received: state.received }), None)),
+        Some(Err(_)) => Some((Err(BodyError::Cut { received: state.received }), None)),
+        None => match state.inbox.rx.trailers().await {
+            Ok(trailers) if !is_cut(trailers.as_ref()) => None,
+            Ok(_) | Err(_) => Some((Err(BodyError::Cut { received: state.received }), None)),
+        },
     }
 }
--- a/crates/wire/tests/streams.rs
+++ b/crates/wire/tests/streams.rs
@@ -268,6 +268,22 @@
     check(Some(1), vec![]);
 }
 
+#[test]
+fn an_answer_that_breaks_off_at_once_still_delivers_its_head() {
+    run(async {
+        let server = server(|_, _| {
+            let pieces = [Ok(Bytes::from_static(b"menu")), Err(BodyError::Cut { received: 4 })];
+            let body = stream::iter(pieces).boxed_local();
+            async move { ran(Some(100), body) }.boxed_local()
+        });
+
+        let outcome = client().forward(server.addr(), head(LONG), Bytes::new()).await;
+
+        let (_, body) = unwrap_ran(outcome);
+        assert_eq!(collect(body).await, Err(BodyError::Cut { received: 4 }));
+    });
+}
+
 #[test]
 fn a_graceful_stop_finishes_what_runs_and_takes_nothing_new() {
     run(async {
