Let one host of a zone read the store, and the others hear the news from it

Cause: every host followed the configuration, the hosts and the key maps in the store itself, so each change cost one call per host. Change: `mesh::Relays` picks whom to ask: the first host of a zone asks the store, others ask along a tree of 32 below it. Each answer says how old the sender's contact with the store is; who hears nothing fresh for 1.6 s reads for itself, and a host that the store turns away hears from others. `mesh::Directory` keeps rows with versions, so a relay tells exactly what changed since a position; properties check that what is relayed is complete and that older answers change nothing. Rows that are missing from a whole read are gone now; before, they stayed for ever after a lost history.

--- a/crates/mesh/src/keys.rs
+++ b/crates/mesh/src/keys.rs
@@ -4,14 +4,11 @@
 //! to all owners in turn: a busy neighbourhood is shared by several owners without any move. Runs
 //! keep their size also where neighbours have one owner, so that keys can be spread again.
 
-use std::io::{Read, Write};
-
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 use model::{Fence, HostAddr, derive_common};
 use snafu::{ResultExt, Snafu, ensure};
 
+use crate::pack::{pack, unpack};
+
 /// The largest key.
 pub const MAX_KEY: u16 = u16::MAX;
 
@@ -129,15 +126,12 @@
         // Encoding plain data into memory has no way to fail; an empty row would be refused by
         // the decoder of every reader.
         let plain = bincode::encode_to_vec(wire, config).unwrap_or_default();
-        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
-        encoder.write_all(&plain).and_then(|()| encoder.finish()).unwrap_or_default()
+        pack(&plain)
     }
 
     /// Reads the bytes of the row.
     pub fn decode(bytes: &[u8]) -> Result<Self, KeyMapError> {
-        let mut plain = Vec::new();
-        let limited = DeflateDecoder::new(bytes).take(MAX_MAP_BYTES);
-        { limited }.read_to_end(&mut plain).context(InflateSnafu)?;
+        let plain = unpack(bytes, MAX_MAP_BYTES).context(InflateSnafu)?;
         let config = bincode::config::standard().with_limit::<{ MAX_MAP_BYTES as usize }>();
         let (wire, _): (WireMap, usize) =
             bincode::decode_from_slice(&plain, config).context(DecodeSnafu)?;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,23 +6,29 @@
 mod budget;
 mod config;
 mod demand;
+mod directory;
 mod keeper;
 mod keys;
 mod leases;
+mod pack;
 mod peers;
 mod plan;
 mod queue;
+mod relays;
 mod witness;
 
 pub use budget::{Budget, BudgetLimits};
 pub use config::{Config, Limits, Repeat, Route, Service, Share};
 pub use demand::Demand;
+pub use directory::{Changes, Directory, HostNews};
 pub use keeper::{
     Beat, BeatReply, Grant, Heard, Held, Keeper, KeeperTimes, Refused, RowName, Todo, Written,
 };
 pub use keys::{KeyMap, KeyMapError, MAX_KEY, Run};
 pub use leases::{Boot, LeaseRow, LeaseRowError, LeaseWatch};
+pub use pack::{pack, unpack};
 pub use peers::{Distance, LoadReport, Peer, Peers, Sent};
 pub use plan::{Member, Piece, evict, first_map, rebalance, shed};
 pub use queue::{Job, Offer, Queue, QueueLimits, Ticket};
+pub use relays::{Relays, Source};
 pub use witness::{Ask, Question, Witness, Word};
--- /dev/null
+++ b/crates/mesh/tests/news.rs
@@ -0,0 +1,137 @@
+//! News of the fleet that go from process to process, and whom a process asks for them.
+
+use mesh::{Changes, Directory, HostNews, Relays, Source};
+use model::{HostAddr, Millis, RowVersion};
+use quickcheck::quickcheck;
+
+fn host(i: u8) -> HostAddr {
+    HostAddr(format!("10.0.0.{i}:7000").parse().unwrap())
+}
+
+fn hosts(range: std::ops::RangeInclusive<u8>) -> Vec<HostAddr> {
+    range.map(host).collect()
+}
+
+fn rows(directory: &Directory<u8>) -> Vec<(HostAddr, u8)> {
+    directory.iter().map(|(h, row)| (h, *row)).collect()
+}
+
+/// Makes the history of a table out of random bytes: version `n` sets or removes a row.
+fn history(bytes: &[u8]) -> Vec<HostNews<u8>> {
+    let news = |(n, b): (usize, &u8)| {
+        let row = (b % 3 != 0).then_some(b / 16);
+        (host(1 + b % 7), RowVersion(n as u64 + 1), row)
+    };
+    bytes.iter().enumerate().map(news).collect()
+}
+
+fn read(history: &[HostNews<u8>]) -> Directory<u8> {
+    let mut directory = Directory::default();
+    for news in history {
+        directory.learn(*news);
+        directory.advance(news.1);
+    }
+    directory
+}
+
+quickcheck! {
+    /// A process that hears from one that started late knows what the store holds, wherever it
+    /// stood before.
+    fn what_is_relayed_is_complete(bytes: Vec<u8>, cut: usize, joined: usize) -> bool {
+        let all = history(&bytes);
+        let cut = cut % (all.len() + 1);
+        let joined = joined % (all.len() + 1);
+        let mut relay = Directory::default();
+        let start = read(&all[..joined]);
+        relay.apply(Changes { whole: true, ..start.after(RowVersion(0)) });
+        for news in &all[joined..] {
+            relay.learn(*news);
+            relay.advance(news.1);
+        }
+        let mut asker = read(&all[..cut]);
+
+        asker.apply(relay.after(asker.position()));
+
+        rows(&asker) == rows(&read(&all)) && asker.position() == relay.position()
+    }
+
+    /// An answer from the past changes nothing.
+    fn older_rows_change_nothing(bytes: Vec<u8>, cut: usize) -> bool {
+        let all = history(&bytes);
+        let old = read(&all[..cut % (all.len() + 1)]);
+        let mut directory = read(&all);
+
+        directory.apply(old.after(RowVersion(0)));
+
+        rows(&directory) == rows(&read(&all))
+    }
+}
+
+#[test]
+fn a_process_that_forgot_what_went_says_everything() {
+    let mut relay = Directory::default();
+    let mut asker = Directory::default();
+    for d in [&mut relay, &mut asker] {
+        d.learn((host(1), RowVersion(1), Some(1)));
+        d.learn((host(2), RowVersion(2), Some(1)));
+        d.advance(RowVersion(2));
+    }
+    relay.learn((host(1), RowVersion(3), None));
+    for i in 0..300_u64 {
+        let other = HostAddr(format!("10.1.{}.{}:7000", i / 250, 1 + i % 250).parse().unwrap());
+        relay.learn((other, RowVersion(4 + 2 * i), Some(1)));
+        relay.learn((other, RowVersion(5 + 2 * i), None));
+    }
+    relay.advance(RowVersion(700));
+
+    let changes = relay.after(asker.position());
+    asker.apply(changes.clone());
+
+    assert!(changes.whole);
+    assert_eq!(rows(&asker), vec![(host(2), 1)]);
+}
+
+#[test]
+fn one_host_of_a_zone_reads_the_store_and_the_others_ask_along_a_tree() {
+    let check = |me: u8, zone: Vec<HostAddr>, expected: Source| {
+        let mut relays = Relays::new(host(me));
+        relays.contact(Millis(1_000));
+        assert_eq!(relays.source(&zone, Millis(1_500)), expected, "{me}");
+    };
+
+    check(1, hosts(1..=90), Source::Store);
+    check(2, hosts(1..=90), Source::Host(host(1)));
+    check(33, hosts(1..=90), Source::Host(host(1)));
+    check(34, hosts(1..=90), Source::Host(host(2)));
+    check(90, hosts(1..=90), Source::Host(host(3)));
+    check(5, vec![], Source::Store);
+    check(5, hosts(6..=9), Source::Store);
+}
+
+#[test]
+fn a_process_without_fresh_news_reads_for_itself() {
+    let zone = hosts(1..=3);
+    let mut relays = Relays::new(host(3));
+    assert!(relays.reads_store(&zone, Millis(0)));
+
+    relays.contact(Millis(1_000));
+    assert!(!relays.reads_store(&zone, Millis(2_500)));
+    assert!(relays.reads_store(&zone, Millis(2_700)));
+
+    relays.pass_over(host(1), Millis(2_700));
+    assert_eq!(relays.source(&zone, Millis(2_700)), Source::Host(host(2)));
+    relays.pass_over(host(2), Millis(2_800));
+    assert_eq!(relays.source(&zone, Millis(2_800)), Source::Store);
+    assert_eq!(relays.source(&zone, Millis(6_750)), Source::Host(host(1)));
+}
+
+#[test]
+fn the_first_host_asks_another_while_the_store_turns_it_away() {
+    let zone = hosts(1..=3);
+    let mut relays = Relays::new(host(1));
+    relays.contact(Millis(1_000));
+
+    assert_eq!(relays.source(&zone, Millis(2_000)), Source::Store);
+    assert_eq!(relays.source(&zone, Millis(3_000)), Source::Host(host(2)));
+    assert!(relays.reads_store(&zone, Millis(3_000)));
+}
--- a/crates/sidecar/src/edges.rs
+++ b/crates/sidecar/src/edges.rs
@@ -72,7 +72,7 @@
     R: Future<Output = Answer> + 'static,
 {
     // The head of the next request has to come while the connection may be idle.
-    let limits = cx.state.borrow().config.as_ref().map(|(_, c)| c.limits).unwrap_or_default();
+    let limits = cx.state.borrow().config.as_ref().map(|c| c.config.limits).unwrap_or_default();
     let shared = cx.clone();
     let service = hyper::service::service_fn(move |req| answer(shared.clone(), req));
     let connection = hyper::server::conn::http1::Builder::new()
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bincode::{Decode, Encode};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -19,9 +20,9 @@
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
-use crate::backend;
 use crate::state::Cx;
 use crate::wire::{End, Forward, NotRun, Outcome, decode, encode};
+use crate::{backend, news};
 
 /// A connection has to be made within this. The longest way between regions takes 60 ms there and
 /// back; a longer wait would cost callers more than another host does.
@@ -39,8 +40,14 @@
 /// Probes on idle connections start after this.
 const PROBE_AFTER: Millis = Millis(20_000);
 
-/// A witness that doesn't answer within this counts as silent.
-const ASK: Duration = Duration::from_millis(400);
+/// Where a host takes requests for its backend server.
+const RUN: &str = "/run";
+
+/// Where a host answers as a witness.
+pub const WITNESS: &str = "/witness";
+
+/// Where a host answers what changed in the store.
+pub const NEWS: &str = "/news";
 
 /// The longest message between hosts, in bytes.
 const MAX_MESSAGE: usize = 80 << 20;
@@ -109,7 +116,7 @@
         let Some(mut tx) = connect(cx, host).await else {
             return (not_run(NotRun::Unreachable), Bytes::new());
         };
-        let req = Request::post("http://host/run").body(Full::new(message.clone()));
+        let req = Request::post(address(RUN)).body(Full::new(message.clone()));
         let Ok(req) = req else { return (not_run(NotRun::Malformed), Bytes::new()) };
         let answer = match tx.try_send_request(req).await {
             Ok(answer) => answer,
@@ -194,16 +201,28 @@
     Ok(tx)
 }
 
-/// Asks a witness. Returns nothing if there is no answer soon.
-pub async fn ask(cx: &Cx, host: HostAddr, ask: &Ask) -> Option<Word> {
+/// h2 wants a name of the host; the connection says which one it is.
+fn address(path: &str) -> String {
+    format!("http://host{path}")
+}
+
+/// Asks a host a question other than to run a request. Returns nothing if there is no answer
+/// within `limit`.
+pub async fn ask<A: Decode<()>>(
+    cx: &Cx,
+    host: HostAddr,
+    path: &'static str,
+    question: &impl Encode,
+    limit: Duration,
+) -> Option<A> {
     let asked = async {
         let mut tx = connect(cx, host).await?;
-        let req = Request::post("http://host/ask").body(Full::new(encode(ask, &[]))).ok()?;
+        let req = Request::post(address(path)).body(Full::new(encode(question, &[]))).ok()?;
         let answer = tx.send_request(req).await.ok()?;
         let body = Limited::new(answer.into_body(), MAX_MESSAGE).collect().await.ok()?.to_bytes();
-        decode::<Word>(body).ok().map(|(word, _)| word)
+        decode::<A>(body).ok().map(|(answer, _)| answer)
     };
-    timeout(ASK, asked).await.ok().flatten()
+    timeout(limit, asked).await.ok().flatten()
 }
 
 /// Takes requests of other hosts until the process ends.
@@ -236,28 +255,42 @@
 }
 
 async fn answer(cx: Rc<Cx>, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
-    let asked = req.uri().path() == "/ask";
-    let body = Limited::new(req.into_body(), MAX_MESSAGE).collect().await;
-    if asked {
-        let ask = body.ok().and_then(|b| decode::<Ask>(b.to_bytes()).ok());
-        let word = ask.map_or(Word::Refused, |(ask, _)| bear_witness(&cx, &ask));
-        return Ok(Response::new(Full::new(encode(&word, &[]))));
-    }
-    let forward = match body.map(|b| decode::<Forward>(b.to_bytes())) {
-        Ok(Ok(forward)) => forward,
-        Ok(Err(e)) => {
-            warn!("event=message-refused error={e:?}");
-            return Ok(Response::new(Full::new(encode(&not_run(NotRun::Malformed), &[]))));
-        }
+    let path = req.uri().path().to_owned();
+    let message = match Limited::new(req.into_body(), MAX_MESSAGE).collect().await {
+        Ok(body) => body.to_bytes(),
         Err(e) => {
-            warn!("event=message-cut error={e:?}");
-            return Ok(Response::new(Full::new(encode(&not_run(NotRun::Malformed), &[]))));
+            warn!("event=message-cut path={path} error={e:?}");
+            return Ok(refused());
         }
     };
-    let (forward, body) = forward;
+    let answered = match path.as_str() {
+        WITNESS => decode(message).map(|(ask, _)| encode(&bear_witness(&cx, &ask), &[])),
+        NEWS => match decode(message) {
+            Ok((ask, _)) => Ok(encode(&news::answer(&cx, &ask).await, &[])),
+            Err(e) => Err(e),
+        },
+        _ => match decode(message) {
+            Ok((forward, body)) => Ok(run(&cx, &forward, body).await),
+            Err(e) => Err(e),
+        },
+    };
+    Ok(match answered {
+        Ok(message) => Response::new(Full::new(message)),
+        Err(e) => {
+            warn!("event=message-refused path={path} error={e:?}");
+            refused()
+        }
+    })
+}
+
+fn refused() -> Response<Full<Bytes>> {
+    Response::new(Full::new(encode(&not_run(NotRun::Malformed), &[])))
+}
+
+async fn run(cx: &Rc<Cx>, forward: &Forward, body: Bytes) -> Bytes {
     cx.heard_version(forward.version);
-    let (outcome, body) = backend::run(&cx, &forward, body).await;
-    Ok(Response::new(Full::new(encode(&outcome, &body))))
+    let (outcome, body) = backend::run(cx, forward, body).await;
+    encode(&outcome, &body)
 }
 
 fn bear_witness(cx: &Cx, ask: &Ask) -> Word {
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::state::Cx;
+use crate::state::{ConfigRow, Cx};
 use crate::tell::{COME_BACK_MS, come_back, tell};
 use crate::wire::{End, Forward, NotRun, Outcome};
 use crate::{backend, hop};
@@ -141,7 +141,7 @@
         return refusal(Refusal::NotRun(come_back(COME_BACK_MS)), Some(&id));
     }
     let config = cx.state.borrow().config.clone();
-    let Some((_, config)) = config else {
+    let Some(ConfigRow { config, .. }) = config else {
         info!("event=refused id={id} why=no-configuration");
         return refusal(Refusal::NotRun(come_back(COME_BACK_MS)), Some(&id));
     };
@@ -284,9 +284,6 @@
                     last = Failure::NotRun { why: *why, after_ms };
                 }
                 refusals += 1;
-                if *why == NotRun::NotOwner {
-                    cx.turned_away.notify_one();
-                }
                 if call.key.is_some() {
                     let part = match why {
                         NotRun::NoRoom | NotRun::Late | NotRun::Malformed => return Err(last),
@@ -315,7 +312,7 @@
         return false;
     }
     let mut state = cx.state.borrow_mut();
-    let processes = state.hosts.len();
+    let processes = state.hosts.iter().count();
     let granted = state.budget(&call.service, &cx.settings).take(processes, now);
     if !granted {
         info!("event=no-repeat id={} service={} why=budget", call.id, call.service);
@@ -413,6 +410,6 @@
 
 fn is_far(cx: &Cx, host: HostAddr) -> bool {
     let state = cx.state.borrow();
-    let at = state.hosts.binary_search_by_key(&host, |(h, _)| *h);
-    at.is_ok_and(|i| cx.settings.distance(&state.hosts[i].1.zone) == mesh::Distance::Far)
+    let row = state.hosts.get(host);
+    row.is_some_and(|row| cx.settings.distance(&row.zone) == mesh::Distance::Far)
 }
--- /dev/null
+++ b/crates/sidecar/src/keep.rs
@@ -0,0 +1,118 @@
+//! The keys of this host: what the keeper asks witnesses and writes to the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{info, warn};
+use mesh::{Word, Written};
+use model::HostAddr;
+use tokio::time::{sleep, timeout};
+
+use crate::dependency::Dependency;
+use crate::hop;
+use crate::state::Cx;
+
+/// The keeper is asked at least this often what is due.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// A failed question is asked again after this.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// A witness that doesn't answer within this counts as silent.
+const ANSWER: Duration = Duration::from_millis(400);
+
+/// Asks witnesses whatever the keeper wants to know, apart from its calls to the store.
+pub async fn ask_witnesses(cx: Rc<Cx>) {
+    loop {
+        sleep(LOOK).await;
+        let now = cx.now();
+        let asks = cx.state.borrow_mut().keeper.asks(now);
+        for (host, ask) in asks {
+            let cx = cx.clone();
+            actix_rt::spawn(async move {
+                let asked = hop::ask::<Word>(&cx, host, hop::WITNESS, &ask, ANSWER);
+                let Some(word) = asked.await else { return };
+                let question = ask.question;
+                let holder = ask.holder;
+                info!(
+                    "event=told witness={host} question={question:?} holder={holder} word={word:?}"
+                );
+                cx.state.borrow_mut().keeper.told(&ask, word, now, cx.now());
+                cx.due.notify_one();
+            });
+        }
+    }
+}
+
+/// Keeps the lease and the keys of this host, if its service has keys, until the process ends.
+pub async fn keep(cx: Rc<Cx>) {
+    let mut dependency = Dependency::new("store-keys");
+    loop {
+        // Either way the next look decides.
+        let _ = timeout(LOOK, cx.due.notified()).await;
+        if !cx.owns_keys() {
+            continue;
+        }
+        let service = cx.settings.service.clone();
+        let now = cx.now();
+        if cx.state.borrow().keeper.wants_watch(now) {
+            match cx.store.leases(&service).await {
+                Ok(rows) => {
+                    dependency.answered();
+                    cx.state.borrow_mut().keeper.learn_leases(rows, cx.now());
+                }
+                Err(e) => {
+                    dependency.failed(&e);
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+        write_due(&cx, &mut dependency).await;
+    }
+}
+
+async fn write_due(cx: &Rc<Cx>, dependency: &mut Dependency) {
+    let todo = {
+        let mut state = cx.state.borrow_mut();
+        let now = cx.now();
+        let state = &mut *state;
+        state.demand.fade(now);
+        let run_s = state.queue.mean_run().0 as f64 / 1_000.0;
+        let load = (state.demand.per_second() * run_s * 100.0) as u32;
+        let room = state.queue.slots() as u32 * 100;
+        state.keeper.learn_load(load, room);
+        let lost: Vec<HostAddr> = state.unreachable.iter().map(|(host, _)| *host).collect();
+        let shed = state.keeper.shed(&state.demand, &lost, now);
+        if shed > 0 {
+            info!("event=shed pieces={shed} load={load} room={room}");
+        }
+        state.keeper.todo(now)
+    };
+    let Some(todo) = todo else { return };
+    let (written, error) = cx.store.write(&cx.settings.service, &todo).await;
+    match &error {
+        Some(e) => dependency.failed(e),
+        None => dependency.answered(),
+    }
+    let why = todo.why;
+    match &written {
+        Written::Done(version) if why == "renew" => log::debug!("event=renewed version={version}"),
+        Written::Done(version) => info!("event=row-written why={why} version={version}"),
+        Written::Conflict(_) => info!("event=row-conflict why={why} expected={:?}", todo.expect),
+        Written::NotMade => info!("event=row-refused why={why} error={error:?}"),
+        Written::Unknown => info!("event=row-unknown why={why} error={error:?}"),
+    }
+    let mut state = cx.state.borrow_mut();
+    let had = state.keeper.lease_until();
+    state.keeper.written(written, cx.now());
+    match (had, state.keeper.lease_until()) {
+        (None, Some(until)) => info!("event=lease-gained until={until}"),
+        (Some(until), None) => warn!("event=lease-lost until={until}"),
+        _ => {}
+    }
+    if let Some((version, map)) = state.keeper.map().cloned() {
+        state.learn_map(&cx.settings.service, version, Rc::new(map));
+    }
+    drop(state);
+    cx.changed.notify_waiters();
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -4,11 +4,14 @@
 //! `adapter`. Each listener and each follower of the store is a task of its own.
 
 mod backend;
+mod dependency;
 mod edges;
 mod follow;
 mod hop;
 mod ingress;
+mod keep;
 mod log_out;
+mod news;
 mod settings;
 mod start;
 mod state;
--- /dev/null
+++ b/crates/sidecar/src/news.rs
@@ -0,0 +1,154 @@
+//! News of the store that go from host to host.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::{info, warn};
+use mesh::{Changes, HostNews, KeyMap, Source};
+use model::{HostAddr, Millis, RowVersion, ServiceName};
+use tokio::time::{sleep, timeout};
+
+use crate::follow::{learn_config, learn_hosts, learn_map};
+use crate::hop;
+use crate::state::Cx;
+use crate::wire::{HostNewsWire, NewsAsk, NewsReply};
+
+/// A question waits this long for news.
+const HOLD: Millis = Millis(1_000);
+
+/// An answer is worth sending if it makes what the asker knows younger by this.
+const YOUNGER: Millis = Millis(300);
+
+/// A question without an answer after this has failed.
+const ANSWER: Duration = Duration::from_millis(1_400);
+
+/// A process that asks nobody looks this often whether it should.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// News that come one after the other are told together.
+const GATHER: Duration = Duration::from_millis(30);
+
+/// The longest document of the operator, in bytes.
+const MAX_DOCUMENT: u64 = 64 << 20;
+
+/// Asks other hosts for news while the store is not to be asked, until the process ends.
+pub async fn follow(cx: Rc<Cx>) {
+    let mut before = None;
+    loop {
+        let zone = cx.zone_hosts();
+        let now = cx.now();
+        let (source, age) = {
+            let relays = &cx.state.borrow().relays;
+            (relays.source(&zone, now), relays.age(now))
+        };
+        if before != Some(source) {
+            info!("event=news-source source={source:?} zone_hosts={} age={age:?}", zone.len());
+            before = Some(source);
+        }
+        match source {
+            Source::Store => sleep(LOOK).await,
+            Source::Host(host) => {
+                ask(&cx, host).await;
+                sleep(GATHER).await;
+            }
+        }
+    }
+}
+
+async fn ask(cx: &Rc<Cx>, host: HostAddr) {
+    let asked_at = cx.now();
+    let question = {
+        let state = cx.state.borrow();
+        NewsAsk {
+            config_row: state.config.as_ref().map_or(0, |c| c.row.0),
+            position: state.hosts.position().0,
+            age_ms: state.relays.age(asked_at).map(|age| age.0),
+        }
+    };
+    let reply: Option<NewsReply> = hop::ask(cx, host, hop::NEWS, &question, ANSWER).await;
+    let now = cx.now();
+    let Some(reply) = reply else {
+        info!("event=news-failed host={host} age={:?}", question.age_ms);
+        return cx.state.borrow_mut().relays.pass_over(host, now);
+    };
+    if let Some(age) = reply.age_ms {
+        // The way here is not counted, so the contact was not before this.
+        let at = (asked_at + Millis(reply.held_ms)).since(Millis(age));
+        cx.state.borrow_mut().relays.contact(at);
+    }
+    if let Err(why) = take_in(cx, reply) {
+        warn!("event=news-refused host={host} why={why:?}");
+        return cx.state.borrow_mut().relays.pass_over(host, now);
+    }
+    let mut state = cx.state.borrow_mut();
+    if state.relays.is_old(now) {
+        info!("event=news-old host={host} age={:?}", state.relays.age(now));
+        state.relays.pass_over(host, now);
+    }
+    drop(state);
+    cx.changed.notify_waiters();
+    cx.due.notify_one();
+}
+
+fn take_in(cx: &Rc<Cx>, reply: NewsReply) -> Result<(), String> {
+    if let Some((row, packed)) = reply.config {
+        let document = mesh::unpack(&packed, MAX_DOCUMENT).map_err(|e| e.to_string())?;
+        learn_config(cx, RowVersion(row), Bytes::from(document));
+    }
+    for (service, version, bytes) in reply.maps {
+        let service = ServiceName::new(&service).map_err(|e| e.to_string())?;
+        let map = KeyMap::decode(&bytes).map_err(|e| e.to_string())?;
+        learn_map(cx, &service, RowVersion(version), map);
+    }
+    let rows: Result<Vec<_>, _> = reply.hosts.into_iter().map(HostNews::try_from).collect();
+    let mut rows = rows.map_err(|e| e.to_string())?;
+    rows.sort_by_key(|(host, ..)| *host);
+    // Last, as it moves the position up to which everything is known.
+    learn_hosts(cx, Changes { whole: reply.whole, position: RowVersion(reply.position), rows });
+    cx.state.borrow_mut().keeper.map_read();
+    Ok(())
+}
+
+/// Answers another host once there is something to tell it.
+pub async fn answer(cx: &Cx, ask: &NewsAsk) -> NewsReply {
+    let came = cx.now();
+    loop {
+        let changed = cx.changed.notified();
+        let held = cx.now().since(came);
+        if held >= HOLD || has_news(cx, ask, held) {
+            return reply(cx, ask, held);
+        }
+        // Either way the next look decides.
+        let _ = timeout(Duration::from(HOLD.since(held)), changed).await;
+    }
+}
+
+fn has_news(cx: &Cx, ask: &NewsAsk, held: Millis) -> bool {
+    let state = cx.state.borrow();
+    let row = state.config.as_ref().map_or(0, |c| c.row.0);
+    let younger = match (state.relays.age(cx.now()), ask.age_ms) {
+        (Some(age), Some(known)) => age + YOUNGER <= Millis(known) + held,
+        (age, _) => age.is_some(),
+    };
+    row > ask.config_row || state.hosts.position() > RowVersion(ask.position) || younger
+}
+
+fn reply(cx: &Cx, ask: &NewsAsk, held: Millis) -> NewsReply {
+    let state = cx.state.borrow();
+    let position = RowVersion(ask.position);
+    let Changes { whole, position: told, rows } = state.hosts.after(position);
+    let config = state.config.as_ref().filter(|c| c.row.0 > ask.config_row);
+    let maps = state.maps.iter().filter(|m| whole || m.version > position);
+    NewsReply {
+        held_ms: held.0,
+        age_ms: state.relays.age(cx.now()).map(|age| age.0),
+        config: config.map(|c| (c.row.0, c.packed().to_vec())),
+        position: told.0,
+        whole,
+        hosts: rows.into_iter().map(HostNewsWire::from).collect(),
+        maps: maps
+            .map(|m| (m.service.as_str().to_owned(), m.version.0, m.bytes().to_vec()))
+            .collect(),
+    }
+}
--- a/crates/sidecar/src/start.rs
+++ b/crates/sidecar/src/start.rs
@@ -13,7 +13,7 @@
 
 use crate::settings::{Settings, SettingsError};
 use crate::state::Cx;
-use crate::{edges, follow, hop};
+use crate::{edges, follow, hop, keep, news};
 
 /// The platform asks each second and gives a process no new work after two misses; requests that
 /// come until then are still served.
@@ -88,9 +88,10 @@
     actix_rt::spawn(hop::listen(cx.clone(), hosts));
     actix_rt::spawn(follow::config(cx.clone()));
     actix_rt::spawn(follow::fleet(cx.clone()));
+    actix_rt::spawn(news::follow(cx.clone()));
     actix_rt::spawn(follow::announce(cx.clone()));
-    actix_rt::spawn(follow::keep(cx.clone()));
-    actix_rt::spawn(follow::ask_witnesses(cx.clone()));
+    actix_rt::spawn(keep::keep(cx.clone()));
+    actix_rt::spawn(keep::ask_witnesses(cx.clone()));
     loop {
         tokio::select! {
             _ = term.recv() => break,
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -1,12 +1,13 @@
 //! What the parts of the process share. It runs on one thread.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 
 use adapter::HostRow;
+use bytes::Bytes;
 use mesh::{
-    Budget, Config, Demand, Distance, Keeper, KeeperTimes, KeyMap, LoadReport, Peers, Queue,
-    QueueLimits, Service, Witness,
+    Budget, Config, Demand, Directory, Distance, Keeper, KeeperTimes, KeyMap, LoadReport, Peers,
+    Queue, QueueLimits, Relays, Service, Witness,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
@@ -16,14 +17,18 @@
 
 /// What one process knows.
 pub struct State {
-    /// The configuration in force with the version of its row.
-    pub config: Option<(RowVersion, Rc<Config>)>,
-    /// All hosts, sorted by address.
-    pub hosts: Vec<(HostAddr, HostRow)>,
+    /// The configuration in force.
+    pub config: Option<ConfigRow>,
+    /// All hosts.
+    pub hosts: Directory<HostRow>,
+    /// Whom this process asks what changes in the store.
+    pub relays: Relays,
     /// The hosts of each service, sorted by service.
     pub peers: Vec<(ServiceName, Peers)>,
+    /// When this process itself read the store.
+    pub contacts: Contacts,
     /// The key maps, sorted by service.
-    pub maps: Vec<(ServiceName, RowVersion, Rc<KeyMap>)>,
+    pub maps: Vec<MapRow>,
     /// The budget of repeats of each service, sorted by service.
     pub budgets: Vec<(ServiceName, Budget)>,
     /// The queue of the own backend server.
@@ -44,6 +49,56 @@
     pub unreachable: Vec<(HostAddr, Millis)>,
 }
 
+/// The key map of a service.
+pub struct MapRow {
+    /// The service.
+    pub service: ServiceName,
+    /// The version of the row.
+    pub version: RowVersion,
+    /// The map.
+    pub map: Rc<KeyMap>,
+    bytes: OnceCell<Bytes>,
+}
+
+impl MapRow {
+    /// Returns the map as other hosts are told it.
+    pub fn bytes(&self) -> &Bytes {
+        self.bytes.get_or_init(|| Bytes::from(self.map.encode()))
+    }
+}
+
+/// The configuration in force.
+#[derive(Clone)]
+pub struct ConfigRow {
+    /// The version of the row.
+    pub row: RowVersion,
+    /// What it says.
+    pub config: Rc<Config>,
+    document: Bytes,
+    packed: Rc<OnceCell<Bytes>>,
+}
+
+impl ConfigRow {
+    /// Makes the row of a document that was read.
+    pub fn new(row: RowVersion, config: Config, document: Bytes) -> Self {
+        Self { row, config: Rc::new(config), document, packed: Rc::default() }
+    }
+
+    /// Returns the document as other hosts are told it.
+    pub fn packed(&self) -> &Bytes {
+        self.packed.get_or_init(|| Bytes::from(mesh::pack(&self.document)))
+    }
+}
+
+/// When the store was read last.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Contacts {
+    /// The configuration.
+    pub config: Option<Millis>,
+    /// The hosts and key maps.
+    pub fleet: Option<Millis>,
+}
+
 /// Whether a waiting request starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Start {
@@ -75,8 +130,8 @@
     pub changed: Notify,
     /// Tells that another host has a newer configuration.
     pub newer: Notify,
-    /// Tells that a host does not own the keys that it is thought to own.
-    pub turned_away: Notify,
+    /// The highest version of the configuration that another host has.
+    pub hinted: Cell<u64>,
     /// Tells the keeper's loop that something may be due.
     pub due: Notify,
     /// Tells connections to close after the answer under way.
@@ -100,7 +155,9 @@
         let times = times.hold(times.hold.min(Millis(settings.hold_max_ms)));
         let state = State {
             config: None,
-            hosts: Vec::new(),
+            hosts: Directory::default(),
+            relays: Relays::new(me),
+            contacts: Contacts::default(),
             peers: Vec::new(),
             maps: Vec::new(),
             budgets: Vec::new(),
@@ -124,7 +181,7 @@
             process,
             changed: Notify::new(),
             newer: Notify::new(),
-            turned_away: Notify::new(),
+            hinted: Cell::new(0),
             due: Notify::new(),
             stop: Notify::new(),
             stopping: Cell::new(false),
@@ -142,7 +199,7 @@
 
     /// Returns the version of the configuration in force, or 0.
     pub fn version(&self) -> u64 {
-        self.state.borrow().config.as_ref().map_or(0, |(_, c)| c.version.0)
+        self.state.borrow().config.as_ref().map_or(0, |c| c.config.version.0)
     }
 
     /// Tells whether the backend server of this host owns keys.
@@ -157,13 +214,44 @@
 
     fn own_service(&self) -> Option<Service> {
         let state = self.state.borrow();
-        let (_, config) = state.config.as_ref()?;
-        config.service(&self.settings.service).cloned()
+        state.config.as_ref()?.config.service(&self.settings.service).cloned()
+    }
+
+    /// Returns the hosts of the own zone, sorted.
+    pub fn zone_hosts(&self) -> Vec<HostAddr> {
+        let state = self.state.borrow();
+        let near = state.hosts.iter().filter(|(_, row)| row.zone == self.settings.zone);
+        near.map(|(host, _)| host).collect()
+    }
+
+    /// Tells whether this process has to read the store for itself.
+    pub fn reads_store(&self) -> bool {
+        let zone = self.zone_hosts();
+        self.state.borrow().relays.reads_store(&zone, self.now())
+    }
+
+    /// Tells whether it was heard lately what the store holds, directly or through others.
+    pub fn is_fresh(&self) -> bool {
+        !self.state.borrow().relays.is_old(self.now())
+    }
+
+    /// Takes in that this process read a part of the store.
+    pub fn read_at(&self, note: impl FnOnce(&mut Contacts, Millis)) {
+        let mut state = self.state.borrow_mut();
+        note(&mut state.contacts, self.now());
+        let Contacts { config, fleet } = state.contacts;
+        // All that is known is as old as the part that was read first.
+        if let (Some(config), Some(fleet)) = (config, fleet) {
+            state.relays.contact(config.min(fleet));
+        }
+        drop(state);
+        self.changed.notify_waiters();
     }
 
     /// Takes in the version of the configuration that another host has.
     pub fn heard_version(&self, version: u64) {
         if version > self.version() {
+            self.hinted.set(self.hinted.get().max(version));
             self.newer.notify_one();
         }
     }
@@ -198,56 +286,38 @@
 }
 
 impl State {
-    /// Takes in what a host says of itself.
-    pub fn learn_host(&mut self, host: HostAddr, row: HostRow, distance: Distance) {
-        self.forget_host_unless(host, &row.service);
-        peers_mut(&mut self.peers, &row.service).add(host, distance);
-        match self.hosts.binary_search_by_key(&host, |(h, _)| *h) {
-            Ok(i) => self.hosts[i].1 = row,
-            Err(i) => self.hosts.insert(i, (host, row)),
+    /// Follows a change of the row of a host.
+    pub fn host_changed(&mut self, host: HostAddr, distance: impl Fn(&HostRow) -> Distance) {
+        let row = self.hosts.get(host).cloned();
+        let service = row.as_ref().map(|r| &r.service);
+        let others = self.peers.iter_mut().filter(|(s, _)| Some(s) != service);
+        others.for_each(|(_, peers)| peers.remove(host));
+        if let Some(row) = row {
+            peers_mut(&mut self.peers, &row.service).add(host, distance(&row));
         }
     }
 
-    /// Forgets a host.
-    pub fn forget_host(&mut self, host: HostAddr) {
-        if let Ok(i) = self.hosts.binary_search_by_key(&host, |(h, _)| *h) {
-            let (_, row) = self.hosts.remove(i);
-            peers_mut(&mut self.peers, &row.service).remove(host);
+    /// Takes in a key map. Returns false if it is not newer than the known one.
+    pub fn learn_map(
+        &mut self,
+        service: &ServiceName,
+        version: RowVersion,
+        map: Rc<KeyMap>,
+    ) -> bool {
+        let at = self.maps.binary_search_by(|m| m.service.cmp(service));
+        let row = MapRow { service: service.clone(), version, map, bytes: OnceCell::new() };
+        match at {
+            Ok(i) if self.maps[i].version >= version => return false,
+            Ok(i) => self.maps[i] = row,
+            Err(i) => self.maps.insert(i, row),
         }
-    }
-
-    fn forget_host_unless(&mut self, host: HostAddr, service: &ServiceName) {
-        let Ok(i) = self.hosts.binary_search_by_key(&host, |(h, _)| *h) else { return };
-        if self.hosts[i].1.service != *service {
-            self.forget_host(host);
-        }
-    }
-
-    /// Takes in a key map; an older one is ignored.
-    pub fn learn_map(&mut self, service: &ServiceName, version: RowVersion, map: Rc<KeyMap>) {
-        match self.maps.binary_search_by(|(s, ..)| s.cmp(service)) {
-            Ok(i) if self.maps[i].1 >= version => {}
-            Ok(i) => self.maps[i] = (service.clone(), version, map),
-            Err(i) => self.maps.insert(i, (service.clone(), version, map)),
-        }
-    }
-
-    /// Tells whether a host's row is known as it is.
-    pub fn knows_host(&self, host: HostAddr, row: &HostRow) -> bool {
-        let at = self.hosts.binary_search_by_key(&host, |(h, _)| *h);
-        at.is_ok_and(|i| self.hosts[i].1 == *row)
-    }
-
-    /// Tells whether this version of a key map or a newer one is known.
-    pub fn knows_map(&self, service: &ServiceName, version: RowVersion) -> bool {
-        let at = self.maps.binary_search_by(|(s, ..)| s.cmp(service));
-        at.is_ok_and(|i| self.maps[i].1 >= version)
+        true
     }
 
     /// Returns the key map of a service.
     pub fn map(&self, service: &ServiceName) -> Option<&Rc<KeyMap>> {
-        let at = self.maps.binary_search_by(|(s, ..)| s.cmp(service)).ok()?;
-        Some(&self.maps[at].2)
+        let at = self.maps.binary_search_by(|m| m.service.cmp(service)).ok()?;
+        Some(&self.maps[at].map)
     }
 
     /// Returns the hosts of a service.
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -1,8 +1,10 @@
 //! What hosts say to each other about a request: a head in bincode, then the raw body.
 
+use adapter::HostRow;
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use mesh::LoadReport;
+use mesh::{HostNews, LoadReport};
+use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName};
 use snafu::{ResultExt, Snafu};
 
 /// The longest head. Headers of a request are bounded by 16 KiB or what the operator says.
@@ -101,6 +103,84 @@
     pub arrived: bool,
 }
 
+/// A question for what changed in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct NewsAsk {
+    /// The version of the row of the configuration that the asker knows, or 0.
+    pub config_row: u64,
+    /// The asker knows all changes of hosts and key maps up to this version, or none if 0.
+    pub position: u64,
+    /// How long ago the asker was in contact with the store, in milliseconds.
+    pub age_ms: Option<u64>,
+}
+
+/// What changed in the store since the position of a [`NewsAsk`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct NewsReply {
+    /// How long the question waited for news, in milliseconds.
+    pub held_ms: u64,
+    /// How long ago the host was in contact with the store, in milliseconds.
+    pub age_ms: Option<u64>,
+    /// The version of the row of the configuration, and the document, packed.
+    pub config: Option<(u64, Vec<u8>)>,
+    /// All changes of hosts and key maps up to this version are told.
+    pub position: u64,
+    /// Whether `hosts` are all there are.
+    pub whole: bool,
+    /// Rows of hosts.
+    pub hosts: Vec<HostNewsWire>,
+    /// Key maps: the service, the version of the row, and the row.
+    pub maps: Vec<(String, u64, Vec<u8>)>,
+}
+
+/// A row of a host.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HostNewsWire {
+    /// The host.
+    pub host: std::net::SocketAddr,
+    /// The version of the row.
+    pub version: u64,
+    /// What it says, or nothing if it is gone.
+    pub row: Option<HostRowWire>,
+}
+
+/// What a host says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HostRowWire {
+    /// Its name, for people.
+    pub name: String,
+    /// The service of its backend server.
+    pub service: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Drawn at the start of its process.
+    pub process: u64,
+}
+
+impl From<HostNews<HostRow>> for HostNewsWire {
+    fn from((host, version, row): HostNews<HostRow>) -> Self {
+        let row = row.map(|r| HostRowWire {
+            name: r.name,
+            service: r.service.as_str().to_owned(),
+            zone: r.zone.as_str().to_owned(),
+            process: r.process,
+        });
+        Self { host: host.0, version: version.0, row }
+    }
+}
+
+impl TryFrom<HostNewsWire> for HostNews<HostRow> {
+    type Error = NameError;
+
+    fn try_from(wire: HostNewsWire) -> Result<Self, NameError> {
+        let row = |r: HostRowWire| {
+            let (service, zone) = (ServiceName::new(&r.service)?, ZoneName::new(&r.zone)?);
+            Ok(HostRow { name: r.name, service, zone, process: r.process })
+        };
+        Ok((HostAddr(wire.host), RowVersion(wire.version), wire.row.map(row).transpose()?))
+    }
+}
+
 /// Why bytes are not a message.
 #[derive(Debug, Snafu)]
 pub enum WireError {
