--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -30,5 +30,5 @@
 pub use peers::{Distance, LoadReport, Peer, Peers, Sent};
 pub use plan::{Member, Piece, evict, first_map, rebalance, shed};
 pub use queue::{Job, Offer, Queue, QueueLimits, Ticket};
-pub use relays::{Relays, Source};
+pub use relays::{Neighbours, Relays, Source};
 pub use witness::{Ask, Question, Witness, Word};
--- a/crates/mesh/src/relays.rs
+++ b/crates/mesh/src/relays.rs
@@ -1,9 +1,10 @@
 //! From whom a process hears what changes in the store: the store, or a host of its zone.
 //!
 //! Answers fleets whose hosts would use up the rate of the store by asking it, and hosts that the
-//! store turns away. The first host of a zone reads the store; the others ask along a tree below
-//! it. Each answer says how long ago its sender was in contact with the store, so a process that
-//! hears nothing fresh reads for itself, whatever is wrong above it.
+//! store turns away. The first host of a region reads the store; the first host of each other zone
+//! asks it, and the others of a zone ask along a tree below their first. Each answer says how long
+//! ago its sender was in contact with the store, so a process that hears nothing fresh reads for
+//! itself, whatever is wrong above it.
 
 use model::{HostAddr, Millis, derive_common};
 
@@ -14,6 +15,16 @@
 /// of the configuration has to be in force everywhere within 2.5 s.
 const OLD: Millis = Millis(1_600);
 
+/// A process that usually hears from others reads the store if its contact is older than [`OLD`] by
+/// this: one of those that it may hear from has read the store by then.
+const LATER: Millis = Millis(500);
+
+/// A question waits at least this long for news.
+const LEAST_HOLD: Millis = Millis(100);
+
+/// A question waits at most this long for news.
+const MOST_HOLD: Millis = Millis(1_000);
+
 /// A host that had nothing fresh to say is passed over for this.
 const PASS_OVER: Millis = Millis(4_000);
 
@@ -28,6 +39,15 @@
     }
 }
 
+/// The hosts of the own region that matter for where news come from.
+#[derive(Clone, Debug, Default)]
+pub struct Neighbours {
+    /// The hosts of the own zone, sorted.
+    pub zone: Vec<HostAddr>,
+    /// The hosts of the zones of the region whose names come before the own one, by zone.
+    pub before: Vec<HostAddr>,
+}
+
 /// What one process knows about its sources of news.
 #[derive(Clone, Debug)]
 pub struct Relays {
@@ -38,24 +58,29 @@
 
 /// Queries.
 impl Relays {
-    /// Picks whom to ask. `zone` are the hosts of the own zone, sorted.
-    pub fn source(&self, zone: &[HostAddr], now: Millis) -> Source {
-        let usable = |h: &HostAddr| !self.is_passed_over(*h, now);
-        let above: Vec<HostAddr> =
-            zone.iter().copied().filter(|h| *h < self.me).filter(usable).collect();
-        match above.len().checked_sub(1) {
-            Some(last) => Source::Host(above[last / FANOUT]),
-            None if self.is_old(now) => {
-                let below = zone.iter().copied().filter(|h| *h > self.me).find(usable);
-                below.map_or(Source::Store, Source::Host)
-            }
-            None => Source::Store,
+    /// Picks whom to ask.
+    pub fn source(&self, near: &Neighbours, now: Millis) -> Source {
+        if let Some(host) = self.above(near, now) {
+            return Source::Host(host);
+        }
+        let other = near.zone.iter().copied().find(|h| *h > self.me && self.is_usable(*h, now));
+        match other {
+            Some(host) if self.is_old(now) => Source::Host(host),
+            Some(_) | None => Source::Store,
         }
     }
 
-    /// Tells whether the store is to be read. `zone` are the hosts of the own zone, sorted.
-    pub fn reads_store(&self, zone: &[HostAddr], now: Millis) -> bool {
-        self.is_old(now) || self.source(zone, now) == Source::Store
+    /// Tells whether the store is to be read.
+    pub fn reads_store(&self, near: &Neighbours, now: Millis) -> bool {
+        if self.above(near, now).is_none() {
+            return true;
+        }
+        self.age(now).is_none_or(|age| age > OLD + LATER)
+    }
+
+    /// Returns how long a question may wait for news: until the contact becomes old.
+    pub fn hold(&self, now: Millis) -> Millis {
+        self.age(now).map_or(LEAST_HOLD, |age| OLD.since(age).max(LEAST_HOLD).min(MOST_HOLD))
     }
 
     /// Tells whether nothing was heard of the store, directly or through others, for too long.
@@ -68,8 +93,19 @@
         self.contact.map(|at| now.since(at))
     }
 
-    fn is_passed_over(&self, host: HostAddr, now: Millis) -> bool {
-        self.passed_over.iter().any(|(h, until)| *h == host && now < *until)
+    /// Returns the host that this process usually asks.
+    fn above(&self, near: &Neighbours, now: Millis) -> Option<HostAddr> {
+        let usable = |h: &HostAddr| self.is_usable(*h, now);
+        let in_zone = near.zone.iter().copied().filter(|h| *h < self.me).filter(usable);
+        let in_zone: Vec<HostAddr> = in_zone.collect();
+        match in_zone.len().checked_sub(1) {
+            Some(last) => Some(in_zone[last / FANOUT]),
+            None => near.before.iter().copied().find(usable),
+        }
+    }
+
+    fn is_usable(&self, host: HostAddr, now: Millis) -> bool {
+        !self.passed_over.iter().any(|(h, until)| *h == host && now < *until)
     }
 }
 
--- a/crates/mesh/tests/news.rs
+++ b/crates/mesh/tests/news.rs
@@ -1,6 +1,6 @@
 //! News of the fleet that go from process to process, and whom a process asks for them.
 
-use mesh::{Changes, Directory, HostNews, Relays, Source};
+use mesh::{Changes, Directory, HostNews, Neighbours, Relays, Source};
 use model::{HostAddr, Millis, RowVersion};
 use quickcheck::quickcheck;
 
@@ -91,47 +91,86 @@
     assert_eq!(rows(&asker), vec![(host(2), 1)]);
 }
 
+fn zone(hosts: Vec<HostAddr>) -> Neighbours {
+    Neighbours { zone: hosts, before: Vec::new() }
+}
+
 #[test]
-fn one_host_of_a_zone_reads_the_store_and_the_others_ask_along_a_tree() {
-    let check = |me: u8, zone: Vec<HostAddr>, expected: Source| {
+fn one_host_of_a_region_reads_the_store_and_the_others_ask_along_a_tree() {
+    let check = |me: u8, zone: Vec<HostAddr>, before: Vec<HostAddr>, expected: Source| {
         let mut relays = Relays::new(host(me));
         relays.contact(Millis(1_000));
-        assert_eq!(relays.source(&zone, Millis(1_500)), expected, "{me}");
+        let near = Neighbours { zone, before };
+        assert_eq!(relays.source(&near, Millis(1_500)), expected, "{me}");
+        let reads = relays.reads_store(&near, Millis(1_500));
+        assert_eq!(reads, expected == Source::Store, "{me}");
     };
 
-    check(1, hosts(1..=90), Source::Store);
-    check(2, hosts(1..=90), Source::Host(host(1)));
-    check(33, hosts(1..=90), Source::Host(host(1)));
-    check(34, hosts(1..=90), Source::Host(host(2)));
-    check(90, hosts(1..=90), Source::Host(host(3)));
-    check(5, vec![], Source::Store);
-    check(5, hosts(6..=9), Source::Store);
+    check(1, hosts(1..=90), vec![], Source::Store);
+    check(2, hosts(1..=90), vec![], Source::Host(host(1)));
+    check(33, hosts(1..=90), vec![], Source::Host(host(1)));
+    check(34, hosts(1..=90), vec![], Source::Host(host(2)));
+    check(90, hosts(1..=90), vec![], Source::Host(host(3)));
+    check(5, vec![], vec![], Source::Store);
+    check(5, hosts(6..=9), vec![], Source::Store);
+    check(1, hosts(1..=3), hosts(7..=9), Source::Host(host(7)));
+    check(2, hosts(1..=3), hosts(7..=9), Source::Host(host(1)));
 }
 
 #[test]
 fn a_process_without_fresh_news_reads_for_itself() {
-    let zone = hosts(1..=3);
+    let near = zone(hosts(1..=3));
     let mut relays = Relays::new(host(3));
-    assert!(relays.reads_store(&zone, Millis(0)));
+    assert!(relays.reads_store(&near, Millis(0)));
 
     relays.contact(Millis(1_000));
-    assert!(!relays.reads_store(&zone, Millis(2_500)));
-    assert!(relays.reads_store(&zone, Millis(2_700)));
-
-    relays.pass_over(host(1), Millis(2_700));
-    assert_eq!(relays.source(&zone, Millis(2_700)), Source::Host(host(2)));
-    relays.pass_over(host(2), Millis(2_800));
-    assert_eq!(relays.source(&zone, Millis(2_800)), Source::Store);
-    assert_eq!(relays.source(&zone, Millis(6_750)), Source::Host(host(1)));
+    assert!(!relays.reads_store(&near, Millis(3_000)));
+    assert!(relays.reads_store(&near, Millis(3_200)));
+
+    relays.pass_over(host(1), Millis(3_200));
+    assert_eq!(relays.source(&near, Millis(3_200)), Source::Host(host(2)));
+    relays.pass_over(host(2), Millis(3_300));
+    assert_eq!(relays.source(&near, Millis(3_300)), Source::Store);
+    assert_eq!(relays.source(&near, Millis(7_250)), Source::Host(host(1)));
+}
+
+#[test]
+fn the_next_host_reads_the_store_before_all_others_do() {
+    let near = zone(hosts(1..=4));
+    let reads_at = |me: u8| {
+        let mut relays = Relays::new(host(me));
+        relays.contact(Millis(1_000));
+        // The first host of the zone is found to have nothing fresh.
+        relays.pass_over(host(1), Millis(2_610));
+        (2_620..4_000).find(|now| relays.reads_store(&near, Millis(*now)))
+    };
+
+    assert_eq!(reads_at(2), Some(2_620));
+    assert_eq!(reads_at(3), Some(3_101));
+    assert_eq!(reads_at(4), Some(3_101));
 }
 
 #[test]
 fn the_first_host_asks_another_while_the_store_turns_it_away() {
-    let zone = hosts(1..=3);
+    let near = zone(hosts(1..=3));
     let mut relays = Relays::new(host(1));
     relays.contact(Millis(1_000));
 
-    assert_eq!(relays.source(&zone, Millis(2_000)), Source::Store);
-    assert_eq!(relays.source(&zone, Millis(3_000)), Source::Host(host(2)));
-    assert!(relays.reads_store(&zone, Millis(3_000)));
+    assert_eq!(relays.source(&near, Millis(2_000)), Source::Store);
+    assert_eq!(relays.source(&near, Millis(3_000)), Source::Host(host(2)));
+    assert!(relays.reads_store(&near, Millis(3_000)));
+}
+
+#[test]
+fn a_question_is_answered_before_what_is_known_gets_old() {
+    let check = |contact: Option<u64>, now: u64, expected: u64| {
+        let mut relays = Relays::new(host(1));
+        contact.into_iter().for_each(|at| relays.contact(Millis(at)));
+        assert_eq!(relays.hold(Millis(now)), Millis(expected), "{contact:?} {now}");
+    };
+
+    check(None, 5_000, 100);
+    check(Some(5_000), 5_010, 1_000);
+    check(Some(5_000), 6_000, 600);
+    check(Some(5_000), 9_000, 100);
 }
--- a/crates/sidecar/src/dependency.rs
+++ b/crates/sidecar/src/dependency.rs
@@ -2,7 +2,7 @@
 
 use adapter::StoreError;
 use log::{info, warn};
-use model::{Millis, RowVersion};
+use model::Millis;
 
 /// A question for changes waits this long. A connection that went silent shows a second after it,
 /// and hosts that hear of changes from this one have to know soon that it is cut off.
@@ -37,20 +37,15 @@
         now < self.doubt_until
     }
 
-    /// Tells where to go on after an error: from the start if the history is gone.
-    pub fn resume_from(
-        &mut self,
-        error: &StoreError,
-        known: Option<RowVersion>,
-        now: Millis,
-    ) -> Option<RowVersion> {
+    /// Takes in an error. Returns true if only the history is gone, so that rows have to be read.
+    pub fn lost_history(&mut self, error: &StoreError, now: Millis) -> bool {
         if matches!(error, StoreError::HistoryGone) {
-            info!("event=history-gone name={} version={known:?}", self.name);
+            info!("event=history-gone name={}", self.name);
             self.doubt_until = now + DOUBT;
-            return None;
+            return true;
         }
         self.failed(error);
-        known
+        false
     }
 
     /// Takes in an error.
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -18,7 +18,7 @@
 use crate::state::{ConfigRow, Cx};
 
 /// A failed question is asked again after this.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(100);
 
 /// The same at hosts that read the store only because nobody tells them anything, in
 /// milliseconds. There may be many of them.
@@ -83,8 +83,11 @@
                 }
             }
             Err(e) => {
-                known = dependency.resume_from(&e, known, cx.now());
-                pause(&cx).await;
+                if dependency.lost_history(&e, cx.now()) {
+                    known = None;
+                } else {
+                    pause(&cx).await;
+                }
             }
         }
     }
@@ -145,8 +148,11 @@
                 }
             }
             Err(e) => {
-                history_gone |= dependency.resume_from(&e, Some(position), cx.now()).is_none();
-                pause(&cx).await;
+                if dependency.lost_history(&e, cx.now()) {
+                    history_gone = true;
+                } else {
+                    pause(&cx).await;
+                }
             }
         }
     }
@@ -154,7 +160,8 @@
 
 /// Waits after a failure. Hosts that are not the first of their zone to ask wait longer.
 async fn pause(cx: &Cx) {
-    let source = cx.state.borrow().relays.source(&cx.zone_hosts(), cx.now());
+    let near = cx.neighbours();
+    let source = cx.state.borrow().relays.source(&near, cx.now());
     let fallback = source != Source::Store || cx.is_fresh();
     if fallback {
         sleep(Duration::from_millis(rand::random_range(FALLBACK_PAUSE_MS.0..FALLBACK_PAUSE_MS.1)))
--- a/crates/sidecar/src/news.rs
+++ b/crates/sidecar/src/news.rs
@@ -14,8 +14,8 @@
 use crate::state::Cx;
 use crate::wire::{HostNewsWire, NewsAsk, NewsReply};
 
-/// A question waits this long for news.
-const HOLD: Millis = Millis(1_000);
+/// A question of another host waits at most this long, whatever it asks for.
+const MOST_HOLD: Millis = Millis(2_000);
 
 /// An answer is worth sending if it makes what the asker knows younger by this.
 const YOUNGER: Millis = Millis(300);
@@ -36,14 +36,15 @@
 pub async fn follow(cx: Rc<Cx>) {
     let mut before = None;
     loop {
-        let zone = cx.zone_hosts();
+        let near = cx.neighbours();
         let now = cx.now();
         let (source, age) = {
             let relays = &cx.state.borrow().relays;
-            (relays.source(&zone, now), relays.age(now))
+            (relays.source(&near, now), relays.age(now))
         };
         if before != Some(source) {
-            info!("event=news-source source={source:?} zone_hosts={} age={age:?}", zone.len());
+            let hosts = near.zone.len();
+            info!("event=news-source source={source:?} zone_hosts={hosts} age={age:?}");
             before = Some(source);
         }
         match source {
@@ -64,6 +65,7 @@
             config_row: state.config.as_ref().map_or(0, |c| c.row.0),
             position: state.hosts.position().0,
             age_ms: state.relays.age(asked_at).map(|age| age.0),
+            hold_ms: state.relays.hold(asked_at).0,
         }
     };
     let reply: Option<NewsReply> = hop::ask(cx, host, hop::NEWS, &question, ANSWER).await;
@@ -113,14 +115,15 @@
 /// Answers another host once there is something to tell it.
 pub async fn answer(cx: &Cx, ask: &NewsAsk) -> NewsReply {
     let came = cx.now();
+    let hold = Millis(ask.hold_ms).min(MOST_HOLD);
     loop {
         let changed = cx.changed.notified();
         let held = cx.now().since(came);
-        if held >= HOLD || has_news(cx, ask, held) {
+        if held >= hold || has_news(cx, ask, held) {
             return reply(cx, ask, held);
         }
         // Either way the next look decides.
-        let _ = timeout(Duration::from(HOLD.since(held)), changed).await;
+        let _ = timeout(Duration::from(hold.since(held)), changed).await;
     }
 }
 
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -6,8 +6,8 @@
 use adapter::HostRow;
 use bytes::Bytes;
 use mesh::{
-    Budget, Config, Demand, Directory, Distance, Keeper, KeeperTimes, KeyMap, LoadReport, Peers,
-    Queue, QueueLimits, Relays, Service, Witness,
+    Budget, Config, Demand, Directory, Distance, Keeper, KeeperTimes, KeyMap, LoadReport,
+    Neighbours, Peers, Queue, QueueLimits, Relays, Service, Witness,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
@@ -217,17 +217,27 @@
         state.config.as_ref()?.config.service(&self.settings.service).cloned()
     }
 
-    /// Returns the hosts of the own zone, sorted.
-    pub fn zone_hosts(&self) -> Vec<HostAddr> {
+    /// Returns the hosts of the own region that matter for where news come from.
+    pub fn neighbours(&self) -> Neighbours {
         let state = self.state.borrow();
-        let near = state.hosts.iter().filter(|(_, row)| row.zone == self.settings.zone);
-        near.map(|(host, _)| host).collect()
+        let own = &self.settings.zone;
+        let mut zone = Vec::new();
+        let mut before = Vec::new();
+        for (host, row) in state.hosts.iter() {
+            if row.zone == *own {
+                zone.push(host);
+            } else if row.zone < *own && self.settings.distance(&row.zone) == Distance::Region {
+                before.push((&row.zone, host));
+            }
+        }
+        before.sort();
+        Neighbours { zone, before: before.into_iter().map(|(_, host)| host).collect() }
     }
 
     /// Tells whether this process has to read the store for itself.
     pub fn reads_store(&self) -> bool {
-        let zone = self.zone_hosts();
-        self.state.borrow().relays.reads_store(&zone, self.now())
+        let near = self.neighbours();
+        self.state.borrow().relays.reads_store(&near, self.now())
     }
 
     /// Tells whether it was heard lately what the store holds, directly or through others.
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -112,6 +112,8 @@
     pub position: u64,
     /// How long ago the asker was in contact with the store, in milliseconds.
     pub age_ms: Option<u64>,
+    /// How long the question may wait for news, in milliseconds.
+    pub hold_ms: u64,
 }
 
 /// What changed in the store since the position of a [`NewsAsk`].
