Turn waiting work away as soon as newer work leaves it no time

Cause: work that can't meet its target any more waits for work that can. Change: the queue looks at what waits in the order of service and turns away what would start too late; the caller is told that it did not run, and when room is expected.

--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -3,7 +3,8 @@
 //! Answers load above capacity. Only the process beside a backend server sends to it, so slots are
 //! counted exactly and a refusal is true: nothing was sent. Work that would end after its limit is
 //! turned away when it comes, not when it is late. What waits starts by priority and by the target
-//! that ends first; work that can't meet its target any more waits for work that can.
+//! that ends first; work that can't meet its target any more waits for work that can, and is turned
+//! away as soon as that leaves it no time.
 
 use model::{Millis, derive_common};
 
@@ -119,14 +120,18 @@
         if self.running.len() < self.slots && ahead == 0 {
             return Millis::ZERO;
         }
+        let queued: f64 = self.waiting[..ahead].iter().map(|w| self.expected(w.job.class)).sum();
+        Millis(((self.work_left(now) + queued).max(0.0) / self.slots.max(1) as f64) as u64)
+    }
+
+    /// Returns the run time that is left of what runs, less what free slots can do meanwhile.
+    fn work_left(&self, now: Millis) -> f64 {
         let left = |r: &Running| {
             let run = self.expected(r.class);
             (run - now.since(r.since).0 as f64).max(run * 0.25)
         };
         let running: f64 = self.running.iter().map(left).sum();
-        let queued: f64 = self.waiting[..ahead].iter().map(|w| self.expected(w.job.class)).sum();
-        let free = self.slots.saturating_sub(self.running.len()) as f64 * self.mean;
-        Millis(((running + queued - free).max(0.0) / self.slots.max(1) as f64) as u64)
+        running - self.slots.saturating_sub(self.running.len()) as f64 * self.mean
     }
 
     fn expected(&self, class: u64) -> f64 {
@@ -177,15 +182,14 @@
         Offer::Wait(ticket)
     }
 
-    /// Starts waiting jobs while slots are free. The second list names jobs that can no longer
-    /// end in time.
+    /// Starts waiting jobs while slots are free. The second list names jobs that are turned away,
+    /// as they can no longer end in time.
     pub fn next(&mut self, now: Millis) -> (Vec<Ticket>, Vec<Ticket>) {
-        let (mut started, mut late) = (Vec::new(), Vec::new());
+        let mut started = Vec::new();
+        let mut late = self.drop_hopeless(now);
         while self.running.len() < self.slots && !self.waiting.is_empty() {
             let w = self.waiting.remove(self.first_in_time(now));
-            // Half of the mean: many runs are shorter, and the limit still bounds the rest.
-            let least = Millis((self.expected(w.job.class) * 0.5) as u64);
-            if now + least > w.job.limit {
+            if self.ends_late(&w, Millis::ZERO, now) {
                 late.push(w.ticket);
                 continue;
             }
@@ -195,6 +199,25 @@
         (started, late)
     }
 
+    /// Removes the jobs that would start too late behind those that start before them.
+    fn drop_hopeless(&mut self, now: Millis) -> Vec<Ticket> {
+        let (first, last): (Vec<usize>, Vec<usize>) =
+            (0..self.waiting.len()).partition(|i| self.in_time(&self.waiting[*i], now));
+        let mut work = self.work_left(now);
+        let mut hopeless = Vec::new();
+        for i in first.into_iter().chain(last) {
+            let w = &self.waiting[i];
+            let wait = Millis((work.max(0.0) / self.slots.max(1) as f64) as u64);
+            if self.ends_late(w, wait, now) {
+                hopeless.push(w.ticket);
+            } else {
+                work += self.expected(w.job.class);
+            }
+        }
+        self.waiting.retain(|w| !hopeless.contains(&w.ticket));
+        hopeless
+    }
+
     /// Tells that a job ended with an answer.
     pub fn finished(&mut self, ticket: Ticket, now: Millis) {
         let Some(i) = self.running.iter().position(|r| r.ticket == ticket) else { return };
@@ -215,8 +238,16 @@
 
     /// Finds the first job that can still meet its target; those that can't have time to wait.
     fn first_in_time(&self, now: Millis) -> usize {
-        let in_time = |w: &Waiting| now + Millis(self.expected(w.job.class) as u64) <= w.job.target;
-        self.waiting.iter().position(in_time).unwrap_or(0)
+        self.waiting.iter().position(|w| self.in_time(w, now)).unwrap_or(0)
+    }
+
+    fn in_time(&self, w: &Waiting, now: Millis) -> bool {
+        now + Millis(self.expected(w.job.class) as u64) <= w.job.target
+    }
+
+    /// Half of the mean run time counts: many runs are shorter, and the limit bounds the rest.
+    fn ends_late(&self, w: &Waiting, wait: Millis, now: Millis) -> bool {
+        now + wait + Millis((self.expected(w.job.class) * 0.5) as u64) > w.job.limit
     }
 
     fn room_after(&self, now: Millis) -> Millis {
--- a/crates/mesh/tests/load.rs
+++ b/crates/mesh/tests/load.rs
@@ -95,6 +95,46 @@
     check(1, 2 * RUN - 1, true);
 }
 
+/// Replays arrivals at three times the capacity of two slots. Returns how long the jobs that were
+/// turned away after waiting had waited at most, and how many of all met their target.
+fn overtaken() -> (u64, usize) {
+    let limits = QueueLimits { slots: 2, first_guess: Millis(RUN), ..QueueLimits::default() };
+    let mut queue = Queue::new(limits);
+    let mut waiting: Vec<(Ticket, u64)> = Vec::new();
+    let mut ends: Vec<(u64, Ticket)> = Vec::new();
+    let (mut longest, mut in_target) = (0, 0);
+    for now in 0..20_000 {
+        let done: Vec<Ticket> = ends.iter().filter(|(at, _)| *at == now).map(|(_, t)| *t).collect();
+        done.into_iter().for_each(|t| queue.finished(t, Millis(now)));
+        if now % 33 == 0 {
+            match queue.offer(job(1, 1, now, 800, 2_000), Millis(now)) {
+                Offer::Start(t) => ends.push((now + RUN, t)),
+                Offer::Wait(t) => waiting.push((t, now)),
+                Offer::Refuse(_) => {}
+            }
+        }
+        let (started, late) = queue.next(Millis(now));
+        waiting.retain(|(t, came)| {
+            if started.contains(t) {
+                ends.push((now + RUN, *t));
+                in_target += usize::from(now - came + RUN <= 800);
+            }
+            // What still waits counts as if it were turned away now.
+            longest = longest.max(if started.contains(t) { 0 } else { now - came });
+            !started.contains(t) && !late.contains(t)
+        });
+    }
+    (longest, in_target)
+}
+
+#[test]
+fn a_job_that_newer_ones_overtake_is_turned_away_before_its_limit() {
+    let (longest, in_target) = overtaken();
+    let capacity = 2 * 20_000 / RUN as usize;
+    assert!(longest <= 2_000 - RUN / 2, "{longest} ms");
+    assert!(in_target * 10 > capacity * 9, "{in_target} of {capacity}");
+}
+
 #[test]
 fn urgent_work_and_work_that_can_meet_its_target_starts_first() {
     let limits = QueueLimits { slots: 1, first_guess: Millis(RUN), ..QueueLimits::default() };
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -116,7 +116,9 @@
             let (tx, rx) = oneshot::channel();
             cx.state.borrow_mut().waiters.push((ticket, tx));
             if rx.await != Ok(Start::Now) {
-                return not_run(NotRun::Late);
+                let wait = cx.state.borrow().queue.wait(cx.now());
+                let after_ms = u32::try_from(wait.0).unwrap_or(u32::MAX);
+                return (End::NotRun { why: NotRun::NoRoom, after_ms }, false, Bytes::new());
             }
             // Much may have changed while it waited.
             if let Err(why) = ours(&cx.state.borrow(), cx, forward) {
--- a/crates/sidecar/src/keep.rs
+++ b/crates/sidecar/src/keep.rs
@@ -50,6 +50,8 @@
     loop {
         // Either way the next look decides.
         let _ = timeout(LOOK, cx.due.notified()).await;
+        // What waits behind runs that don't end is turned away in time.
+        cx.start_waiting();
         if !cx.owns_keys() {
             continue;
         }
