Refuse requests that crash backend servers, and tell the other hosts of them

Change: `mesh::Suspects`, on the quarantine of `admission`: what ran at a crash is a suspect; what started as a suspect and ran at the next crash, without one of its kind having completed, is refused for two minutes. Hosts tell each other with requests, outcomes and news. A connection that breaks counts as a crash only if the backend server then refuses connections, once for each of its starts. Ruled out: letting suspects run one at a time, as the cells do: after a crash up to 18 innocent reads are sent again at once and would wait for each other. As separate processes: two or three crashes in 40 sends, then 503 everywhere.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -6,6 +6,7 @@
 //! client library. Dropping a request that is under way closes its connection.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -91,6 +92,12 @@
         self.idle.borrow_mut().clear();
     }
 
+    /// Tells whether the other side refuses connections, as far as it shows within `limit`.
+    pub async fn refuses(&self, limit: Millis) -> bool {
+        let made = timeout(Duration::from(limit), TcpStream::connect(self.to)).await;
+        made.is_ok_and(|made| made.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused))
+    }
+
     /// Sends a request and reads the whole answer. Dropping the future closes the connection.
     pub async fn send(&self, mut req: Request<Full<Bytes>>) -> Result<Response<Bytes>, SendError> {
         // A kept connection may turn out closed before anything was written; then the next one
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod queue;
 mod relays;
+mod suspects;
 mod witness;
 
 pub use budget::{Budget, BudgetLimits};
@@ -31,4 +32,5 @@
 pub use plan::{Member, Piece, evict, first_map, rebalance, shed};
 pub use queue::{Job, Offer, Queue, QueueLimits, Ticket};
 pub use relays::{Neighbours, Relays, Source};
+pub use suspects::{RunId, SuspectNews, Suspects};
 pub use witness::{Ask, Question, Witness, Word};
--- /dev/null
+++ b/crates/mesh/src/suspects.rs
@@ -0,0 +1,167 @@
+//! Requests that crash the backend servers that run them.
+//!
+//! Answers a request that its caller sends again and again, at any host. All requests that a
+//! backend server ran when it crashed are suspects; one that was a suspect when it started and
+//! whose server crashes again, without one of its kind having completed meanwhile, is refused for
+//! a while. Hosts tell each other with the messages that they exchange anyway, and the host that
+//! sends a request on hears of the crash with its outcome, so it costs two servers, not all.
+
+use admission::{Quarantine, QuarantineLimits, QuarantineState, Start};
+use model::{Millis, derive_common};
+
+use crate::Boot;
+
+/// A request is refused for this long: one that was refused by mistake comes back within minutes,
+/// one that crashes servers costs two of them in that time.
+const REFUSED_FOR: Millis = Millis(120_000);
+
+/// What is new is told for this long. Hosts exchange messages many times a second.
+const TELL: Millis = Millis(5_000);
+
+/// The most requests that one message tells of: as many as a busy server runs at once.
+const MAX_TOLD: usize = 32;
+
+derive_common! {
+    data
+    /// What hosts tell each other about requests that crash backend servers, by digest.
+    #[derive(Default, bincode::Encode, bincode::Decode)]
+    pub struct SuspectNews {
+        /// Requests that ran at a crash.
+        pub suspects: Vec<u64>,
+        /// Requests that are refused.
+        pub refused: Vec<u64>,
+    }
+}
+
+/// Names a run from its start to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunId(u64);
+
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    id: RunId,
+    digest: u64,
+    was_suspect: bool,
+}
+
+/// What one process knows about requests that crash backend servers.
+#[derive(Debug)]
+pub struct Suspects {
+    quarantine: Quarantine,
+    running: Vec<Run>,
+    last: u64,
+    crashed: Option<Boot>,
+    to_tell: Vec<(u64, QuarantineState, Millis)>,
+}
+
+impl Default for Suspects {
+    fn default() -> Self {
+        let limits = QuarantineLimits { quarantine: REFUSED_FOR, ..QuarantineLimits::default() };
+        let quarantine = Quarantine::new(limits);
+        Self { quarantine, running: Vec::new(), last: 0, crashed: None, to_tell: Vec::new() }
+    }
+}
+
+/// Queries.
+impl Suspects {
+    /// Returns for how long a request is refused, if it is.
+    pub fn refused(&self, digest: u64, now: Millis) -> Option<Millis> {
+        let list = self.quarantine.list(now);
+        let entry = list.iter().find(|s| s.digest == digest)?;
+        (entry.state == QuarantineState::Quarantined).then_some(entry.time_left)
+    }
+
+    /// Returns what other hosts are to be told.
+    pub fn news(&self, now: Millis) -> SuspectNews {
+        let told = |state| {
+            let fresh = self.to_tell.iter().filter(|(_, s, until)| *s == state && now < *until);
+            fresh.map(|(digest, ..)| *digest).take(MAX_TOLD).collect()
+        };
+        SuspectNews {
+            suspects: told(QuarantineState::Suspect),
+            refused: told(QuarantineState::Quarantined),
+        }
+    }
+}
+
+/// Commands.
+impl Suspects {
+    /// Tells that the own backend server starts to run a request.
+    pub fn started(&mut self, digest: u64, now: Millis) -> RunId {
+        let was_suspect = match self.quarantine.may_start(digest, now) {
+            Start::Free => false,
+            // Suspects don't wait for each other here: many are innocent, and callers wait.
+            Start::Alone | Start::Wait | Start::Refused { .. } => true,
+        };
+        self.quarantine.not_run(digest);
+        self.last += 1;
+        let id = RunId(self.last);
+        self.running.push(Run { id, digest, was_suspect });
+        id
+    }
+
+    /// Tells that a run ended without an answer.
+    pub fn ended(&mut self, id: RunId) {
+        self.running.retain(|r| r.id != id);
+    }
+
+    /// Tells that a run ended with an answer. Returns true if that clears the request.
+    pub fn completed(&mut self, id: RunId) -> bool {
+        let Some(i) = self.running.iter().position(|r| r.id == id) else { return false };
+        let run = self.running.swap_remove(i);
+        self.quarantine.completed(run.digest)
+    }
+
+    /// Tells that this start of the backend server crashed. Returns what is new, once a start.
+    pub fn crashed(&mut self, boot: &Boot, now: Millis) -> Option<SuspectNews> {
+        if self.crashed.as_ref() == Some(boot) {
+            return None;
+        }
+        self.crashed = Some(boot.clone());
+        let digests = |again: bool| -> Vec<u64> {
+            self.running.iter().filter(|r| r.was_suspect == again).map(|r| r.digest).collect()
+        };
+        let (first, again) = (digests(false), digests(true));
+        self.quarantine.suspected(&first, now);
+        let report = self.quarantine.crashed(&again, now);
+        let mut suspects = first;
+        suspects.extend(report.suspects);
+        suspects.sort_unstable();
+        suspects.dedup();
+        let news = SuspectNews { suspects, refused: report.quarantined };
+        self.tell(&news, now);
+        Some(news)
+    }
+
+    /// Takes in what another host says. Returns true if anything is new.
+    pub fn told(&mut self, news: &SuspectNews, now: Millis) -> bool {
+        let known = self.quarantine.list(now);
+        let state = |digest: u64| known.iter().find(|s| s.digest == digest).map(|s| s.state);
+        let new = SuspectNews {
+            suspects: news.suspects.iter().copied().filter(|d| state(*d).is_none()).collect(),
+            refused: news
+                .refused
+                .iter()
+                .copied()
+                .filter(|d| state(*d) != Some(QuarantineState::Quarantined))
+                .collect(),
+        };
+        if new == SuspectNews::default() {
+            return false;
+        }
+        self.quarantine.suspected(&new.suspects, now);
+        for digest in &new.refused {
+            self.quarantine.learned(*digest, REFUSED_FOR, now);
+        }
+        self.tell(&new, now);
+        true
+    }
+
+    fn tell(&mut self, news: &SuspectNews, now: Millis) {
+        self.to_tell.retain(|(.., until)| now < *until);
+        let until = now + TELL;
+        let suspects = news.suspects.iter().map(|d| (*d, QuarantineState::Suspect, until));
+        let refused = news.refused.iter().map(|d| (*d, QuarantineState::Quarantined, until));
+        self.to_tell.extend(suspects.chain(refused));
+    }
+}
--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -5,7 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use adapter_stand_in::{Answer, Asking, Backend, Fault, Store, ask};
+use adapter_stand_in::{Answer, Asking, Backend, CRASHES, Fault, Store, ask};
 use serde_json::json;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -19,6 +19,7 @@
     child: Child,
     settings: std::path::PathBuf,
     callers: SocketAddr,
+    hosts: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
     backend: Backend,
@@ -62,7 +63,7 @@
     std::fs::write(&settings, text).unwrap();
     let child = spawn(&settings);
     let backend = Backend::start(server, control, service, name, service == KEYED).await;
-    Host { child, settings, callers, ready, metrics, backend }
+    Host { child, settings, callers, hosts, ready, metrics, backend }
 }
 
 fn document(version: u64) -> serde_json::Value {
@@ -169,6 +170,56 @@
     ask_until(&a, "/late/x", None, 200).await;
 }
 
+#[actix_rt::test]
+async fn the_configuration_reaches_all_hosts_after_the_one_that_told_them_is_lost() {
+    let store = Store::start().await;
+    store.configure(&document(1));
+    let mut all = Vec::new();
+    for name in ["told-a", "told-b", "told-c"] {
+        all.push(host(&store, PLAIN, name).await);
+    }
+    for host in &all {
+        ask_until(host, "/order/x", None, 200).await;
+    }
+
+    all.sort_by_key(|h| h.hosts);
+    let mut first = all.remove(0);
+    first.child.kill().unwrap();
+    first.child.wait().unwrap();
+    store.configure(&document(2));
+
+    for host in &all {
+        ask_until(host, "/late/x", None, 200).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_that_crashes_backend_servers_is_refused_everywhere() {
+    let store = Store::start().await;
+    store.configure(&document(1));
+    let mut all = Vec::new();
+    for name in ["poison-a", "poison-b", "poison-c", "poison-d", "poison-e"] {
+        all.push(host(&store, PLAIN, name).await);
+    }
+    for host in &all {
+        ask_until(host, "/order/x", None, 200).await;
+    }
+
+    let mut last = Vec::new();
+    for round in 0..8 {
+        for (i, host) in all.iter().enumerate() {
+            let poison = asking(&format!("/order{CRASHES}"), &format!("crash-{round}-{i}"), None);
+            last.push(ask(host.callers, &poison).await.map(|a| (a.status, a.come_back.is_some())));
+            // Other work goes on meanwhile, at some host at least.
+            ask_until(&all[(i + 1) % all.len()], "/order/x", None, 200).await;
+        }
+    }
+
+    let crashes: usize = all.iter().map(|h| h.backend.crashes()).sum();
+    assert!((2..=3).contains(&crashes), "{crashes} crashes: {last:?}");
+    assert!(last[last.len() - all.len()..].iter().all(|a| *a == Some((503, true))), "{last:?}");
+}
+
 #[actix_rt::test]
 async fn keys_are_served_while_the_store_is_away_and_a_host_restarts() {
     let store = Store::start().await;
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -10,7 +10,7 @@
 use http::{HeaderName, HeaderValue, Method};
 use http1::SendError;
 use log::{info, warn};
-use mesh::{Job, Offer, Refused, Ticket};
+use mesh::{Job, Offer, Refused, RunId, Ticket};
 use model::{Millis, ServiceName};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -25,6 +25,9 @@
 /// A backend server that refused a connection is asked again after this.
 const REFUSED_PAUSE: Millis = Millis(200);
 
+/// A connection to the backend server of the own host is made or refused within this.
+const CRASH_LOOK: Millis = Millis(50);
+
 /// A backend server that left gets no request in this last part of the span that it has.
 const LEAVE_MARGIN: Millis = Millis(700);
 
@@ -55,12 +58,52 @@
     }
 }
 
+/// A run at the backend server, for the record of what it did to it.
+struct Run<'a> {
+    cx: &'a Cx,
+    id: RunId,
+}
+
+impl<'a> Run<'a> {
+    fn start(cx: &'a Cx, digest: u64) -> Self {
+        let now = cx.now();
+        Self { cx, id: cx.state.borrow_mut().suspects.started(digest, now) }
+    }
+
+    fn completed(self) {
+        self.cx.state.borrow_mut().suspects.completed(self.id);
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.cx.state.borrow_mut().suspects.ended(self.id);
+    }
+}
+
+/// Looks whether the backend server is gone after a connection to it broke, and takes that for a
+/// crash.
+async fn notice_crash(cx: &Cx) {
+    if cx.state.borrow().keeper.serving() && cx.backend.refuses(CRASH_LOOK).await {
+        let now = cx.now();
+        let mut state = cx.state.borrow_mut();
+        let Some(boot) = state.keeper.backend().cloned() else { return };
+        if let Some(news) = state.suspects.crashed(&boot, now) {
+            warn!(
+                "event=backend-crashed id={} started={} suspects={:x?} refused={:x?}",
+                boot.id, boot.started, news.suspects, news.refused
+            );
+        }
+    }
+}
+
 /// Runs a request on the backend server of this host, or says why not.
 pub async fn run(cx: &Rc<Cx>, forward: &Forward, body: Bytes) -> (Outcome, Bytes) {
     let came = cx.now();
     let (end, arrived, body) = attempt(cx, forward, body, came).await;
     let version = cx.version();
-    let outcome = Outcome { version, end, report: cx.report(), arrived };
+    let suspects = cx.suspect_news();
+    let outcome = Outcome { version, end, report: cx.report(), arrived, suspects };
     log_end(cx, forward, &outcome, came);
     (outcome, body)
 }
@@ -92,6 +135,10 @@
     if forward.service != cx.settings.service.as_str() {
         return not_run(NotRun::NotOwner);
     }
+    if let Some(left) = cx.state.borrow().suspects.refused(forward.digest, came) {
+        let after_ms = u32::try_from(left.0).unwrap_or(u32::MAX);
+        return (End::NotRun { why: NotRun::Crashes, after_ms }, false, Bytes::new());
+    }
     if let Some(key) = forward.key {
         cx.state.borrow_mut().demand.count(key);
     }
@@ -213,6 +260,7 @@
             return not_run(NotRun::Malformed);
         }
     };
+    let run = Run::start(cx, forward.digest);
     let answer = match timeout(Duration::from(left), cx.backend.send(req)).await {
         Err(_) => return (End::Unknown { why: "timeout".into() }, true, Bytes::new()),
         Ok(Err(SendError::NotSent { reason })) => {
@@ -221,6 +269,7 @@
             return not_run(NotRun::NoBackend);
         }
         Ok(Err(SendError::Unknown { reason })) => {
+            notice_crash(cx).await;
             return (End::Unknown { why: reason }, true, Bytes::new());
         }
         Ok(Ok(answer)) => answer,
@@ -229,6 +278,7 @@
     match adapter::read_answer(&forward.id, &head) {
         Answered::Ran => {
             place.finished();
+            run.completed();
             let plain = |(name, value): (HeaderName, HeaderValue)| {
                 (name.as_str().to_owned(), value.as_bytes().to_vec())
             };
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -14,7 +14,7 @@
 use hyper::rt::Executor;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
-use mesh::{Ask, LoadReport, Word};
+use mesh::{Ask, Word};
 use model::{HostAddr, Millis};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
@@ -100,12 +100,12 @@
 
 fn not_run(why: NotRun) -> Outcome {
     let end = End::NotRun { why, after_ms: 0 };
-    Outcome { version: 0, end, report: LoadReport::default(), arrived: false }
+    Outcome { end, ..Outcome::default() }
 }
 
 fn unknown(why: String) -> Outcome {
     let end = End::Unknown { why };
-    Outcome { version: 0, end, report: LoadReport::default(), arrived: true }
+    Outcome { end, arrived: true, ..Outcome::default() }
 }
 
 /// Sends a request to `host` and returns how it ended there. Dropping the future cancels it there.
@@ -135,6 +135,7 @@
         return match decode::<Outcome>(body) {
             Ok((outcome, body)) => {
                 cx.heard_version(outcome.version);
+                cx.heard_suspects(&outcome.suspects);
                 (outcome, body)
             }
             Err(e) => (unknown(e.to_string()), Bytes::new()),
@@ -289,6 +290,7 @@
 
 async fn run(cx: &Rc<Cx>, forward: &Forward, body: Bytes) -> Bytes {
     cx.heard_version(forward.version);
+    cx.heard_suspects(&forward.suspects);
     let (outcome, body) = backend::run(cx, forward, body).await;
     encode(&outcome, &body)
 }
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -11,10 +11,10 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use log::info;
-use mesh::{Config, LoadReport, Repeat, Sent};
+use mesh::{Config, LoadReport, Repeat, Sent, SuspectNews};
 use model::{HostAddr, Millis, ServiceName};
 use tokio::time::timeout;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::state::{ConfigRow, Cx};
 use crate::tell::{COME_BACK_MS, come_back, tell};
@@ -199,7 +199,11 @@
         target_ms: 0,
         limit_ms: 0,
         caller_ms: 0,
+        digest: 0,
+        suspects: SuspectNews::default(),
     };
+    let digest = digest_of(&forward, &body);
+    let forward = Forward { digest, ..forward };
     Some(Call {
         came,
         id: asked.id,
@@ -216,6 +220,18 @@
     })
 }
 
+/// Requests with one digest do the same at a backend server.
+fn digest_of(forward: &Forward, body: &[u8]) -> u64 {
+    let Forward { service, from, method, target, .. } = forward;
+    let mut hash = Xxh3::new();
+    for part in [service, from, method, target] {
+        hash.update(part.as_bytes());
+        hash.update(&[0]);
+    }
+    hash.update(body);
+    hash.digest()
+}
+
 /// Tries hosts until there is an answer, or none is to be had. A backend server's failure is the
 /// answer if trying again brings none.
 async fn carry_out(cx: &Rc<Cx>, call: &Call) -> Result<(Outcome, Bytes), Failure> {
@@ -245,6 +261,16 @@
             }
             return Err(last);
         };
+        let refused = cx.state.borrow().suspects.refused(call.forward.digest, now);
+        if let Some(left) = refused {
+            info!("event=crashes id={} digest={:x} left_ms={left}", call.id, call.forward.digest);
+            let why = NotRun::Crashes;
+            return Err(if arrivals > 0 {
+                last
+            } else {
+                Failure::NotRun { why, after_ms: left.0 }
+            });
+        }
         if arrivals > 0 && !may_repeat(cx, call, arrivals, now) {
             return Err(last);
         }
@@ -286,7 +312,9 @@
                 refusals += 1;
                 if call.key.is_some() {
                     let part = match why {
-                        NotRun::NoRoom | NotRun::Late | NotRun::Malformed => return Err(last),
+                        NotRun::NoRoom | NotRun::Late | NotRun::Crashes | NotRun::Malformed => {
+                            return Err(last);
+                        }
                         NotRun::Moving | NotRun::NotGranted | NotRun::NotOwner => MOVE_WAIT,
                         NotRun::Unreachable
                         | NotRun::NoBackend
@@ -382,6 +410,7 @@
     forward.target_ms = small(call.target.since(now));
     forward.limit_ms = small(left.since(margin));
     forward.caller_ms = small(call.caller_until.since(now));
+    forward.suspects = cx.suspect_news();
     let sent = async {
         if host == cx.me {
             return backend::run(cx, &forward, call.body.clone()).await;
--- a/crates/sidecar/src/news.rs
+++ b/crates/sidecar/src/news.rs
@@ -66,6 +66,7 @@
             position: state.hosts.position().0,
             age_ms: state.relays.age(asked_at).map(|age| age.0),
             hold_ms: state.relays.hold(asked_at).0,
+            suspects: state.suspects.news(asked_at),
         }
     };
     let reply: Option<NewsReply> = hop::ask(cx, host, hop::NEWS, &question, ANSWER).await;
@@ -74,6 +75,7 @@
         info!("event=news-failed host={host} age={:?}", question.age_ms);
         return cx.state.borrow_mut().relays.pass_over(host, now);
     };
+    cx.heard_suspects(&reply.suspects);
     if let Some(age) = reply.age_ms {
         // The way here is not counted, so the contact was not before this.
         let at = (asked_at + Millis(reply.held_ms)).since(Millis(age));
@@ -115,6 +117,7 @@
 /// Answers another host once there is something to tell it.
 pub async fn answer(cx: &Cx, ask: &NewsAsk) -> NewsReply {
     let came = cx.now();
+    cx.heard_suspects(&ask.suspects);
     let hold = Millis(ask.hold_ms).min(MOST_HOLD);
     loop {
         let changed = cx.changed.notified();
@@ -147,6 +150,7 @@
         held_ms: held.0,
         age_ms: state.relays.age(cx.now()).map(|age| age.0),
         config: config.map(|c| (c.row.0, c.packed().to_vec())),
+        suspects: state.suspects.news(cx.now()),
         position: told.0,
         whole,
         hosts: rows.into_iter().map(HostNewsWire::from).collect(),
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -5,9 +5,10 @@
 
 use adapter::HostRow;
 use bytes::Bytes;
+use log::info;
 use mesh::{
     Budget, Config, Demand, Directory, Distance, Keeper, KeeperTimes, KeyMap, LoadReport,
-    Neighbours, Peers, Queue, QueueLimits, Relays, Service, Witness,
+    Neighbours, Peers, Queue, QueueLimits, Relays, Service, SuspectNews, Suspects, Witness,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
@@ -39,6 +40,8 @@
     pub demand: Demand,
     /// The keys of the own backend server.
     pub keeper: Keeper,
+    /// Requests that crash backend servers.
+    pub suspects: Suspects,
     /// What this process said of other hosts' leases.
     pub witness: Witness,
     /// When the backend server said that it leaves without further heartbeats.
@@ -165,6 +168,7 @@
             waiters: Vec::new(),
             demand: Demand::default(),
             keeper: Keeper::new(me, process, times, now),
+            suspects: Suspects::default(),
             witness: Witness::default(),
             left: None,
             refused: None,
@@ -266,6 +270,19 @@
         }
     }
 
+    /// Takes in what another host says about requests that crash backend servers.
+    pub fn heard_suspects(&self, news: &SuspectNews) {
+        let now = self.now();
+        if self.state.borrow_mut().suspects.told(news, now) {
+            info!("event=suspects-heard suspects={:x?} refused={:x?}", news.suspects, news.refused);
+        }
+    }
+
+    /// Returns what other hosts are told about requests that crash backend servers.
+    pub fn suspect_news(&self) -> SuspectNews {
+        self.state.borrow().suspects.news(self.now())
+    }
+
     /// Returns what other hosts are told about the load of the backend server.
     pub fn report(&self) -> LoadReport {
         let state = self.state.borrow();
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -3,7 +3,7 @@
 use adapter::HostRow;
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use mesh::{HostNews, LoadReport};
+use mesh::{HostNews, LoadReport, SuspectNews};
 use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName};
 use snafu::{ResultExt, Snafu};
 
@@ -39,6 +39,10 @@
     pub limit_ms: u32,
     /// How long the caller waits, in milliseconds.
     pub caller_ms: u32,
+    /// Requests with the same digest do the same.
+    pub digest: u64,
+    /// What the sender says about requests that crash backend servers.
+    pub suspects: SuspectNews,
 }
 
 /// How a request ended at the host that it was sent to.
@@ -65,6 +69,12 @@
     },
 }
 
+impl Default for End {
+    fn default() -> Self {
+        Self::Unknown { why: String::new() }
+    }
+}
+
 /// Why a request did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum NotRun {
@@ -86,12 +96,14 @@
     NotGranted,
     /// The time was over before it started.
     Late,
+    /// The request crashes backend servers.
+    Crashes,
     /// The request can't be passed on.
     Malformed,
 }
 
 /// The answer of a host.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct Outcome {
     /// The version of the configuration at the host.
     pub version: u64,
@@ -101,6 +113,8 @@
     pub report: LoadReport,
     /// Whether anything was sent to the backend server.
     pub arrived: bool,
+    /// What the host says about requests that crash backend servers.
+    pub suspects: SuspectNews,
 }
 
 /// A question for what changed in the store.
@@ -114,6 +128,8 @@
     pub age_ms: Option<u64>,
     /// How long the question may wait for news, in milliseconds.
     pub hold_ms: u64,
+    /// What the asker says about requests that crash backend servers.
+    pub suspects: SuspectNews,
 }
 
 /// What changed in the store since the position of a [`NewsAsk`].
@@ -133,6 +149,8 @@
     pub hosts: Vec<HostNewsWire>,
     /// Key maps: the service, the version of the row, and the row.
     pub maps: Vec<(String, u64, Vec<u8>)>,
+    /// What the host says about requests that crash backend servers.
+    pub suspects: SuspectNews,
 }
 
 /// A row of a host.
