Ask closed hosts again soon if all are closed, and keep test ports from being inherited

Cause 1: after a start of everything the first requests hear from each host that its backend server was not heard yet, and then leave all of them alone for 4 s, although heartbeats come within a second (seen in a log of the process tests: 2.6 s of refusals). A process that another test starts inherits the sockets which look for free ports, until it runs its own program; the port is then taken when its owner wants it: the sidecar ends at once, or the stand-in panics with AddrInUse. Ruled out: the store's outage and the restart (the failing logs show an owner that never listened); ports of outgoing connections (chosen below their range now, and it still failed in 1 of 9 runs). Change: closed hosts are asked again after 0.3 s if no other is left; a crash is also noticed if the listener closes last; test ports are looked for under a lock that process starts take too.

--- a/crates/mesh/src/peers.rs
+++ b/crates/mesh/src/peers.rs
@@ -76,6 +76,13 @@
 /// A host that could not be reached is left alone for this span, doubled each time.
 const AVOID_MS: (u64, u64) = (500, 4_000);
 
+/// A host that said it is closed is asked again after this.
+const CLOSED: Millis = Millis(4_000);
+
+/// The same if all hosts are closed, as after a start of everything: backend servers that start
+/// say so within a second.
+const ALL_CLOSED: Millis = Millis(300);
+
 /// A report says nothing about the load after this span, in milliseconds.
 const REPORT_MS: f64 = 2_000.0;
 
@@ -136,18 +143,31 @@
 
 /// Queries.
 impl Peers {
-    /// Picks a host for a request that was not sent to `tried` yet. Ties go by `point`.
+    /// Picks a host for a request that was not sent to `tried` yet. Ties go by `point`. If all are
+    /// closed, one that said so a while ago is asked again.
     pub fn pick(&self, tried: &[HostAddr], point: u32, now: Millis) -> Option<HostAddr> {
-        let open = |p: &&Peer| {
-            let closed = !p.report.open && p.reported > Millis::ZERO;
-            let asked_again = now.since(p.reported) > Millis(AVOID_MS.1);
-            !tried.contains(&p.host) && p.avoid_until <= now && (!closed || asked_again)
+        self.pick_closed_since(CLOSED, tried, point, now)
+            .or_else(|| self.pick_closed_since(ALL_CLOSED, tried, point, now))
+    }
+
+    /// Picks among open hosts and those that last said longer ago than `closed` that they aren't.
+    fn pick_closed_since(
+        &self,
+        closed: Millis,
+        tried: &[HostAddr],
+        point: u32,
+        now: Millis,
+    ) -> Option<HostAddr> {
+        let usable = |p: &&Peer| {
+            let is_closed = !p.report.open && p.reported > Millis::ZERO;
+            let asked_again = now.since(p.reported) > closed;
+            !tried.contains(&p.host) && p.avoid_until <= now && (!is_closed || asked_again)
         };
         let count = u32::try_from(self.all.len().max(1)).unwrap_or(u32::MAX);
         let turn = |i: usize| (u32::try_from(i).unwrap_or(0) + point % count) % count;
         let cost = |(i, p): &(usize, &Peer)| (p.cost_ms(now) as u64, turn(*i));
-        let open = self.all.iter().enumerate().filter(|(_, p)| open(p));
-        open.min_by_key(cost).map(|(_, p)| p.host)
+        let usable = self.all.iter().enumerate().filter(|(_, p)| usable(p));
+        usable.min_by_key(cost).map(|(_, p)| p.host)
     }
 
     /// Returns whether a host is left alone at the moment.
--- a/crates/mesh/src/suspects.rs
+++ b/crates/mesh/src/suspects.rs
@@ -71,6 +71,12 @@
         (entry.state == QuarantineState::Quarantined).then_some(entry.time_left)
     }
 
+    /// Returns how many requests are refused.
+    pub fn refused_count(&self, now: Millis) -> usize {
+        let list = self.quarantine.list(now);
+        list.iter().filter(|s| s.state == QuarantineState::Quarantined).count()
+    }
+
     /// Returns what other hosts are to be told.
     pub fn news(&self, now: Millis) -> SuspectNews {
         let told = |state| {
--- a/crates/mesh/tests/load.rs
+++ b/crates/mesh/tests/load.rs
@@ -232,6 +232,25 @@
     assert_eq!(peers.pick(&[host(1)], 0, Millis(1_600)), Some(host(0)));
 }
 
+#[test]
+fn hosts_that_are_all_closed_are_asked_again_soon() {
+    let closed = Some(LoadReport { slots: 4, run_ms: 100, ..LoadReport::default() });
+    let check = |others: Option<LoadReport>, asked_at: u64, expected: bool| {
+        let mut peers = Peers::default();
+        (0..3).for_each(|i| peers.add(host(i), Distance::Zone));
+        peers.ended(host(0), Sent::Refused, closed, Millis(1_000));
+        (1..3).for_each(|i| peers.ended(host(i), Sent::Refused, others, Millis(1_000)));
+        let tried: Vec<HostAddr> = if others == closed { vec![] } else { vec![host(1), host(2)] };
+        let picked = peers.pick(&tried, 0, Millis(asked_at));
+        assert_eq!(picked.is_some(), expected, "{asked_at}");
+    };
+
+    check(closed, 1_100, false);
+    check(closed, 1_400, true);
+    check(report(0, 4, 100), 1_100, false);
+    check(report(0, 4, 100), 5_100, true);
+}
+
 #[test]
 fn all_processes_together_keep_to_the_budget() {
     let limits = BudgetLimits { ratio: 0.2, slack: 56.0, window: Millis(10_000) };
--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -3,6 +3,8 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use adapter_stand_in::{Answer, Asking, Backend, CRASHES, Fault, Store, ask};
@@ -12,6 +14,9 @@
 /// Far longer than anything here takes, so that only a real fault fails.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Lines of a host's log that a failed test prints.
+const LOG_LINES: usize = 400;
+
 const KEYED: &str = "board";
 const PLAIN: &str = "orders";
 
@@ -27,24 +32,64 @@
 
 impl Drop for Host {
     fn drop(&mut self) {
+        let log = log_file(&self.settings);
+        if std::thread::panicking() {
+            let text = std::fs::read_to_string(&log).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            let last = lines.len().saturating_sub(LOG_LINES);
+            eprintln!("log of {}:\n{}", self.settings.display(), lines[last..].join("\n"));
+        }
         // It may have ended already; either way it has to be gone before the next test.
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(log);
     }
 }
 
-/// Finds ports that are free now.
+/// Ports below those that the system gives to connections, so that nothing takes them between
+/// their choice and the start of the process that listens there.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
+/// Held while sockets are open only to look for free ports, and while a process is started: it
+/// would inherit them until it runs its own program, and keep the ports from their owners.
+static STARTING: Mutex<()> = Mutex::new(());
+
+fn starting() -> MutexGuard<'static, ()> {
+    // A test that panicked meanwhile has changed nothing that matters here.
+    STARTING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Finds ports that are free now and that no other test of this process gets.
 fn free_ports<const N: usize>() -> [SocketAddr; N] {
-    let bound: Vec<_> = (0..N).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    std::array::from_fn(|i| bound[i].local_addr().unwrap())
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let count = PORTS.end - PORTS.start;
+    // Test processes that run at the same time start at different places.
+    let start = (std::process::id().wrapping_mul(97) % u32::from(count)) as u16;
+    let _starting = starting();
+    std::array::from_fn(|_| {
+        loop {
+            let step = NEXT.fetch_add(1, Ordering::Relaxed);
+            let port = PORTS.start + (start + step % count) % count;
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(address).is_ok() {
+                return address;
+            }
+        }
+    })
+}
+
+fn log_file(settings: &std::path::Path) -> std::path::PathBuf {
+    settings.with_extension("log")
 }
 
 fn spawn(settings: &std::path::Path) -> Child {
+    let _starting = starting();
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(log_file(settings));
     Command::new(env!("CARGO_BIN_EXE_papayarill"))
         .args(["sidecar", "--settings"])
         .arg(settings)
-        .stdout(Stdio::null())
+        .stdout(Stdio::from(log.unwrap()))
         .spawn()
         .unwrap()
 }
@@ -117,6 +162,14 @@
     timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("never: {what}"));
 }
 
+/// The line of the metrics that tells of one request that crashes backend servers.
+const CRASHING: &str = "papayarill_crashing_requests 1";
+
+async fn has_metric(host: &Host, line: &str) -> bool {
+    let answer = ask(host.metrics, &asking("/metrics", "m", None)).await;
+    answer.is_some_and(|a| String::from_utf8_lossy(&a.body).lines().any(|l| l == line))
+}
+
 const ALL_KEYS: usize = 65_536;
 
 fn held(hosts: &[&Host]) -> usize {
@@ -205,19 +258,28 @@
         ask_until(host, "/order/x", None, 200).await;
     }
 
-    let mut last = Vec::new();
-    for round in 0..8 {
-        for (i, host) in all.iter().enumerate() {
-            let poison = asking(&format!("/order{CRASHES}"), &format!("crash-{round}-{i}"), None);
-            last.push(ask(host.callers, &poison).await.map(|a| (a.status, a.come_back.is_some())));
-            // Other work goes on meanwhile, at some host at least.
-            ask_until(&all[(i + 1) % all.len()], "/order/x", None, 200).await;
+    let poison = |id: String| asking(&format!("/order{CRASHES}"), &id, None);
+    let mut tries = 0;
+    while !has_metric(&all[0], CRASHING).await {
+        tries += 1;
+        ask(all[0].callers, &poison(format!("first-{tries}"))).await;
+        sleep(Duration::from_millis(50)).await;
+    }
+    for host in &all {
+        let deadline = Instant::now() + PATIENCE;
+        while !has_metric(host, CRASHING).await {
+            assert!(Instant::now() < deadline, "host {} never heard of it", host.hosts);
+            sleep(Duration::from_millis(50)).await;
         }
     }
+    let mut later = Vec::new();
+    for (i, host) in all.iter().enumerate() {
+        let answer = ask(host.callers, &poison(format!("later-{i}"))).await;
+        later.push(answer.map(|a| (a.status, a.come_back.is_some())));
+    }
 
-    let crashes: usize = all.iter().map(|h| h.backend.crashes()).sum();
-    assert!((2..=3).contains(&crashes), "{crashes} crashes: {last:?}");
-    assert!(last[last.len() - all.len()..].iter().all(|a| *a == Some((503, true))), "{last:?}");
+    assert_eq!(later, [Some((503, true)); 5]);
+    assert_eq!(all.iter().map(|h| h.backend.crashes()).sum::<usize>(), 2);
 }
 
 #[actix_rt::test]
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -13,7 +13,7 @@
 use mesh::{Job, Offer, Refused, RunId, Ticket};
 use model::{Millis, ServiceName};
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::state::{Cx, Start, State};
 use crate::wire::{End, Forward, NotRun, Outcome};
@@ -28,6 +28,9 @@
 /// A connection to the backend server of the own host is made or refused within this.
 const CRASH_LOOK: Millis = Millis(50);
 
+/// If connections are still taken, they are tried again after this.
+const CRASH_AGAIN: Duration = Duration::from_millis(30);
+
 /// A backend server that left gets no request in this last part of the span that it has.
 const LEAVE_MARGIN: Millis = Millis(700);
 
@@ -84,17 +87,26 @@
 /// Looks whether the backend server is gone after a connection to it broke, and takes that for a
 /// crash.
 async fn notice_crash(cx: &Cx) {
-    if cx.state.borrow().keeper.serving() && cx.backend.refuses(CRASH_LOOK).await {
-        let now = cx.now();
-        let mut state = cx.state.borrow_mut();
-        let Some(boot) = state.keeper.backend().cloned() else { return };
-        if let Some(news) = state.suspects.crashed(&boot, now) {
-            warn!(
-                "event=backend-crashed id={} started={} suspects={:x?} refused={:x?}",
-                boot.id, boot.started, news.suspects, news.refused
-            );
+    if !cx.state.borrow().keeper.serving() {
+        return;
+    }
+    if !cx.backend.refuses(CRASH_LOOK).await {
+        // Its sockets are closed one after the other, the listener maybe last.
+        sleep(CRASH_AGAIN).await;
+        if !cx.backend.refuses(CRASH_LOOK).await {
+            return;
         }
     }
+    let now = cx.now();
+    let mut state = cx.state.borrow_mut();
+    let Some(boot) = state.keeper.backend().cloned() else { return };
+    let Some(news) = state.suspects.crashed(&boot, now) else { return };
+    drop(state);
+    warn!(
+        "event=backend-crashed id={} started={} suspects={:x?} refused={:x?}",
+        boot.id, boot.started, news.suspects, news.refused
+    );
+    cx.count_crashing();
 }
 
 /// Runs a request on the backend server of this host, or says why not.
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -273,11 +273,19 @@
     /// Takes in what another host says about requests that crash backend servers.
     pub fn heard_suspects(&self, news: &SuspectNews) {
         let now = self.now();
-        if self.state.borrow_mut().suspects.told(news, now) {
+        let new = self.state.borrow_mut().suspects.told(news, now);
+        if new {
             info!("event=suspects-heard suspects={:x?} refused={:x?}", news.suspects, news.refused);
+            self.count_crashing();
         }
     }
 
+    /// Shows in the metrics how many requests are refused because they crash backend servers.
+    pub fn count_crashing(&self) {
+        let count = self.state.borrow().suspects.refused_count(self.now());
+        metrics::gauge!("papayarill_crashing_requests").set(count as f64);
+    }
+
     /// Returns what other hosts are told about requests that crash backend servers.
     pub fn suspect_news(&self) -> SuspectNews {
         self.state.borrow().suspects.news(self.now())
