Wait for each host before the work-without-a-key test begins

A host that has not joined its cell yet has no lease, so it knows no current configuration; the trace of three failures shows lease none, row 0, no members at the host that answered 503 stale-config. The answer is right: not run, and when to come back. Ruled out: a host that lost its lease later (row 0 shows that it never had one). Change: the test waits for each host, and meanwhile checks that every other answer says "not run".

--- a/crates/papayarill/tests/requests.rs
+++ b/crates/papayarill/tests/requests.rs
@@ -177,10 +177,15 @@
         let host = start_host(&deployment.program, deployment.platform_addr, UNKEYED_SERVICE, zone);
         deployment.hosts.push(host);
     }
-    wait_for("the service to be served", || async {
-        ask(&deployment.hosts[0], "/forecast/outlook", None, &[]).await.status == 200
-    })
-    .await;
+    // A host that has not joined its cell yet knows no current configuration and says so.
+    for host in &deployment.hosts {
+        wait_for("the host to serve", || async {
+            let seen = ask(host, "/forecast/outlook", None, &[]).await;
+            assert!(seen.status == 200 || seen.outcome == "not-run", "{seen:?}");
+            seen.status == 200
+        })
+        .await;
+    }
 
     for _ in 0..60 {
         for host in &deployment.hosts {
