--- a/crates/mesh/src/demand.rs
+++ b/crates/mesh/src/demand.rs
@@ -4,7 +4,8 @@
 
 use model::Millis;
 
-/// Keys that are counted together.
+/// Keys that are counted together, and the fewest that move together. Single keys were tried: no
+/// more requests were served, as the busiest keys are too busy for any one server.
 pub(crate) const BUCKET_KEYS: u16 = 32;
 
 /// Counts fade by a factor of e in this span, in milliseconds: busy keys change within seconds.
@@ -19,7 +20,7 @@
 
 impl Default for Demand {
     fn default() -> Self {
-        let buckets = (usize::from(u16::MAX) + 1) / usize::from(BUCKET_KEYS);
+        let buckets = usize::from(u16::MAX / BUCKET_KEYS) + 1;
         Self { counts: vec![0.0; buckets], at: Millis::ZERO }
     }
 }
--- a/crates/mesh/src/keeper.rs
+++ b/crates/mesh/src/keeper.rs
@@ -239,10 +239,12 @@
         if !fresh || !settled || !self.store_answers(now) || self.lease.is_none() {
             return 0;
         }
-        let me = Member { host: self.me, takes_keys: true, load: self.load.0, room: self.load.1 };
+        let (load, room) = self.load;
+        let own = self.own_runs();
+        let me = Member { host: self.me, takes_keys: true, load, room, ranges: own.len() };
         let mut others = self.members(now);
         others.retain(|m| !lost.contains(&m.host));
-        let pieces = plan::shed(me, &self.own_runs(), &others, demand);
+        let pieces = plan::shed(me, &own, &others, demand);
         if !pieces.is_empty() {
             self.shed = now;
         }
--- a/crates/mesh/src/keeper/fleet.rs
+++ b/crates/mesh/src/keeper/fleet.rs
@@ -24,6 +24,7 @@
             takes_keys: row.takes_keys && !late.iter().any(|(h, _)| *h == host),
             load: row.load,
             room: row.room,
+            ranges: self.map.as_ref().map_or(0, |(_, map)| map.owned_by(host).count()),
         };
         hosts.map(member).collect()
     }
--- a/crates/mesh/src/plan.rs
+++ b/crates/mesh/src/plan.rs
@@ -14,7 +14,11 @@
 /// about 180 ranges; losses of half of the owners must still fit.
 const RANGES_PER_OWNER: u32 = 88;
 
-/// The shortest run, in keys: short enough that 200 busy neighbours meet several owners.
+/// A host with more ranges than this is given no more: about 180 fit into a grant, and those of a
+/// lost neighbour must still fit.
+const MOST_RANGES: usize = 130;
+
+/// The shortest run of the first map, in keys: short enough that 200 busy neighbours meet several owners.
 const SHORTEST_RUN: u32 = 64;
 
 /// An owner sheds keys above this load per room; servers slow down when nearly full.
@@ -44,6 +48,8 @@
         pub load: u32,
         /// Slots in hundredths, corrected by speed.
         pub room: u32,
+        /// How many ranges it owns.
+        pub ranges: usize,
     }
 }
 
@@ -144,15 +150,35 @@
     pub to_host: HostAddr,
 }
 
+struct Taker {
+    host: HostAddr,
+    load: f64,
+    room: f64,
+    ranges: usize,
+}
+
+impl Taker {
+    /// Returns the load that it may still take.
+    fn free(&self) -> f64 {
+        self.room * FILL - self.load
+    }
+}
+
 /// Picks what an owner with more work than room gives away. `load` tells the occupied slots in
 /// hundredths that a range causes, of keys as `demand` counts them.
 pub fn shed(me: Member, own: &[Run], others: &[Member], demand: &Demand) -> Vec<Piece> {
     let takers = others.iter().filter(|m| m.takes_keys && m.host != me.host && m.room > 0);
-    let mut takers: Vec<(HostAddr, f64, f64)> =
-        takers.map(|m| (m.host, f64::from(m.load), f64::from(m.room))).collect();
+    let mut takers: Vec<Taker> = takers
+        .map(|m| Taker {
+            host: m.host,
+            load: f64::from(m.load),
+            room: f64::from(m.room),
+            ranges: m.ranges,
+        })
+        .collect();
     let room = f64::from(me.room.max(1));
-    let all_load: f64 = takers.iter().map(|t| t.1).sum::<f64>() + f64::from(me.load);
-    let all_room: f64 = takers.iter().map(|t| t.2).sum::<f64>() + room;
+    let all_load: f64 = takers.iter().map(|t| t.load).sum::<f64>() + f64::from(me.load);
+    let all_room: f64 = takers.iter().map(|t| t.room).sum::<f64>() + room;
     let mean = all_load / all_room;
     if me.pressure() < OVERLOADED || me.pressure() < mean + GAP {
         return Vec::new();
@@ -172,14 +198,15 @@
         if work <= 0.0 {
             break;
         }
-        let free = |t: &(HostAddr, f64, f64)| t.2 * FILL - t.1;
-        let Some(taker) = takers.iter_mut().max_by(|a, b| free(a).total_cmp(&free(b))) else {
+        let open = takers.iter_mut().filter(|t| t.ranges < MOST_RANGES);
+        let Some(taker) = open.max_by(|a, b| a.free().total_cmp(&b.free())) else {
             break;
         };
-        if work <= excess && work <= free(taker) {
-            taker.1 += work;
+        if work <= excess && work <= taker.free() {
+            taker.load += work;
+            taker.ranges += 1;
             excess -= work;
-            pieces.push(Piece { from, to, to_host: taker.0 });
+            pieces.push(Piece { from, to, to_host: taker.host });
         } else if to - from >= 2 * BUCKET_KEYS - 1 {
             let middle = from + (to - from) / 2;
             runs.push((from, middle, load(from, middle)));
--- a/crates/mesh/tests/load.rs
+++ b/crates/mesh/tests/load.rs
@@ -3,7 +3,7 @@
 
 use mesh::{
     Budget, BudgetLimits, Demand, Distance, Job, LoadReport, Member, Offer, Peers, Queue,
-    QueueLimits, Sent, Ticket, evict, first_map, rebalance, shed,
+    QueueLimits, Run, Sent, Ticket, evict, first_map, rebalance, shed,
 };
 use model::{HostAddr, Millis};
 use rand::rngs::StdRng;
@@ -303,7 +303,22 @@
 }
 
 fn member(i: usize, load: u32) -> Member {
-    Member { host: host(i), takes_keys: true, load, room: 600 }
+    Member { host: host(i), takes_keys: true, load, room: 600, ranges: 88 }
+}
+
+#[test]
+fn a_host_with_many_ranges_is_given_no_more() {
+    let hosts: Vec<HostAddr> = (0..3).map(host).collect();
+    let map = first_map(&hosts).unwrap();
+    let own: Vec<Run> = map.owned_by(host(0)).cloned().collect();
+    let mut demand = Demand::default();
+    own.iter().for_each(|r| (0..10).for_each(|_| demand.count(r.from)));
+    let full = Member { ranges: 150, ..member(1, 0) };
+
+    let pieces = shed(member(0, 900), &own, &[full, member(2, 100)], &demand);
+
+    assert!(!pieces.is_empty());
+    assert!(pieces.iter().all(|p| p.to_host == host(2)), "{pieces:?}");
 }
 
 #[test]
