--- a/crates/sidecar/src/keep.rs
+++ b/crates/sidecar/src/keep.rs
@@ -112,8 +112,11 @@
         (Some(until), None) => warn!("event=lease-lost until={until}"),
         _ => {}
     }
-    if let Some((version, map)) = state.keeper.map().cloned() {
-        state.learn_map(&cx.settings.service, version, Rc::new(map));
+    let service = &cx.settings.service;
+    let known = state.map_version(service);
+    let newer = state.keeper.map().filter(|(version, _)| Some(*version) > known);
+    if let Some((version, map)) = newer.cloned() {
+        state.learn_map(service, version, Rc::new(map));
     }
     drop(state);
     cx.changed.notify_waiters();
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -16,6 +16,7 @@
 mod start;
 mod state;
 mod tell;
+mod tries;
 mod wire;
 
 pub use log_out::Out;
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -349,6 +349,12 @@
         true
     }
 
+    /// Returns the version of the key map of a service.
+    pub fn map_version(&self, service: &ServiceName) -> Option<RowVersion> {
+        let at = self.maps.binary_search_by(|m| m.service.cmp(service)).ok()?;
+        Some(self.maps[at].version)
+    }
+
     /// Returns the key map of a service.
     pub fn map(&self, service: &ServiceName) -> Option<&Rc<KeyMap>> {
         let at = self.maps.binary_search_by(|m| m.service.cmp(service)).ok()?;
