--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -106,7 +106,6 @@
         "event=backend-crashed id={} started={} suspects={:x?} refused={:x?}",
         boot.id, boot.started, news.suspects, news.refused
     );
-    cx.count_crashing();
 }
 
 /// Runs a request on the backend server of this host, or says why not.
--- a/crates/sidecar/src/edges.rs
+++ b/crates/sidecar/src/edges.rs
@@ -200,7 +200,9 @@
 pub fn metrics(
     handle: PrometheusHandle,
 ) -> impl Fn(Rc<Cx>, Request<Incoming>) -> std::future::Ready<Answer> + Clone + 'static {
-    move |_, _| {
+    move |cx, _| {
+        // This one falls by itself as refusals end.
+        metrics::gauge!("papayarill_crashing_requests").set(cx.crashing_requests() as f64);
         let text = Bytes::from(handle.render());
         std::future::ready(Ok(plain(StatusCode::OK, text)))
     }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -1,6 +1,6 @@
 //! What the process learns from the store: the configuration, the hosts and the key maps.
 //!
-//! Only some hosts of a zone read the store; `news` brings the others what these learn.
+//! Few hosts read the store; `news` brings the others what these learn.
 
 use std::pin::pin;
 use std::rc::Rc;
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::dependency::Dependency;
-use crate::state::{ConfigRow, Cx};
+use crate::state::{ConfigRow, Cx, Part};
 
 /// A failed question is asked again after this.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -76,7 +76,7 @@
                         Err(e) => dependency.failed(&e),
                     }
                 }
-                cx.read_at(|contacts, now| contacts.config = Some(now));
+                cx.has_read(Part::Config);
                 if hinted && cx.version() == before {
                     // The store answered from the past, or the hint was wrong.
                     sleep(PAUSE).await;
@@ -142,7 +142,7 @@
                     }
                 }
                 cx.state.borrow_mut().keeper.map_read();
-                cx.read_at(|contacts, now| contacts.fleet = Some(now));
+                cx.has_read(Part::Fleet);
                 if some {
                     sleep(GATHER).await;
                 }
@@ -158,7 +158,7 @@
     }
 }
 
-/// Waits after a failure. Hosts that are not the first of their zone to ask wait longer.
+/// Waits after a failure. Hosts that usually hear from others wait longer.
 async fn pause(cx: &Cx) {
     let near = cx.neighbours();
     let source = cx.state.borrow().relays.source(&near, cx.now());
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -27,7 +27,7 @@
     /// The hosts of each service, sorted by service.
     pub peers: Vec<(ServiceName, Peers)>,
     /// When this process itself read the store.
-    pub contacts: Contacts,
+    pub reads: Reads,
     /// The key maps, sorted by service.
     pub maps: Vec<MapRow>,
     /// The budget of repeats of each service, sorted by service.
@@ -93,13 +93,20 @@
     }
 }
 
-/// When the store was read last.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Contacts {
+/// What a process reads of the store to know all news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
     /// The configuration.
-    pub config: Option<Millis>,
+    Config,
     /// The hosts and key maps.
-    pub fleet: Option<Millis>,
+    Fleet,
+}
+
+/// When each part of the store was read last.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reads {
+    config: Option<Millis>,
+    fleet: Option<Millis>,
 }
 
 /// Whether a waiting request starts.
@@ -160,7 +167,7 @@
             config: None,
             hosts: Directory::default(),
             relays: Relays::new(me),
-            contacts: Contacts::default(),
+            reads: Reads::default(),
             peers: Vec::new(),
             maps: Vec::new(),
             budgets: Vec::new(),
@@ -250,12 +257,15 @@
     }
 
     /// Takes in that this process read a part of the store.
-    pub fn read_at(&self, note: impl FnOnce(&mut Contacts, Millis)) {
+    pub fn has_read(&self, part: Part) {
+        let now = self.now();
         let mut state = self.state.borrow_mut();
-        note(&mut state.contacts, self.now());
-        let Contacts { config, fleet } = state.contacts;
+        match part {
+            Part::Config => state.reads.config = Some(now),
+            Part::Fleet => state.reads.fleet = Some(now),
+        }
         // All that is known is as old as the part that was read first.
-        if let (Some(config), Some(fleet)) = (config, fleet) {
+        if let Reads { config: Some(config), fleet: Some(fleet) } = state.reads {
             state.relays.contact(config.min(fleet));
         }
         drop(state);
@@ -276,14 +286,12 @@
         let new = self.state.borrow_mut().suspects.told(news, now);
         if new {
             info!("event=suspects-heard suspects={:x?} refused={:x?}", news.suspects, news.refused);
-            self.count_crashing();
         }
     }
 
-    /// Shows in the metrics how many requests are refused because they crash backend servers.
-    pub fn count_crashing(&self) {
-        let count = self.state.borrow().suspects.refused_count(self.now());
-        metrics::gauge!("papayarill_crashing_requests").set(count as f64);
+    /// Returns how many kinds of request are refused because they crash backend servers.
+    pub fn crashing_requests(&self) -> usize {
+        self.state.borrow().suspects.refused_count(self.now())
     }
 
     /// Returns what other hosts are told about requests that crash backend servers.
