Take connections, refusals and reads of the fleet through one piece each

Found by reading the whole change again; behaviour is unchanged. - Both listeners had the same accept loop; `edges::accept` serves both, with its pause named. - Refusals of `backend.rs` built the same value three times; `not_run_for` makes it. - `read_fleet` handed back a version that was always none and maps that each of its two callers took in; it takes them in itself now, and its twin `follow_fleet` does the same for changes. - Each request and each message between hosts copied the whole list of suspects to look one up; `Quarantine::status` answers for one, and `list` uses the same code. - A comment of the budget contradicted the one that replaced it.

--- a/crates/admission/src/quarantine.rs
+++ b/crates/admission/src/quarantine.rs
@@ -89,6 +89,13 @@
     ends_at: Millis,
 }
 
+impl Entry {
+    fn status(&self, now: Millis) -> QuarantineStatus {
+        let time_left = self.ends_at.since(now);
+        QuarantineStatus { digest: self.digest, state: self.state, time_left }
+    }
+}
+
 /// The suspects and the quarantined requests that one member of a cell knows, for one service.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -213,15 +220,16 @@
 
 /// Queries.
 impl Quarantine {
+    /// Returns what is held against one request.
+    pub fn status(&self, digest: u64, now: Millis) -> Option<QuarantineStatus> {
+        let entry = self.entry(digest).filter(|e| e.ends_at > now)?;
+        Some(entry.status(now))
+    }
+
     /// Returns what is held against requests, sorted by digest.
     pub fn list(&self, now: Millis) -> Vec<QuarantineStatus> {
         let held = self.entries.iter().filter(|e| e.ends_at > now);
-        held.map(|e| QuarantineStatus {
-            digest: e.digest,
-            state: e.state,
-            time_left: e.ends_at.since(now),
-        })
-        .collect()
+        held.map(|e| e.status(now)).collect()
     }
 
     fn entry(&self, digest: u64) -> Option<&Entry> {
--- a/crates/mesh/src/budget.rs
+++ b/crates/mesh/src/budget.rs
@@ -26,8 +26,6 @@
     }
 }
 
-/// Half of the budget is left for repeats that a repeat causes further on: the calls that its run
-/// makes count as repeats at other services.
 /// The part of the budget that is spent on sending a request again. The rest is for what a repeat
 /// causes further on: the calls that its run makes, two as a rule, count as repeats at the services
 /// that they go to.
--- a/crates/mesh/src/suspects.rs
+++ b/crates/mesh/src/suspects.rs
@@ -66,8 +66,7 @@
 impl Suspects {
     /// Returns for how long a request is refused, if it is.
     pub fn refused(&self, digest: u64, now: Millis) -> Option<Millis> {
-        let list = self.quarantine.list(now);
-        let entry = list.iter().find(|s| s.digest == digest)?;
+        let entry = self.quarantine.status(digest, now)?;
         (entry.state == QuarantineState::Quarantined).then_some(entry.time_left)
     }
 
@@ -141,8 +140,7 @@
 
     /// Takes in what another host says. Returns true if anything is new.
     pub fn told(&mut self, news: &SuspectNews, now: Millis) -> bool {
-        let known = self.quarantine.list(now);
-        let state = |digest: u64| known.iter().find(|s| s.digest == digest).map(|s| s.state);
+        let state = |digest: u64| self.quarantine.status(digest, now).map(|s| s.state);
         let new = SuspectNews {
             suspects: news.suspects.iter().copied().filter(|d| state(*d).is_none()).collect(),
             refused: news
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -138,7 +138,13 @@
 }
 
 fn not_run(why: NotRun) -> (End, bool, Bytes) {
-    (End::NotRun { why, after_ms: 0 }, false, Bytes::new())
+    not_run_for(why, Millis::ZERO)
+}
+
+/// Says that a request did not run and when it may.
+fn not_run_for(why: NotRun, after: Millis) -> (End, bool, Bytes) {
+    let after_ms = u32::try_from(after.0).unwrap_or(u32::MAX);
+    (End::NotRun { why, after_ms }, false, Bytes::new())
 }
 
 async fn attempt(cx: &Rc<Cx>, forward: &Forward, body: Bytes, came: Millis) -> (End, bool, Bytes) {
@@ -147,8 +153,7 @@
         return not_run(NotRun::NotOwner);
     }
     if let Some(left) = cx.state.borrow().suspects.refused(forward.digest, came) {
-        let after_ms = u32::try_from(left.0).unwrap_or(u32::MAX);
-        return (End::NotRun { why: NotRun::Crashes, after_ms }, false, Bytes::new());
+        return not_run_for(NotRun::Crashes, left);
     }
     if let Some(key) = forward.key {
         cx.state.borrow_mut().demand.count(key);
@@ -164,10 +169,7 @@
     };
     let offer = cx.state.borrow_mut().queue.offer(job, came);
     let place = match offer {
-        Offer::Refuse(after) => {
-            let after_ms = u32::try_from(after.0).unwrap_or(u32::MAX);
-            return (End::NotRun { why: NotRun::NoRoom, after_ms }, false, Bytes::new());
-        }
+        Offer::Refuse(after) => return not_run_for(NotRun::NoRoom, after),
         Offer::Start(ticket) => Place { cx, ticket: Some(ticket) },
         Offer::Wait(ticket) => {
             let place = Place { cx, ticket: Some(ticket) };
@@ -175,8 +177,7 @@
             cx.state.borrow_mut().waiters.push((ticket, tx));
             if rx.await != Ok(Start::Now) {
                 let wait = cx.state.borrow().queue.wait(cx.now());
-                let after_ms = u32::try_from(wait.0).unwrap_or(u32::MAX);
-                return (End::NotRun { why: NotRun::NoRoom, after_ms }, false, Bytes::new());
+                return not_run_for(NotRun::NoRoom, wait);
             }
             // Much may have changed while it waited.
             if let Err(why) = ours(&cx.state.borrow(), cx, forward) {
--- a/crates/sidecar/src/edges.rs
+++ b/crates/sidecar/src/edges.rs
@@ -18,7 +18,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::Millis;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::ingress;
 use crate::state::Cx;
@@ -33,9 +33,12 @@
 /// Written bytes have to be confirmed by callers within this.
 const UNCONFIRMED: Millis = Millis(10_000);
 
-/// Probes on idle connections of callers start after this.
+/// Probes on idle connections that were taken start after this.
 const PROBE_AFTER: Millis = Millis(20_000);
 
+/// After a connection that couldn't be taken, as when descriptors run out, the next is tried.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// The longest head of a request, in bytes; the smallest buffer that the library takes is 8 KiB.
 const HEAD_BYTES: usize = 64 << 10;
 
@@ -49,20 +52,27 @@
     F: Fn(Rc<Cx>, Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Answer> + 'static,
 {
+    loop {
+        let stream = accept(&listener, name, UNCONFIRMED).await;
+        actix_rt::spawn(serve(cx.clone(), stream, answer.clone()));
+    }
+}
+
+/// Takes the next connection. Bytes written to it have to be confirmed within `unconfirmed`.
+pub async fn accept(listener: &TcpListener, name: &str, unconfirmed: Millis) -> TcpStream {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
                 warn!("event=accept-failed listener={name} error={e:?}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        if let Err(e) = http1::watch_peer(&stream, UNCONFIRMED, PROBE_AFTER) {
-            warn!("event=connection-dropped listener={name} error={e:?}");
-            continue;
+        match http1::watch_peer(&stream, unconfirmed, PROBE_AFTER) {
+            Ok(()) => return stream,
+            Err(e) => warn!("event=connection-dropped listener={name} error={e:?}"),
         }
-        actix_rt::spawn(serve(cx.clone(), stream, answer.clone()));
     }
 }
 
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{Either, select};
 use log::{info, warn};
 use mesh::{Changes, Distance, KeyMap, Source};
-use model::{HostAddr, RowVersion, ServiceName};
+use model::{HostAddr, Millis, RowVersion, ServiceName};
 use tokio::time::{sleep, timeout};
 
 use crate::dependency::Dependency;
@@ -123,27 +123,20 @@
         let result = if read {
             read_fleet(&cx).await
         } else {
-            let changes = cx.store.follow_fleet(position, dependency.wait()).await;
-            changes.map(|(news, version)| (news, Some(version)))
+            follow_fleet(&cx, position, dependency.wait()).await
         };
         match result {
-            Ok((news, version)) => {
+            Ok(changed) => {
                 dependency.answered();
                 history_gone = false;
-                let some = !news.is_empty();
-                news.into_iter().for_each(|n| learn(&cx, n));
-                if let Some(version) = version {
-                    cx.state.borrow_mut().hosts.advance(version);
-                }
-                if dependency.doubts(cx.now()) {
-                    match read_fleet(&cx).await {
-                        Ok((news, _)) => news.into_iter().for_each(|n| learn(&cx, n)),
-                        Err(e) => dependency.failed(&e),
-                    }
+                if dependency.doubts(cx.now())
+                    && let Err(e) = read_fleet(&cx).await
+                {
+                    dependency.failed(&e);
                 }
                 cx.state.borrow_mut().keeper.map_read();
                 cx.has_read(Part::Fleet);
-                if some {
+                if changed {
                     sleep(GATHER).await;
                 }
             }
@@ -171,8 +164,18 @@
     }
 }
 
-/// Reads all hosts and key maps, and takes in the hosts that are there and those that are not.
-async fn read_fleet(cx: &Rc<Cx>) -> Result<(Vec<News>, Option<RowVersion>), StoreError> {
+/// Waits for changes after `position` and takes them in. Returns whether there were any.
+async fn follow_fleet(cx: &Rc<Cx>, position: RowVersion, wait: Millis) -> Result<bool, StoreError> {
+    let (news, position) = cx.store.follow_fleet(position, wait).await?;
+    let changed = !news.is_empty();
+    news.into_iter().for_each(|n| learn(cx, n));
+    cx.state.borrow_mut().hosts.advance(position);
+    Ok(changed)
+}
+
+/// Reads all hosts and key maps, and takes in the hosts that are there, those that are not, and
+/// the maps. Returns whether there were any maps.
+async fn read_fleet(cx: &Rc<Cx>) -> Result<bool, StoreError> {
     // Maps are in parts of their own, so the keyed services have to be known first.
     let services = loop {
         let config = cx.state.borrow().config.clone();
@@ -192,7 +195,9 @@
     rows.sort_by_key(|(host, ..)| *host);
     let newest = rows.iter().map(|(_, version, _)| *version).max();
     learn_hosts(cx, Changes { whole: newest, position, rows });
-    Ok((others, None))
+    let some = !others.is_empty();
+    others.into_iter().for_each(|n| learn(cx, n));
+    Ok(some)
 }
 
 fn learn(cx: &Rc<Cx>, news: News) {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -24,7 +24,7 @@
 
 use crate::state::Cx;
 use crate::wire::{End, Forward, NotRun, Outcome, decode, encode};
-use crate::{backend, news};
+use crate::{backend, edges, news};
 
 /// A connection has to be made within this. The longest way between regions takes 60 ms there and
 /// back; a longer wait would cost callers more than another host does.
@@ -232,23 +232,11 @@
 /// its request did not run.
 pub async fn listen(cx: Rc<Cx>, listener: TcpListener) {
     loop {
-        let accepted = match select(pin!(listener.accept()), pin!(cx.stop.notified())).await {
-            Either::Left((accepted, _)) => accepted,
+        let accepted = edges::accept(&listener, "hosts", UNCONFIRMED);
+        match select(pin!(accepted), pin!(cx.stop.notified())).await {
+            Either::Left((stream, _)) => actix_rt::spawn(serve(cx.clone(), stream)),
             Either::Right(_) => return,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                warn!("event=accept-failed listener=hosts error={e:?}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
-        if let Err(e) = http1::watch_peer(&stream, UNCONFIRMED, PROBE_AFTER) {
-            warn!("event=connection-dropped listener=hosts error={e:?}");
-            continue;
-        }
-        actix_rt::spawn(serve(cx.clone(), stream));
     }
 }
 
