Skip what a configuration document can't tell instead of rejecting it whole

Any other odd entry had the same effect. Change: routes, services and limits are parsed one by one. Each issue is logged once per version and counted in papayarill_configuration_issues. The way in which grants reach backend servers is read, but not used yet.

--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -61,6 +61,16 @@
     }
 }
 
+/// How the grants of keys reach the backend servers of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum GrantDelivery {
+    /// In the replies to their heartbeats.
+    #[default]
+    HeartbeatReply,
+    /// By calls of the sidecar process next to them.
+    Call,
+}
+
 /// The configuration of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
@@ -68,6 +78,8 @@
     pub name: ServiceName,
     /// Whether each key is owned by one of its backend servers.
     pub keyed: bool,
+    /// How its backend servers are told which keys they own.
+    pub grant_delivery: GrantDelivery,
     /// The maximum number of connections that one of its backend servers accepts.
     pub max_connections: usize,
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -21,7 +21,9 @@
 mod witness;
 
 pub use compression::{compress, decompress};
-pub use config::{Config, RequestLimits, RetrySafety, Route, Service, WeightedService};
+pub use config::{
+    Config, GrantDelivery, RequestLimits, RetrySafety, Route, Service, WeightedService,
+};
 pub use directory::{HostChanges, HostDirectory, HostUpdate};
 pub use key_map::{KeyMap, KeyMapError, KeyRange, MAX_KEY};
 pub use key_request_counts::KeyRequestCounts;
--- a/crates/sidecar/src/store_watch.rs
+++ b/crates/sidecar/src/store_watch.rs
@@ -6,12 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::{HostRow, RowUpdate, StoreError};
+use adapter::{ConfigIssue, HostRow, ParsedConfig, RowUpdate, StoreError};
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use log::{info, warn};
 use mesh::{Distance, HostChanges, KeyMap, UpdateSource};
-use model::{HostAddr, Millis, RowVersion, ServiceName};
+use model::{ConfigVersion, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::time::{sleep, timeout};
 
 use crate::dependency::Dependency;
@@ -263,8 +263,8 @@
 
 /// Applies a configuration document if its version is newer than the current one.
 pub fn apply_config(cx: &Cx, row: RowVersion, document: Bytes) {
-    let config = match adapter::parse_config(&document) {
-        Ok(config) => config,
+    let ParsedConfig { config, issues } = match adapter::parse_config(&document) {
+        Ok(parsed) => parsed,
         Err(e) => {
             warn!("event=configuration-ignored row={row} error={:?}", e.to_string());
             return;
@@ -280,9 +280,28 @@
         config.version,
         config.route_count()
     );
+    log_config_issues(config.version, &issues);
     state.config = Some(ActiveConfig::new(row, config, document));
 }
 
+fn log_config_issues(version: ConfigVersion, issues: &[ConfigIssue]) {
+    for issue in issues {
+        match issue {
+            ConfigIssue::Skipped { list, entry, error } => {
+                let error = error.to_string();
+                warn!(
+                    "event=configuration-entry-skipped version={version} list={list} \
+                     entry={entry:?} error={error:?}"
+                );
+            }
+            ConfigIssue::UnknownType { route, kind } => warn!(
+                "event=configuration-type-unknown version={version} route={route:?} type={kind:?}"
+            ),
+        }
+    }
+    metrics::gauge!("papayarill_configuration_issues").set(issues.len() as f64);
+}
+
 /// Writes this host's row, by which other hosts discover it, and retries until that succeeds.
 pub async fn register_host(cx: Rc<Cx>) {
     let row = HostRow {
