Grant keys by calls to the backend server where the service asks for it

Change: mesh decides which grants and releases are due (ownership/grant_calls.rs) with two ends per range: until the first it is certainly held, after the second certainly not. A grant without a reply may be carried out seconds later, also after a release, so its keys change their owner only after what it could hold has ended on a clock 2% slow. A restarted process waits out what its predecessor may have granted. The walk found on the way that a grant on its way was not counted when all grants were thought to have ended.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -94,6 +94,11 @@
         self.idle.borrow_mut().clear();
     }
 
+    /// Returns whether an idle connection is open.
+    pub fn has_open_connection(&self) -> bool {
+        self.idle.borrow().iter().any(|i| !i.tx.is_closed())
+    }
+
     /// Returns whether the server refuses a new connection within `limit`.
     pub async fn refuses_connections(&self, limit: Millis) -> bool {
         let result = timeout(Duration::from(limit), TcpStream::connect(self.to)).await;
@@ -103,12 +108,25 @@
     }
 
     /// Sends a request and reads the complete response. Dropping the future closes the connection.
-    pub async fn send(&self, mut req: Request<Full<Bytes>>) -> Result<Response<Bytes>, SendError> {
+    pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Bytes>, SendError> {
+        self.send_if(req, || true).await
+    }
+
+    /// Like [`Client::send`], but opens a new connection only if `may_open` allows it at that time.
+    pub async fn send_if(
+        &self,
+        mut req: Request<Full<Bytes>>,
+        may_open: impl Fn() -> bool,
+    ) -> Result<Response<Bytes>, SendError> {
         // An idle connection may turn out to be closed before anything is written. The request is
         // then retried on the next idle connection, and finally on a new one.
         loop {
             let (mut tx, reused) = match self.take_idle() {
                 Some(tx) => (tx, true),
+                None if !may_open() => {
+                    let reason = "no connection is open, and none may be opened".to_owned();
+                    return NotSentSnafu { reason }.fail();
+                }
                 None => (self.open().await?, false),
             };
             match tx.try_send_request(req).await {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -30,8 +30,9 @@
 pub use leases::{Incarnation, LeaseObserver, LeaseRow, LeaseRowError};
 pub use load_balancer::{AttemptResult, Distance, LoadBalancer, LoadReport, Peer};
 pub use ownership::{
-    BackendHeartbeat, ConditionalWrite, Grant, HeartbeatAction, HeartbeatReply, HeldRange,
-    KeyOwnership, KeyRejection, OwnershipTiming, RowName, WriteOutcome,
+    BackendHeartbeat, ConditionalWrite, Grant, GrantCall, GrantCallId, GrantCallOutcome,
+    HeartbeatAction, HeartbeatReply, HeldRange, KeyOwnership, KeyRejection, OwnershipTiming,
+    RowName, WriteOutcome,
 };
 pub use placement::{KeyMove, Member, evict, initial_map, rebalance, shed};
 pub use queue::{Admission, Job, JobId, QueueLimits, RequestQueue};
--- a/crates/mesh/src/ownership.rs
+++ b/crates/mesh/src/ownership.rs
@@ -15,6 +15,7 @@
 //! on the condition that the lease row is still the version that was seen to expire.
 
 mod assignment;
+mod grant_calls;
 mod heartbeats;
 mod releases;
 mod timing;
@@ -26,15 +27,16 @@
 
 pub use self::timing::OwnershipTiming;
 pub use self::types::{
-    BackendHeartbeat, ConditionalWrite, Grant, HeartbeatAction, HeartbeatReply, HeldRange,
-    KeyRejection, RowName, WriteOutcome,
+    BackendHeartbeat, ConditionalWrite, Grant, GrantCall, GrantCallId, GrantCallOutcome,
+    HeartbeatAction, HeartbeatReply, HeldRange, KeyRejection, RowName, WriteOutcome,
 };
 
+use self::grant_calls::GrantCalls;
 use self::releases::Release;
 use self::witnesses::{ConfirmRound, Denial};
 use crate::leases::{Incarnation, LeaseObserver, LeaseRow};
 use crate::placement::{self, Member};
-use crate::{KeyMap, KeyRequestCounts};
+use crate::{GrantDelivery, KeyMap, KeyRequestCounts};
 
 /// What is known about the local backend server.
 #[derive(Clone, Debug, Default)]
@@ -44,13 +46,38 @@
     seq: u64,
     last_heartbeat: Millis,
     draining: bool,
-    /// After this time, every grant has ended even by the slowest clock.
+    /// After this time, every grant in a heartbeat reply has ended even by the slowest clock.
     latest_grant_end: Millis,
     /// Until this time, the keys in `granted` are certain to be held.
     granted_until: Millis,
     granted: Vec<HeldRange>,
     /// The ranges that it reported to hold.
     held: Vec<HeldRange>,
+    /// The calls that deliver its grants, unless the replies to its heartbeats do.
+    calls: Option<GrantCalls>,
+}
+
+impl Backend {
+    /// Returns when every grant has ended even by the slowest clock.
+    fn grants_end(&self) -> Millis {
+        let called = self.calls.as_ref().map_or(Millis::ZERO, GrantCalls::latest_grant_end);
+        self.latest_grant_end.max(called)
+    }
+
+    fn last_call_id(&self) -> u64 {
+        self.calls.as_ref().map_or(0, GrantCalls::last_id)
+    }
+
+    /// Returns whether `key` is certain to be held under `fence`.
+    fn holds(&self, key: u16, fence: Fence, now: Millis) -> bool {
+        match &self.calls {
+            Some(calls) => calls.holds(key, fence, now),
+            None => {
+                let contains = |h: &HeldRange| h.from <= key && key <= h.to && h.fence == fence;
+                now < self.granted_until && self.granted.iter().any(contains)
+            }
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -69,6 +96,7 @@
     me: HostAddr,
     process: u64,
     timing: OwnershipTiming,
+    delivery: GrantDelivery,
     started_at: Millis,
     lease: Option<Lease>,
     /// The host's lease row as last written.
@@ -121,11 +149,7 @@
         if self.releases.iter().any(|r| r.from <= key && key <= r.to) {
             return Err(KeyRejection::Moving);
         }
-        let backend = self.backend.as_ref().filter(|b| now < b.granted_until);
-        let held = |b: &&Backend| {
-            b.granted.iter().any(|h| h.from <= key && key <= h.to && h.fence == range.fence)
-        };
-        match backend.filter(held) {
+        match self.backend.as_ref().filter(|b| b.holds(key, range.fence, now)) {
             Some(_) => Ok(range.fence),
             None => Err(KeyRejection::NotGranted),
         }
@@ -193,6 +217,7 @@
             me,
             process,
             timing,
+            delivery: GrantDelivery::default(),
             started_at: now,
             lease: None,
             own_row: LeaseRow::default(),
--- a/crates/mesh/src/ownership/heartbeats.rs
+++ b/crates/mesh/src/ownership/heartbeats.rs
@@ -2,12 +2,13 @@
 
 use model::{HostAddr, Millis};
 
+use super::grant_calls::GrantCalls;
 use super::releases::Release;
 use super::{Backend, KeyOwnership};
 use crate::ownership::types::{
     BackendHeartbeat, Grant, HeartbeatAction, HeartbeatReply, HeldRange,
 };
-use crate::{KeyMap, KeyRange};
+use crate::{GrantDelivery, KeyMap, KeyRange};
 
 /// The maximum length of the encoded list of grants, in bytes. Backend servers ignore replies above
 /// 4 KiB, which include the surrounding fields.
@@ -98,7 +99,9 @@
             let latest_grant_end =
                 if heartbeat.held.is_empty() { Millis::ZERO } else { held_until };
             let incarnation = heartbeat.incarnation.clone();
-            self.backend = Some(Backend { incarnation, latest_grant_end, ..Backend::default() });
+            let calls = self.calls_to_next_incarnation(now);
+            self.backend =
+                Some(Backend { incarnation, latest_grant_end, calls, ..Backend::default() });
             self.releases.clear();
         }
         let Some(b) = self.backend.as_mut() else { return HeartbeatAction::Stale };
@@ -106,7 +109,10 @@
         b.last_heartbeat = now;
         b.draining = heartbeat.draining;
         b.held.clone_from(&heartbeat.held);
-        self.record_released(heartbeat);
+        match &mut b.calls {
+            Some(calls) => calls.record_alive(now),
+            None => self.record_released(heartbeat),
+        }
         if heartbeat.draining {
             self.release_all_keys();
         }
@@ -163,26 +169,73 @@
     }
 
     /// Records that the backend server has deregistered and sends no more heartbeats. It continues
-    /// to serve the keys that it holds until its grants end.
+    /// to serve the keys that it holds until they are taken back by calls, or its grants end.
     pub fn backend_deregistered(&mut self) {
+        let Some(b) = &mut self.backend else { return };
+        b.draining = true;
+        if b.calls.is_some() {
+            self.release_all_keys();
+        }
+    }
+
+    /// Returns the state of the calls to an incarnation of the backend server that has just been
+    /// heard for the first time, if grants are delivered by calls.
+    fn calls_to_next_incarnation(&self, now: Millis) -> Option<GrantCalls> {
+        if self.delivery != GrantDelivery::Call {
+            return None;
+        }
+        Some(match &self.backend {
+            // The keys of the previous incarnation ended with it.
+            Some(b) => GrantCalls::new(Millis::ZERO, b.last_call_id(), now),
+            // An earlier process may have granted keys to this incarnation.
+            None => GrantCalls::new(self.end_of_unknown_grants(now), 0, now),
+        })
+    }
+
+    /// Returns when the grants that other processes may have sent until now have ended.
+    fn end_of_unknown_grants(&self, now: Millis) -> Millis {
+        let longest = self.timing.grant_duration;
+        now + longest + Millis(longest.0 / CLOCK_DRIFT_DIVISOR) + self.timing.silence_limit
+    }
+
+    /// Sets how grants reach the backend server.
+    pub fn set_grant_delivery(&mut self, delivery: GrantDelivery, now: Millis) {
+        if delivery == self.delivery {
+            return;
+        }
+        self.delivery = delivery;
+        let unknown_until = self.end_of_unknown_grants(now);
         if let Some(b) = &mut self.backend {
-            b.draining = true;
+            b.latest_grant_end = b.latest_grant_end.max(unknown_until);
+            b.granted.clear();
+            b.calls = (delivery == GrantDelivery::Call)
+                .then(|| GrantCalls::new(unknown_until, b.last_call_id(), now));
         }
     }
 
-    /// Returns the grants for the backend server, and how long they are valid from `received_at`.
-    pub(super) fn current_grants(&self, received_at: Millis) -> Option<(Vec<Grant>, Millis)> {
+    /// Returns the ranges that the backend server may hold, and how long a grant is valid that it
+    /// receives at `now`.
+    pub(super) fn grantable_ranges(&self, now: Millis) -> Option<(Vec<KeyRange>, Millis)> {
         let ((_, map), b) = (self.map.as_ref()?, self.backend.as_ref()?);
         // Even if it is measured by a slow clock, a grant has to end before the lease.
-        let left = self.lease_expiry()?.since(received_at + Millis(100));
+        let left = self.lease_expiry()?.since(now + Millis(100));
         let valid_for = self.timing.grant_duration.min(left - Millis(left.0 / CLOCK_DRIFT_DIVISOR));
         if b.incarnation != self.own_row.incarnation || valid_for == Millis::ZERO {
             return None;
         }
-        let mut grants = Vec::new();
         let own = map.owned_by(self.me).filter(|r| r.fence.0 > self.own_row.fence_floor);
-        for range in own.flat_map(|range| subtract_releases(range, &self.releases)) {
-            let mut grant = Grant::from(&range);
+        let ranges = own.flat_map(|range| subtract_releases(range, &self.releases)).collect();
+        Some((ranges, valid_for))
+    }
+
+    /// Returns the grants for the reply to a heartbeat, and how long they are valid from
+    /// `received_at`.
+    pub(super) fn current_grants(&self, received_at: Millis) -> Option<(Vec<Grant>, Millis)> {
+        let b = self.backend.as_ref().filter(|b| b.calls.is_none())?;
+        let (ranges, valid_for) = self.grantable_ranges(received_at)?;
+        let mut grants = Vec::new();
+        for range in &ranges {
+            let mut grant = Grant::from(range);
             let HeldRange { from, to, fence } = grant.range;
             let holds = |h: &HeldRange| h.from <= from && to <= h.to && h.fence == fence;
             if b.held.iter().any(holds) {
--- a/crates/mesh/src/ownership/releases.rs
+++ b/crates/mesh/src/ownership/releases.rs
@@ -4,8 +4,12 @@
 
 use super::KeyOwnership;
 use super::heartbeats::{MAX_GRANTS_BYTES, grants_len, own_grants};
-use crate::KeyRange;
 use crate::ownership::types::{BackendHeartbeat, ConditionalWrite, HeldRange, RowName};
+use crate::{GrantDelivery, KeyRange};
+
+/// The maximum number of grants that are delivered by calls, each of which is renewed about every
+/// second.
+const MAX_CALLED_GRANTS: usize = 150;
 
 /// A range of keys that is being released to another host.
 #[derive(Clone, Debug)]
@@ -71,7 +75,11 @@
             return;
         }
         let overlaps = |all: &[HeldRange]| all.iter().any(|h| h.from <= to && from <= h.to);
-        let held = self.backend.as_ref().is_some_and(|b| overlaps(&b.held) || overlaps(&b.granted));
+        // What was granted by calls is checked when the release is written.
+        let held = self
+            .backend
+            .as_ref()
+            .is_some_and(|b| b.calls.is_some() || overlaps(&b.held) || overlaps(&b.granted));
         self.releases.push(Release { from, to, done: !held, handover: String::new(), target });
     }
 
@@ -81,7 +89,8 @@
         if self.backend_gone(now) {
             self.release_all_keys();
         }
-        let grants_ended = self.backend.as_ref().is_none_or(|b| now > b.latest_grant_end);
+        self.complete_called_releases(now);
+        let grants_ended = self.backend.as_ref().is_none_or(|b| now > b.grants_end());
         if !self.releases.iter().any(|r| r.done || grants_ended) {
             return None;
         }
@@ -129,12 +138,17 @@
         })
     }
 
-    /// Returns the write that merges adjacent ranges of this host under a new fence, if the grants
-    /// no longer fit into a heartbeat reply.
+    /// Returns the write that merges adjacent ranges of this host under a new fence, if there are
+    /// more grants than can be delivered.
     pub(super) fn merge_write(&self) -> Option<ConditionalWrite> {
         let lease = self.lease?;
         let (version, map) = self.map.as_ref()?;
-        if !self.releases.is_empty() || grants_len(&own_grants(map, self.me)) <= MAX_GRANTS_BYTES {
+        let own = own_grants(map, self.me);
+        let fits = match self.delivery {
+            GrantDelivery::HeartbeatReply => grants_len(&own) <= MAX_GRANTS_BYTES,
+            GrantDelivery::Call => own.len() <= MAX_CALLED_GRANTS,
+        };
+        if !self.releases.is_empty() || fits {
             return None;
         }
         let mut merged = map.clone();
--- a/crates/mesh/src/ownership/types.rs
+++ b/crates/mesh/src/ownership/types.rs
@@ -100,6 +100,62 @@
     }
 }
 
+derive_common! {
+    value
+    /// Identifies a call from its start to its outcome.
+    pub struct GrantCallId(pub u64);
+}
+
+/// A call to the backend server that changes which keys it holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GrantCall {
+    /// Grants keys, or renews the grant.
+    Grant {
+        /// The keys, and the handover token of their last holder.
+        grant: Grant,
+        /// How long the grant is valid, measured from the arrival of the call.
+        valid_for: Millis,
+    },
+    /// Takes keys back. The reply comes when no work on them is running any more.
+    Release {
+        /// The keys and the fence of their grant.
+        range: HeldRange,
+    },
+}
+
+impl GrantCall {
+    /// Returns the keys that the call concerns.
+    pub fn range(&self) -> HeldRange {
+        match self {
+            Self::Grant { grant, .. } => grant.range,
+            Self::Release { range } => *range,
+        }
+    }
+
+    /// Returns whether the call takes keys back.
+    pub fn is_release(&self) -> bool {
+        matches!(self, Self::Release { .. })
+    }
+}
+
+/// How a call to the backend server ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GrantCallOutcome {
+    /// It was carried out.
+    Done {
+        /// The handover token for the next holder, in the reply to a release.
+        handover: String,
+    },
+    /// It was refused because the backend server has seen a higher fence on one of the keys.
+    HigherFence,
+    /// It was refused as invalid.
+    Rejected,
+    /// It was not sent.
+    NotSent,
+    /// There was no reply, so it may have been carried out, or may still be.
+    Unknown,
+}
+
 /// The reply to a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HeartbeatReply {
--- a/crates/mesh/src/ownership/writes.rs
+++ b/crates/mesh/src/ownership/writes.rs
@@ -2,6 +2,7 @@
 
 use model::{Millis, RowVersion};
 
+use super::grant_calls::GrantCalls;
 use super::{Backend, KeyOwnership, Lease};
 use crate::KeyMap;
 use crate::leases::{Incarnation, LeaseRow};
@@ -172,12 +173,14 @@
         })
     }
 
-    /// Returns the write that grants this host's keys to a new incarnation of the backend server
-    /// under a higher fence.
+    /// Returns the write that raises the fence of this host's keys for a new incarnation of the
+    /// backend server, or for one that has seen a higher fence.
     pub(super) fn incarnation_write(&mut self) -> Option<ConditionalWrite> {
         let lease = self.lease?;
-        let incarnation = &self.backend.as_ref()?.incarnation;
-        if *incarnation == self.own_row.incarnation {
+        let backend = self.backend.as_mut()?;
+        let needs_higher_fence = backend.calls.as_mut().is_some_and(GrantCalls::take_fence_request);
+        let incarnation = &backend.incarnation;
+        if *incarnation == self.own_row.incarnation && !needs_higher_fence {
             return None;
         }
         let mut row = LeaseRow { incarnation: incarnation.clone(), ..self.new_lease_row() };
@@ -224,7 +227,7 @@
     /// more.
     pub(super) fn backend_gone(&self, now: Millis) -> bool {
         let gone = |b: &Backend| {
-            now > b.latest_grant_end.max(b.last_heartbeat + self.timing.grant_duration)
+            now > b.grants_end().max(b.last_heartbeat + self.timing.grant_duration)
                 + self.timing.silence_limit
         };
         self.backend.as_ref().is_some_and(gone)
--- a/crates/sidecar/src/key_ownership.rs
+++ b/crates/sidecar/src/key_ownership.rs
@@ -132,4 +132,5 @@
     }
     drop(state);
     cx.changed.notify_waiters();
+    cx.grants_due.notify_one();
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod backend;
 mod dependency;
+mod grant_calls;
 mod ingress;
 mod key_ownership;
 mod lifecycle;
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
-use mesh::{BackendHeartbeat, HeartbeatAction, HeartbeatReply};
+use mesh::{BackendHeartbeat, GrantDelivery, HeartbeatAction, HeartbeatReply};
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::Millis;
 use tokio::net::{TcpListener, TcpStream};
@@ -145,7 +145,8 @@
     let received_at = cx.now();
     let backend = &heartbeat.backend;
     let action = record_heartbeat(cx, heartbeat, received_at);
-    if action == HeartbeatAction::MayDefer && cx.owns_keys() {
+    let carries_grants = cx.owns_keys() && cx.grant_delivery() == GrantDelivery::HeartbeatReply;
+    if action == HeartbeatAction::MayDefer && carries_grants {
         wait_for_grant_change(cx, backend, received_at).await;
     }
     let reply = match action {
@@ -176,6 +177,7 @@
     }
     if before.0 != after.0 {
         state.deregistered_at = None;
+        cx.grant_client.close_idle();
     }
     drop(state);
     if let (true, Some(current)) = (before != after, &after.0) {
@@ -183,6 +185,7 @@
     }
     cx.changed.notify_waiters();
     cx.ownership_due.notify_one();
+    cx.grants_due.notify_one();
     action
 }
 
@@ -208,6 +211,7 @@
     if known {
         state.ownership.backend_deregistered();
         state.deregistered_at = Some(cx.now());
+        cx.grants_due.notify_one();
     }
 }
 
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use log::info;
 use mesh::{
-    Config, CrashSuspects, Distance, HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts,
-    LoadBalancer, LoadReport, OwnershipTiming, QueueLimits, RequestQueue, RetryBudget, Service,
-    SuspectUpdate, UpdateSourceCandidates, UpdateSourceSelector, Witness,
+    Config, CrashSuspects, Distance, GrantDelivery, HostDirectory, KeyMap, KeyOwnership,
+    KeyRequestCounts, LoadBalancer, LoadReport, OwnershipTiming, QueueLimits, RequestQueue,
+    RetryBudget, Service, SuspectUpdate, UpdateSourceCandidates, UpdateSourceSelector, Witness,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
@@ -131,6 +131,8 @@
     pub state: RefCell<State>,
     /// Connections to the backend server.
     pub backend: http1::Client,
+    /// Connections to the backend server for calls that grant keys, to one incarnation only.
+    pub grant_client: http1::Client,
     /// Connections to other hosts.
     pub host_connections: HostConnections,
     /// The client of the store.
@@ -145,6 +147,8 @@
     pub peer_config_version: Cell<u64>,
     /// Notified when key ownership may have a write or a witness request due.
     pub ownership_due: Notify,
+    /// Notified when calls that grant keys may be due.
+    pub grants_due: Notify,
     /// Tells connections to close after the response in progress.
     pub close_connections: Notify,
     /// Set once the process is told to stop.
@@ -184,10 +188,13 @@
         };
         let backend =
             http1::Client::new(settings.backend_server, http1::Settings::default(), clock.clone());
+        let grant_client =
+            http1::Client::new(settings.backend_server, http1::Settings::default(), clock.clone());
         Rc::new(Self {
             me,
             state: RefCell::new(state),
             backend,
+            grant_client,
             host_connections: HostConnections::default(),
             store: adapter::StoreClient::new(settings.store, clock.clone()),
             process,
@@ -195,6 +202,7 @@
             newer_config: Notify::new(),
             peer_config_version: Cell::new(0),
             ownership_due: Notify::new(),
+            grants_due: Notify::new(),
             close_connections: Notify::new(),
             stopping: Cell::new(false),
             rejecting: Cell::new(false),
@@ -219,6 +227,11 @@
         self.own_service().is_some_and(|s| s.keyed)
     }
 
+    /// Returns how grants reach the backend server of this host.
+    pub fn grant_delivery(&self) -> GrantDelivery {
+        self.own_service().map_or(GrantDelivery::HeartbeatReply, |s| s.grant_delivery)
+    }
+
     /// Returns how many connections the backend server of this host accepts.
     pub fn connections(&self) -> usize {
         self.own_service().map_or(usize::MAX, |s| s.max_connections)
--- a/crates/sidecar/src/store_watch.rs
+++ b/crates/sidecar/src/store_watch.rs
@@ -216,6 +216,7 @@
     }
     cx.changed.notify_waiters();
     cx.ownership_due.notify_one();
+    cx.grants_due.notify_one();
 }
 
 /// Applies changes of host rows.
