Drop grant calls that were planned for an earlier incarnation

Change: a call is sent only while it is pending for the current incarnation; none is planned while no connection may be opened, which also ends a loop of calls that could not be sent.

--- a/crates/mesh/src/ownership/grant_calls.rs
+++ b/crates/mesh/src/ownership/grant_calls.rs
@@ -154,6 +154,10 @@
         end.unwrap_or(Millis::ZERO).max(self.unknown_until)
     }
 
+    fn may_connect(&self, now: Millis) -> bool {
+        now.since(self.alive_at) <= MIN_RESTART_TIME
+    }
+
     fn is_pending(&self, from: u16, to: u16) -> bool {
         self.pending.iter().any(|p| overlaps(&p.call.range(), from, to))
     }
@@ -327,11 +331,18 @@
 
 /// Queries.
 impl KeyOwnership {
-    /// Returns whether a new connection for grant calls may be opened: only if the backend server
+    /// Returns whether a planned call may still be sent: not if the backend server has restarted
+    /// since it was planned.
+    pub fn is_grant_call_pending(&self, id: GrantCallId) -> bool {
+        let calls = self.backend.as_ref().and_then(|b| b.calls.as_ref());
+        calls.is_some_and(|c| c.pending.iter().any(|p| p.id == id))
+    }
+
+    /// Returns whether a new connection for a planned call may be opened: only if the backend server
     /// can't have restarted since it was last heard.
-    pub fn may_connect_for_grants(&self, now: Millis) -> bool {
+    pub fn may_connect_for(&self, id: GrantCallId, now: Millis) -> bool {
         let calls = self.backend.as_ref().and_then(|b| b.calls.as_ref());
-        calls.is_some_and(|c| now.since(c.alive_at) <= MIN_RESTART_TIME)
+        self.is_grant_call_pending(id) && calls.is_some_and(|c| c.may_connect(now))
     }
 }
 
@@ -355,6 +366,9 @@
             calls.record_alive(now);
         }
         calls.checked_at = now;
+        if !calls.may_connect(now) {
+            return Vec::new();
+        }
         let mut due: Vec<GrantCall> =
             self.releases.iter().flat_map(|r| calls.release_calls(r, now)).collect();
         due.extend(wanted);
--- a/crates/mesh/tests/ownership/scenarios.rs
+++ b/crates/mesh/tests/ownership/scenarios.rs
@@ -1,10 +1,11 @@
 //! Scenarios in which every step is given explicitly.
 
 use mesh::{
-    BackendHeartbeat, ConditionalWrite, Incarnation, KeyOwnership, OwnershipTiming, RowName,
-    WitnessReply, WriteOutcome, evict, initial_map,
+    BackendHeartbeat, ConditionalWrite, GrantCall, GrantCallId, GrantCallOutcome, GrantDelivery,
+    Incarnation, KeyOwnership, OwnershipTiming, RowName, WitnessReply, WriteOutcome, evict,
+    initial_map,
 };
-use model::{HostAddr, Millis, RowVersion};
+use model::{Fence, HostAddr, Millis, RowVersion};
 
 use crate::simulation::{Store, addr};
 
@@ -204,3 +205,84 @@
         assert!(now + slow_clock < until, "{before_end} ms before the end: {:?}", reply.valid_for);
     }
 }
+
+/// Creates the only owner of all keys, with grants by calls and one call planned.
+fn owner_with_planned_calls(
+    fixture: &mut Fixture,
+) -> (KeyOwnership, Vec<(GrantCallId, GrantCall)>) {
+    fixture.put_map(|_| initial_map(&[addr(0)]).unwrap());
+    let mut ownership = fixture.ownership(0, 1);
+    ownership.set_grant_delivery(GrantDelivery::Call, fixture.now);
+    fixture.heartbeat(&mut ownership, 0, 1);
+    fixture.apply_writes(&mut ownership);
+    let (version, map) = fixture.store.map().unwrap();
+    ownership.update_map(version, map);
+    let calls = ownership.next_grant_calls(true, fixture.now);
+    assert!(!calls.is_empty());
+    (ownership, calls)
+}
+
+fn grant_fence(call: &GrantCall) -> Fence {
+    call.range().fence
+}
+
+#[test]
+fn a_call_planned_for_an_incarnation_is_not_sent_to_the_next_one() {
+    let mut fixture = Fixture::new();
+    let (mut ownership, calls) = owner_with_planned_calls(&mut fixture);
+    let id = calls[0].0;
+    assert!(ownership.may_connect_for(id, fixture.now));
+
+    let incarnation = Incarnation { started_at: 9, id: "b0".into() };
+    let heartbeat = BackendHeartbeat { incarnation, seq: 1, ..BackendHeartbeat::default() };
+    ownership.handle_heartbeat(&heartbeat, fixture.now);
+
+    assert!(!ownership.is_grant_call_pending(id));
+    assert!(!ownership.may_connect_for(id, fixture.now));
+    assert_eq!(ownership.next_grant_calls(true, fixture.now), [], "the fence is not raised yet");
+}
+
+#[test]
+fn no_connection_for_calls_is_opened_once_the_backend_server_may_have_restarted() {
+    let mut fixture = Fixture::new();
+    let (ownership, calls) = owner_with_planned_calls(&mut fixture);
+    let check = |after: u64, expected: bool| {
+        let now = fixture.now + Millis(after);
+        assert_eq!(ownership.may_connect_for(calls[0].0, now), expected, "after {after} ms");
+    };
+    check(0, true);
+    check(250, true);
+    check(251, false);
+}
+
+#[test]
+fn outcomes_of_grant_calls_decide_what_is_held_and_what_is_called_next() {
+    let done = || GrantCallOutcome::Done { handover: String::new() };
+    let check = |outcome: GrantCallOutcome, held: bool, repeated_at_once: bool, raised: bool| {
+        let mut fixture = Fixture::new();
+        let (mut ownership, calls) = owner_with_planned_calls(&mut fixture);
+        let (id, call) = calls[0].clone();
+        let key = call.range().from;
+        for (id, _) in &calls[1..] {
+            ownership.grant_call_finished(*id, done(), fixture.now);
+        }
+        ownership.grant_call_finished(id, outcome.clone(), fixture.now);
+        let again = ownership.next_grant_calls(true, fixture.now);
+        let repeated = again.iter().any(|(_, c)| c.range() == call.range());
+        let before = grant_fence(&call);
+        fixture.apply_writes(&mut ownership);
+        let after = fixture.store.map().unwrap().1.range_of(key).fence;
+
+        let is_held = ownership.check_key(key, fixture.now).is_ok();
+        assert_eq!(
+            (is_held, repeated, after > before),
+            (held, repeated_at_once, raised),
+            "{outcome:?}"
+        );
+    };
+    check(done(), true, false, false);
+    check(GrantCallOutcome::Unknown, false, true, false);
+    check(GrantCallOutcome::NotSent, false, true, false);
+    check(GrantCallOutcome::Rejected, false, false, false);
+    check(GrantCallOutcome::HigherFence, false, false, true);
+}
--- a/crates/mesh/tests/ownership/simulation.rs
+++ b/crates/mesh/tests/ownership/simulation.rs
@@ -480,12 +480,15 @@
         }
         h.next_grants = now + 60;
         let up = now >= h.backend.up_from;
-        let connected = up && h.connected_to.as_ref() == Some(&h.backend.incarnation);
-        if !connected && up && h.ownership.may_connect_for_grants(Millis(now)) {
+        let is_open = |h: &Host| up && h.connected_to.as_ref() == Some(&h.backend.incarnation);
+        let connected = is_open(h);
+        let calls = h.ownership.next_grant_calls(connected, Millis(now));
+        let may_open =
+            |(id, _): &(GrantCallId, GrantCall)| h.ownership.may_connect_for(*id, Millis(now));
+        if !connected && up && calls.first().is_some_and(may_open) {
             h.connected_to = Some(h.backend.incarnation.clone());
         }
-        let connected = up && h.connected_to.as_ref() == Some(&h.backend.incarnation);
-        let calls = h.ownership.next_grant_calls(connected, Millis(now));
+        let connected = is_open(h);
         for (id, call) in calls {
             let (after, outcome) = match connected {
                 true => self.carry_out(i, &call),
--- a/crates/sidecar/src/grant_calls.rs
+++ b/crates/sidecar/src/grant_calls.rs
@@ -54,20 +54,26 @@
 }
 
 async fn send_call(cx: Rc<Cx>, id: GrantCallId, call: GrantCall, planned_at: Millis) {
-    let outcome = exchange(&cx, &call, planned_at).await;
+    let outcome = exchange(&cx, id, &call, planned_at).await;
     log_outcome(&call, &outcome);
     let kind = if call.is_release() { "release" } else { "grant" };
     metrics::counter!("papayarill_grant_calls", "kind" => kind, "end" => outcome_name(&outcome))
         .increment(1);
+    let sent = outcome != GrantCallOutcome::NotSent;
     cx.state.borrow_mut().ownership.grant_call_finished(id, outcome, cx.now());
-    cx.grants_due.notify_one();
-    cx.changed.notify_waiters();
-    if call.is_release() {
+    if sent {
+        cx.grants_due.notify_one();
+        cx.changed.notify_waiters();
         cx.ownership_due.notify_one();
     }
 }
 
-async fn exchange(cx: &Cx, call: &GrantCall, planned_at: Millis) -> GrantCallOutcome {
+async fn exchange(
+    cx: &Cx,
+    id: GrantCallId,
+    call: &GrantCall,
+    planned_at: Millis,
+) -> GrantCallOutcome {
     let req = match adapter::grant_call_request(call) {
         Ok(req) => req,
         Err(e) => {
@@ -76,11 +82,12 @@
         }
     };
     let limit = if call.is_release() { RELEASE_TIMEOUT } else { GRANT_TIMEOUT };
-    // Checked once more when the task runs, which may be late if the process was suspended.
-    if cx.now().since(planned_at) > MAX_SEND_DELAY {
+    // The task may run late, after the process was suspended or the backend server restarted.
+    let late = cx.now().since(planned_at) > MAX_SEND_DELAY;
+    if late || !cx.state.borrow().ownership.is_grant_call_pending(id) {
         return GrantCallOutcome::NotSent;
     }
-    let may_open = || cx.state.borrow().ownership.may_connect_for_grants(cx.now());
+    let may_open = || cx.state.borrow().ownership.may_connect_for(id, cx.now());
     match timeout(limit, cx.grant_client.send_if(req, may_open)).await {
         Ok(Ok(response)) => adapter::grant_call_outcome(&response),
         Ok(Err(SendError::NotSent { .. })) => GrantCallOutcome::NotSent,
