Write the lease renewals of a zone in one transaction

Change: the hosts of a zone send renewals to the first of them, which writes them together (mesh/src/renewal_batch.rs) and tells each when to renew next, so that they renew together. A renewal stays the conditional write of its host, so a writer that dies, is slow or thaws late can only delay it; the next host of the zone takes over. Only the first two holders and the writers of renewals read the leases on their own. Witnesses come from the directory, of different zones first.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 mod ownership;
 mod placement;
 mod queue;
+mod renewal_batch;
 mod retry_budget;
 mod suspects;
 mod update_source;
@@ -32,10 +33,11 @@
 pub use ownership::{
     BackendHeartbeat, ConditionalWrite, Grant, GrantCall, GrantCallId, GrantCallOutcome,
     HeartbeatAction, HeartbeatReply, HeldRange, KeyOwnership, KeyRejection, OwnershipTiming,
-    RowName, WriteOutcome,
+    PeerHost, RowName, WriteOutcome,
 };
 pub use placement::{KeyMove, Member, evict, initial_map, rebalance, shed};
 pub use queue::{Admission, Job, JobId, QueueLimits, RequestQueue};
+pub use renewal_batch::{Renewal, RenewalBatch, RenewalWriterSelector};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use suspects::{CrashSuspects, RunId, SuspectUpdate};
 pub use update_source::{UpdateSource, UpdateSourceCandidates, UpdateSourceSelector};
--- a/crates/mesh/src/ownership.rs
+++ b/crates/mesh/src/ownership.rs
@@ -38,6 +38,23 @@
 use crate::placement::{self, Member};
 use crate::{GrantDelivery, KeyMap, KeyRequestCounts};
 
+/// How many holders of leases read the leases at the shortest interval.
+const WATCHING_HOLDERS: usize = 2;
+
+/// How many times longer the interval between reads is for hosts that only write renewals.
+const IDLE_READ_FACTOR: u64 = 5;
+
+/// A host of the service that can be a witness.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerHost {
+    /// The address.
+    pub host: HostAddr,
+    /// The id of its process.
+    pub process: u64,
+    /// Hosts of one group, such as a zone, may be lost together.
+    pub failure_domain: u64,
+}
+
 /// What is known about the local backend server.
 #[derive(Clone, Debug, Default)]
 struct Backend {
@@ -111,9 +128,11 @@
     backend: Option<Backend>,
     releases: Vec<Release>,
     observed_leases: LeaseObserver,
+    /// The other hosts of the service, sorted.
+    peers: Vec<PeerHost>,
     leases_read_at: Millis,
     next_write_at: Millis,
-    renewed_at: Millis,
+    next_renewal_at: Millis,
     /// The write in progress and the time at which it was sent.
     pending_write: Option<(ConditionalWrite, Millis)>,
     /// Whether the witnesses in `own_row` are certainly those in the store. False while it is
@@ -179,21 +198,41 @@
         })
     }
 
-    /// Returns whether the leases should be read now.
-    pub fn wants_lease_read(&self, now: Millis) -> bool {
+    /// Returns whether the leases should be read now. `writes_renewals` tells whether this host
+    /// writes renewals, its own or those of its zone.
+    pub fn wants_lease_read(&self, writes_renewals: bool, now: Millis) -> bool {
         if !self.leases_read {
             return true;
         }
-        // The first member by address reads the leases often, the others only as a fallback.
-        let hosts = self.observed_leases.hosts();
-        let rank = hosts.iter().position(|(h, _)| *h == self.me).unwrap_or(hosts.len());
-        let rank = u64::try_from(rank).unwrap_or(u64::MAX).min(4);
-        let rank = if self.is_loaded() { 0 } else { rank };
-        let overdue = self.timing.renew_interval + Millis(600);
-        let suspicious = rank == 0 && !self.observed_leases.unchanged_for(overdue, now).is_empty();
-        let interval = Millis(self.timing.lease_read_interval.0 * (1 + 2 * rank));
-        let interval = if suspicious { self.timing.retry_interval } else { interval };
-        self.lease.is_some() && now.since(self.leases_read_at) >= interval
+        self.lease.is_some()
+            && now.since(self.leases_read_at) >= self.read_interval(writes_renewals, now)
+    }
+
+    /// Returns the interval between reads of the leases. The first two holders look for lost hosts.
+    /// Those that write renewals notice if both are lost: the first holder that is left is one of
+    /// them. The others read only while they need to know the holders or their loads.
+    fn read_interval(&self, writes_renewals: bool, now: Millis) -> Millis {
+        let timing = &self.timing;
+        let rank = self.rank(now);
+        let overdue = timing.renew_interval + Millis(600);
+        if rank == 0 && !self.observed_leases.unchanged_for(overdue, now).is_empty() {
+            return timing.retry_interval;
+        }
+        if rank < WATCHING_HOLDERS || self.is_loaded() || !self.releases.is_empty() {
+            timing.lease_read_interval
+        } else if writes_renewals {
+            Millis(IDLE_READ_FACTOR * timing.lease_read_interval.0)
+        } else {
+            Millis(u64::MAX)
+        }
+    }
+
+    /// Returns how many holders of valid leases come before this host.
+    fn rank(&self, now: Millis) -> usize {
+        let term = self.timing.base_term + self.timing.drift_margin;
+        let silent = self.observed_leases.unchanged_for(term, now);
+        let before = self.observed_leases.hosts().into_iter().filter(|(h, _)| *h < self.me);
+        before.filter(|(h, _)| !silent.iter().any(|(s, _)| s == h)).count()
     }
 
     /// Returns whether utilization is above two thirds, so that the host needs the loads of others
@@ -228,9 +267,10 @@
             backend: None,
             releases: Vec::new(),
             observed_leases: LeaseObserver::default(),
+            peers: Vec::new(),
             leases_read_at: Millis::ZERO,
             next_write_at: Millis::ZERO,
-            renewed_at: Millis::ZERO,
+            next_renewal_at: Millis::ZERO,
             pending_write: None,
             witnesses_certain: true,
             witnesses_certain_before: true,
@@ -275,6 +315,13 @@
         self.observed_leases.observe(rows, now);
     }
 
+    /// Sets the hosts of the service from which witnesses are chosen.
+    pub fn set_peers(&mut self, mut peers: Vec<PeerHost>) {
+        peers.retain(|p| p.host != self.me);
+        peers.sort_unstable_by_key(|p| p.host);
+        self.peers = peers;
+    }
+
     /// Sets the number of slots occupied by requests with keys, and the number of slots, both in
     /// hundredths.
     pub fn update_load(&mut self, load: u32, capacity: u32) {
--- a/crates/mesh/src/ownership/types.rs
+++ b/crates/mesh/src/ownership/types.rs
@@ -46,6 +46,18 @@
     Unknown,
 }
 
+impl WriteOutcome {
+    /// Returns a short name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Committed(_) => "committed",
+            Self::Conflict(_) => "conflict",
+            Self::NotApplied => "not-applied",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 derive_common! {
     value
     /// A range of keys held by a backend server; both ends are included.
--- a/crates/mesh/src/ownership/witnesses.rs
+++ b/crates/mesh/src/ownership/witnesses.rs
@@ -3,7 +3,7 @@
 
 use model::{HostAddr, Millis};
 
-use super::{KeyOwnership, Lease};
+use super::{KeyOwnership, Lease, PeerHost};
 use crate::leases::LeaseRow;
 use crate::ownership::types::{ConditionalWrite, RowName};
 use crate::witness::{self, WitnessQuestion, WitnessReply, WitnessRequest};
@@ -186,11 +186,20 @@
     }
 
     /// Chooses the next hosts by address as witnesses, so that all hosts are chosen about equally
-    /// often.
+    /// often. Hosts of failure domains that have none yet come first.
     pub(super) fn choose_witnesses(&self) -> Vec<(std::net::SocketAddr, u64)> {
-        let hosts = self.observed_leases.hosts();
-        let after = hosts.partition_point(|(h, _)| *h <= self.me);
-        let others = hosts[after..].iter().chain(&hosts[..after]).filter(|(h, _)| *h != self.me);
-        others.take(MAX_WITNESSES).map(|(h, row)| (h.0, row.process)).collect()
+        let after = self.peers.partition_point(|p| p.host <= self.me);
+        let ring = || self.peers[after..].iter().chain(&self.peers[..after]);
+        let mut chosen: Vec<&PeerHost> = Vec::new();
+        for p in ring() {
+            if !chosen.iter().any(|c| c.failure_domain == p.failure_domain) {
+                chosen.push(p);
+            }
+        }
+        chosen.truncate(MAX_WITNESSES);
+        let missing = MAX_WITNESSES - chosen.len();
+        let others: Vec<&PeerHost> = ring().filter(|p| !chosen.contains(p)).take(missing).collect();
+        chosen.extend(others);
+        chosen.into_iter().map(|p| (p.host.0, p.process)).collect()
     }
 }
--- a/crates/mesh/src/ownership/writes.rs
+++ b/crates/mesh/src/ownership/writes.rs
@@ -50,6 +50,12 @@
         }
     }
 
+    /// Schedules the next renewal, so that hosts whose renewals are written together send them at
+    /// the same time.
+    pub fn renew_at(&mut self, at: Millis) {
+        self.next_renewal_at = at;
+    }
+
     /// Applies the rows of a committed write.
     pub(super) fn write_committed(
         &mut self,
@@ -64,7 +70,7 @@
                 RowName::Lease(_) => {
                     self.lease = Some(Lease { version, renewal_sent: sent, confirm_sent: sent });
                     self.witnesses_certain = true;
-                    self.renewed_at = sent;
+                    self.next_renewal_at = sent + self.timing.renew_interval;
                     if let Ok(row) = LeaseRow::decode(bytes) {
                         self.witness_refused =
                             self.witness_refused && row.generation == self.own_row.generation;
@@ -212,7 +218,7 @@
         // A host that starts or stops to accept keys publishes this without delay.
         let changed = row.accepts_keys != self.own_row.accepts_keys;
         let gone = self.backend_gone(now) && self.owns_no_keys();
-        if gone || now.since(self.renewed_at) < self.timing.renew_interval && !changed {
+        if gone || now < self.next_renewal_at && !changed {
             return None;
         }
         Some(ConditionalWrite {
--- a/crates/mesh/tests/ownership/scenarios.rs
+++ b/crates/mesh/tests/ownership/scenarios.rs
@@ -2,8 +2,8 @@
 
 use mesh::{
     BackendHeartbeat, ConditionalWrite, GrantCall, GrantCallId, GrantCallOutcome, GrantDelivery,
-    Incarnation, KeyOwnership, OwnershipTiming, RowName, WitnessReply, WriteOutcome, evict,
-    initial_map,
+    Incarnation, KeyOwnership, OwnershipTiming, PeerHost, RowName, WitnessReply, WriteOutcome,
+    evict, initial_map,
 };
 use model::{Fence, HostAddr, Millis, RowVersion};
 
@@ -126,6 +126,8 @@
 fn confirmation_extends_lease_after(outcome: WriteOutcome) -> bool {
     let mut fixture = Fixture::new();
     let [mut ownership, other] = fixture.two_owners();
+    let peer = |process| PeerHost { host: addr(1), process, failure_domain: 1 };
+    ownership.set_peers(vec![peer(2)]);
     ownership.update_leases(fixture.store.leases(), fixture.now);
     fixture.now += Millis(1_100);
     let renewal = ownership.next_write(fixture.now).unwrap();
@@ -137,6 +139,7 @@
     let mut next = fixture.ownership(1, 33);
     fixture.heartbeat(&mut next, 1, 9);
     fixture.apply_writes(&mut next);
+    ownership.set_peers(vec![peer(33)]);
     ownership.update_leases(fixture.store.leases(), fixture.now);
     fixture.now += Millis(1_100);
     assert!(ownership.next_write(fixture.now).is_some());
--- a/crates/mesh/tests/ownership/simulation.rs
+++ b/crates/mesh/tests/ownership/simulation.rs
@@ -6,7 +6,8 @@
 use mesh::{
     BackendHeartbeat, ConditionalWrite, GrantCall, GrantCallId, GrantCallOutcome, GrantDelivery,
     HeldRange, Incarnation, KeyMap, KeyOwnership, KeyRequestCounts, LeaseRow, MAX_KEY,
-    OwnershipTiming, RowName, Witness, WitnessReply, WitnessRequest, WriteOutcome,
+    OwnershipTiming, PeerHost, Renewal, RenewalBatch, RenewalWriterSelector, RowName, Witness,
+    WitnessReply, WitnessRequest, WriteOutcome,
 };
 use model::{Fence, HostAddr, Millis, RowVersion};
 use rand::rngs::StdRng;
@@ -15,6 +16,9 @@
 /// The time step of the simulation, in milliseconds.
 const STEP_MS: u64 = 20;
 
+/// How long a host waits for the outcome of a renewal that another host writes.
+const RENEWAL_TIMEOUT_MS: u64 = 700;
+
 /// How long a backend server that crashed is down.
 const RESTART_MS: std::ops::Range<u64> = 300..8_000;
 
@@ -100,6 +104,12 @@
     frozen_until: u64,
     backend: Backend,
     write_response: Option<(u64, WriteOutcome)>,
+    /// The renewal that is being written together with others: when it was sent, and to whom.
+    renewing: Option<(u64, HostAddr)>,
+    renewals: RenewalBatch,
+    renewal_writers: RenewalWriterSelector,
+    /// The outcome of the batch that this host is writing.
+    batch_response: Option<(u64, WriteOutcome)>,
     next_map_read: u64,
     next_grants: u64,
     process: u64,
@@ -112,6 +122,15 @@
     host_partition_until: u64,
 }
 
+/// A renewal on its way to the host that writes it, or its outcome on the way back.
+struct RenewalMessage {
+    at: u64,
+    from: usize,
+    to: usize,
+    renewal: Renewal,
+    outcome: Option<WriteOutcome>,
+}
+
 /// A witness request between hosts, or its reply.
 struct Message {
     at: u64,
@@ -130,6 +149,7 @@
     history: Vec<(u64, Store)>,
     pending_writes: Vec<LateWrite>,
     messages: Vec<Message>,
+    renewal_messages: Vec<RenewalMessage>,
     late_grants: Vec<LateGrant>,
     grant_replies: Vec<GrantReply>,
     delivery: GrantDelivery,
@@ -213,6 +233,7 @@
             history: Vec::new(),
             pending_writes: Vec::new(),
             messages: Vec::new(),
+            renewal_messages: Vec::new(),
             late_grants: Vec::new(),
             grant_replies: Vec::new(),
             delivery,
@@ -232,6 +253,10 @@
                 frozen_until: 0,
                 backend: backend(id, 1_000, 1_000),
                 write_response: None,
+                renewing: None,
+                renewals: RenewalBatch::default(),
+                renewal_writers: RenewalWriterSelector::default(),
+                batch_response: None,
                 next_map_read: 0,
                 next_grants: 0,
                 process,
@@ -258,6 +283,7 @@
             self.inject_faults();
             self.apply_late_writes();
             self.deliver_messages();
+            self.deliver_renewals();
             self.apply_late_grants();
             self.history.push((self.now, self.store.clone()));
             if self.history.len() > 200 {
@@ -335,7 +361,12 @@
     /// Drops the response to the write of a process that ends. The write itself may have been
     /// applied, be applied later, or never be applied.
     fn abandon_write(&mut self, i: usize) {
-        self.hosts[i].write_response = None;
+        let h = &mut self.hosts[i];
+        h.write_response = None;
+        h.renewing = None;
+        h.renewals = RenewalBatch::default();
+        h.renewal_writers = RenewalWriterSelector::default();
+        h.batch_response = None;
     }
 
     fn apply_late_writes(&mut self) {
@@ -382,6 +413,82 @@
         }
     }
 
+    fn connected(&self, a: usize, b: usize) -> bool {
+        let cut = |i: usize| self.now < self.hosts[i].host_partition_until;
+        a == b || !cut(a) && !cut(b)
+    }
+
+    fn deliver_renewals(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.renewal_messages).into_iter().partition(|m| m.at <= now);
+        self.renewal_messages = rest;
+        for m in due {
+            let lost = m.from != m.to && self.chance(self.faults.lost_messages);
+            if lost || !self.is_up(m.to) || !self.connected(m.from, m.to) {
+                continue;
+            }
+            let from = self.hosts[m.from].addr;
+            let h = &mut self.hosts[m.to];
+            let Some(outcome) = m.outcome else {
+                h.renewals.submit(m.renewal, Millis(now));
+                continue;
+            };
+            // The outcome of a renewal that was given up is ignored.
+            if h.renewing.is_some_and(|(_, writer)| writer == from) {
+                h.renewing = None;
+                match outcome {
+                    WriteOutcome::Committed(_) | WriteOutcome::Conflict(_) => {
+                        h.renewal_writers.record_success(from);
+                    }
+                    WriteOutcome::NotApplied | WriteOutcome::Unknown => {
+                        h.renewal_writers.record_failure(from, Millis(now));
+                    }
+                }
+                h.write_response = Some((now, outcome));
+            }
+        }
+    }
+
+    /// Sends a renewal to the host that writes those of all hosts.
+    fn renew(&mut self, i: usize, renewal: Renewal) {
+        let now = self.now;
+        let all: Vec<HostAddr> = self.hosts.iter().map(|h| h.addr).collect();
+        let h = &mut self.hosts[i];
+        let writer = h.renewal_writers.select(h.addr, &all, Millis(now));
+        h.renewing = Some((now, writer));
+        let to = all.iter().position(|h| *h == writer).unwrap();
+        let at = now + if to == i { 0 } else { self.rng.random_range(1..100) };
+        self.renewal_messages.push(RenewalMessage { at, from: i, to, renewal, outcome: None });
+    }
+
+    /// Writes the batch of renewals that is due at a host.
+    fn step_renewals(&mut self, i: usize) {
+        let now = self.now;
+        if let Some((sent, writer)) = self.hosts[i].renewing
+            && now >= sent + RENEWAL_TIMEOUT_MS
+        {
+            let h = &mut self.hosts[i];
+            h.renewing = None;
+            h.renewal_writers.record_failure(writer, Millis(now));
+            h.write_response = Some((now, WriteOutcome::Unknown));
+        }
+        if let Some((_, outcome)) = self.hosts[i].batch_response.take_if(|(at, _)| *at <= now) {
+            for (host, outcome) in self.hosts[i].renewals.finished(&outcome, Millis(now)) {
+                let Some(to) = self.hosts.iter().position(|h| h.addr == host) else { continue };
+                let at = now + if to == i { 0 } else { self.rng.random_range(1..100) };
+                let renewal = Renewal { host, expected: RowVersion(0), row: Vec::new() };
+                let outcome = Some(outcome);
+                self.renewal_messages.push(RenewalMessage { at, from: i, to, renewal, outcome });
+            }
+        }
+        if self.hosts[i].batch_response.is_none()
+            && let Some(write) = self.hosts[i].renewals.next_write(Millis(now))
+        {
+            self.hosts[i].batch_response = Some(self.write(i, write));
+        }
+    }
+
     fn send_witness_requests(&mut self, i: usize) {
         let now = self.now;
         for (host, request) in self.hosts[i].ownership.witness_requests(Millis(now)) {
@@ -552,6 +659,10 @@
         if self.delivery == GrantDelivery::Call {
             self.step_grants(i);
         }
+        self.step_renewals(i);
+        if self.hosts[i].renewing.is_some() {
+            return;
+        }
         if let Some((at, _)) = &self.hosts[i].write_response {
             if *at <= now
                 && let Some((_, outcome)) = self.hosts[i].write_response.take()
@@ -572,8 +683,10 @@
             self.hosts[i].ownership.shed_keys(&request_counts, &[], Millis(now));
         }
         let write = self.hosts[i].ownership.next_write(Millis(now));
-        if let Some(write) = write {
-            self.write(i, write);
+        let Some(write) = write else { return };
+        match Renewal::from_write(&write) {
+            Some(renewal) => self.renew(i, renewal),
+            None => self.hosts[i].write_response = Some(self.write(i, write)),
         }
     }
 
@@ -586,7 +699,10 @@
         } else {
             self.store.clone()
         };
+        let processes: Vec<_> = self.hosts.iter().map(|h| (h.addr, h.process)).collect();
         let h = &mut self.hosts[i];
+        let peer = |(host, process)| PeerHost { host, process, failure_domain: 0 };
+        h.ownership.set_peers(processes.into_iter().map(peer).collect());
         if now >= h.next_map_read {
             h.next_map_read = now + 100;
             let map = store.map();
@@ -595,18 +711,20 @@
                 h.ownership.update_map(version, map);
             }
         }
-        if h.ownership.wants_lease_read(Millis(now)) {
+        let writes_renewals = h.renewals.active_within(Millis(3_000), Millis(now));
+        if h.ownership.wants_lease_read(writes_renewals, Millis(now)) {
             h.ownership.update_leases(store.leases(), Millis(now));
         }
     }
 
-    fn write(&mut self, i: usize, write: ConditionalWrite) {
+    /// Writes to the store. Returns the outcome and when the host learns it.
+    fn write(&mut self, i: usize, write: ConditionalWrite) -> (u64, WriteOutcome) {
         let now = self.now;
         let unavailable =
             self.store.unavailable_until > now || self.hosts[i].store_partition_until > now;
         let (late, lost) = (self.faults.late_writes, self.faults.lost_messages);
         let delay = self.rng.random_range(10..150);
-        let write_response = if self.chance(late) {
+        if self.chance(late) {
             let at = now + self.rng.random_range(50..6_000);
             self.pending_writes.push(LateWrite { at, write });
             (now + 1_500, WriteOutcome::Unknown)
@@ -619,8 +737,7 @@
             (now + 1_500, WriteOutcome::Unknown)
         } else {
             (now + delay, self.store.apply(&write))
-        };
-        self.hosts[i].write_response = Some(write_response);
+        }
     }
 
     fn holds(&self, h: &Host, key: u16) -> bool {
--- a/crates/sidecar/src/key_ownership.rs
+++ b/crates/sidecar/src/key_ownership.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use mesh::{WitnessReply, WriteOutcome};
+use mesh::{Renewal, WitnessReply, WriteOutcome};
 use model::HostAddr;
 use tokio::time::{sleep, timeout};
 
 use crate::dependency::Dependency;
-use crate::rpc;
 use crate::state::Cx;
+use crate::{renewals, rpc};
 
 /// Due work is looked for at least this often.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -65,7 +65,11 @@
         }
         let service = cx.settings.service.clone();
         let now = cx.now();
-        if cx.state.borrow().ownership.wants_lease_read(now) {
+        let wants_read = {
+            let state = cx.state.borrow();
+            state.ownership.wants_lease_read(state.renewals.is_writer(now), now)
+        };
+        if wants_read {
             match cx.store.read_leases(&service).await {
                 Ok(rows) => {
                     dependency.succeeded();
@@ -99,16 +103,25 @@
         state.ownership.next_write(now)
     };
     let Some(due_write) = due_write else { return };
-    let (written, error) = cx.store.write(&cx.settings.service, &due_write).await;
-    match &error {
-        Some(e) => dependency.failed(e),
-        None => dependency.succeeded(),
-    }
+    let mut next_renewal_at = None;
+    let (written, error) = match Renewal::from_write(&due_write) {
+        Some(renewal) => {
+            let (written, next) = renewals::renew(cx, renewal).await;
+            next_renewal_at = Some(cx.now() + next);
+            (written, None)
+        }
+        None => {
+            let (written, error) = cx.store.write(&cx.settings.service, &due_write).await;
+            match &error {
+                Some(e) => dependency.failed(e),
+                None => dependency.succeeded(),
+            }
+            (written, error)
+        }
+    };
     let why = due_write.reason;
     match &written {
-        WriteOutcome::Committed(version) if why == "renew" => {
-            log::debug!("event=renewed version={version}");
-        }
+        WriteOutcome::Committed(_) if why == "renew" => {}
         WriteOutcome::Committed(version) => info!("event=row-written why={why} version={version}"),
         WriteOutcome::Conflict(_) => {
             info!("event=row-conflict why={why} expected={:?}", due_write.expect);
@@ -118,7 +131,11 @@
     }
     let mut state = cx.state.borrow_mut();
     let previous_expiry = state.ownership.lease_expiry();
+    let committed = matches!(written, WriteOutcome::Committed(_));
     state.ownership.write_finished(written, cx.now());
+    if let Some(at) = next_renewal_at.filter(|_| committed) {
+        state.ownership.renew_at(at);
+    }
     match (previous_expiry, state.ownership.lease_expiry()) {
         (None, Some(until)) => info!("event=lease-gained until={until}"),
         (Some(until), None) => warn!("event=lease-lost until={until}"),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 mod listeners;
 mod log_writer;
 mod relay;
+mod renewals;
 mod response;
 mod rpc;
 mod settings;
--- /dev/null
+++ b/crates/sidecar/src/renewals.rs
@@ -0,0 +1,152 @@
+//! Renewals of leases through one host of each zone, which writes them together.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use log::{info, warn};
+use mesh::{Renewal, RenewalBatch, WriteOutcome};
+use model::{HostAddr, Millis};
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use crate::dependency::Dependency;
+use crate::rpc;
+use crate::state::{Cx, State};
+use crate::wire::{RenewalOutcome, RenewalReply, RenewalRequest};
+
+/// Timeout of a renewal through another host. Two attempts fit into the term of a lease.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// A host that wrote renewals within this time counts as one that writes them.
+const WRITER_MEMORY: Millis = Millis(3_000);
+
+/// The renewals that this host writes.
+#[derive(Default)]
+pub struct Renewals {
+    batch: RenewalBatch,
+    waiters: Vec<(HostAddr, oneshot::Sender<WriteOutcome>)>,
+}
+
+impl Renewals {
+    /// Returns whether this host writes renewals.
+    pub fn is_writer(&self, now: Millis) -> bool {
+        self.batch.active_within(WRITER_MEMORY, now)
+    }
+}
+
+/// Renews the lease of this host through the host that writes the renewals of its zone, which may
+/// be this one. Returns the outcome and the time until the next renewal should be sent.
+pub async fn renew(cx: &Rc<Cx>, renewal: Renewal) -> (WriteOutcome, Millis) {
+    let writer = select_writer(cx);
+    let (outcome, next) = if writer == cx.me {
+        submit(cx, renewal).await
+    } else {
+        let request = RenewalRequest::new(&cx.settings.service, &renewal);
+        let reply = rpc::call(cx, writer, rpc::RENEWAL_PATH, &request, RENEWAL_TIMEOUT).await;
+        reply.map_or((WriteOutcome::Unknown, Millis::ZERO), |r: RenewalReply| {
+            (r.outcome.of_host(cx.me), Millis(r.next_ms))
+        })
+    };
+    let mut state = cx.state.borrow_mut();
+    match outcome {
+        WriteOutcome::Committed(_) | WriteOutcome::Conflict(_) => {
+            state.renewal_writers.record_success(writer);
+        }
+        WriteOutcome::NotApplied | WriteOutcome::Unknown => {
+            info!("event=renewal-failed writer={writer} outcome={outcome:?}");
+            state.renewal_writers.record_failure(writer, cx.now());
+        }
+    }
+    (outcome, next)
+}
+
+fn select_writer(cx: &Cx) -> HostAddr {
+    let state = cx.state.borrow();
+    let in_zone =
+        |row: &adapter::HostRow| row.zone == cx.settings.zone && row.service == cx.settings.service;
+    let mut zone: Vec<HostAddr> =
+        state.hosts.iter().filter(|(_, row)| in_zone(row)).map(|(host, _)| host).collect();
+    if let Err(i) = zone.binary_search(&cx.me) {
+        zone.insert(i, cx.me);
+    }
+    state.renewal_writers.select(cx.me, &zone, cx.now())
+}
+
+/// Handles the renewal of another host.
+pub async fn handle(cx: &Rc<Cx>, request: RenewalRequest) -> RenewalReply {
+    if request.service != cx.settings.service.as_str() || cx.stopping.get() {
+        return RenewalReply { outcome: RenewalOutcome::NotApplied, next_ms: 0 };
+    }
+    let (outcome, next) = submit(cx, request.into()).await;
+    RenewalReply { outcome: outcome.into(), next_ms: next.0 }
+}
+
+/// Adds a renewal to the next batch and waits for its outcome. Returns it with the time until the
+/// next renewal should be sent.
+async fn submit(cx: &Rc<Cx>, renewal: Renewal) -> (WriteOutcome, Millis) {
+    let (tx, rx) = oneshot::channel();
+    let host = renewal.host;
+    {
+        let mut state = cx.state.borrow_mut();
+        if state.renewals.batch.submit(renewal, cx.now()).is_some() {
+            decide(&mut state, host, WriteOutcome::NotApplied);
+        }
+        state.renewals.waiters.push((host, tx));
+    }
+    cx.renewals_due.notify_one();
+    let outcome = rx.await.unwrap_or(WriteOutcome::Unknown);
+    let next = cx.state.borrow().renewals.batch.next_renewal_in(cx.now());
+    (outcome, next)
+}
+
+/// Tells the oldest waiting request of a host how its renewal ended.
+fn decide(state: &mut State, host: HostAddr, outcome: WriteOutcome) {
+    let waiters = &mut state.renewals.waiters;
+    if let Some(at) = waiters.iter().position(|(h, _)| *h == host) {
+        // A host that no longer waits has given up or closed its connection.
+        let _ = waiters.remove(at).1.send(outcome);
+    }
+}
+
+/// Writes the batches that are due until the process ends.
+pub async fn write_batches(cx: Rc<Cx>) {
+    let mut dependency = Dependency::new("store-renewals");
+    loop {
+        let due = cx.state.borrow().renewals.batch.due_at();
+        let notified = pin!(cx.renewals_due.notified());
+        match due {
+            None => notified.await,
+            Some(due) => {
+                let wait = pin!(sleep(Duration::from(due.since(cx.now()))));
+                if let Either::Right(_) = select(wait, notified).await {
+                    continue;
+                }
+            }
+        }
+        let Some(write) = cx.state.borrow_mut().renewals.batch.next_write(cx.now()) else {
+            continue;
+        };
+        let (outcome, error) = cx.store.write(&cx.settings.service, &write).await;
+        match &error {
+            Some(e) => dependency.failed(e),
+            None => dependency.succeeded(),
+        }
+        match &outcome {
+            WriteOutcome::Committed(version) => {
+                log::debug!("event=renewed hosts={} version={version}", write.put.len());
+            }
+            WriteOutcome::Conflict(_) | WriteOutcome::NotApplied | WriteOutcome::Unknown => warn!(
+                "event=renewals-failed hosts={} outcome={} error={error:?}",
+                write.put.len(),
+                outcome.name()
+            ),
+        }
+        metrics::counter!("papayarill_renewal_batches", "outcome" => outcome.name()).increment(1);
+        let mut state = cx.state.borrow_mut();
+        for (host, outcome) in state.renewals.batch.finished(&outcome, cx.now()) {
+            decide(&mut state, host, outcome);
+        }
+    }
+}
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -24,7 +24,7 @@
 
 use crate::state::Cx;
 use crate::wire::{Forward, ForwardReply, NotRun, Outcome, decode, encode};
-use crate::{backend, listeners, relay};
+use crate::{backend, listeners, relay, renewals};
 
 /// Connect timeout. The longest round trip between regions takes 60 ms; a longer wait would cost
 /// the caller more than trying another host.
@@ -49,6 +49,9 @@
 /// Path of questions to a host as a witness of leases.
 pub const WITNESS_PATH: &str = "/witness";
 
+/// Path of renewals that a host writes for another one.
+pub const RENEWAL_PATH: &str = "/renewal";
+
 /// Path of requests for changes in the store.
 pub const CHANGES_PATH: &str = "/news";
 
@@ -283,6 +286,10 @@
             Ok((request, _)) => Ok(encode(&relay::handle_pull(&cx, &request).await, &[])),
             Err(e) => Err(e),
         },
+        RENEWAL_PATH => match decode(message) {
+            Ok((request, _)) => Ok(encode(&renewals::handle(&cx, request).await, &[])),
+            Err(e) => Err(e),
+        },
         _ => match decode(message) {
             Ok((forward, body)) => Ok(handle_forward(&cx, &forward, body).await),
             Err(e) => Err(e),
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -8,12 +8,15 @@
 use log::info;
 use mesh::{
     Config, CrashSuspects, Distance, GrantDelivery, HostDirectory, KeyMap, KeyOwnership,
-    KeyRequestCounts, LoadBalancer, LoadReport, OwnershipTiming, QueueLimits, RequestQueue,
-    RetryBudget, Service, SuspectUpdate, UpdateSourceCandidates, UpdateSourceSelector, Witness,
+    KeyRequestCounts, LoadBalancer, LoadReport, OwnershipTiming, PeerHost, QueueLimits,
+    RenewalWriterSelector, RequestQueue, RetryBudget, Service, SuspectUpdate,
+    UpdateSourceCandidates, UpdateSourceSelector, Witness,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::renewals::Renewals;
 use crate::rpc::HostConnections;
 use crate::settings::Settings;
 
@@ -41,6 +44,10 @@
     pub key_requests: KeyRequestCounts,
     /// Key ownership of this host's backend server.
     pub ownership: KeyOwnership,
+    /// The renewals of leases that this host writes.
+    pub renewals: Renewals,
+    /// Selects the host that writes the renewals of this one.
+    pub renewal_writers: RenewalWriterSelector,
     /// Requests suspected of crashing backend servers.
     pub suspects: CrashSuspects,
     /// This process's replies as a witness of other hosts' leases.
@@ -147,6 +154,8 @@
     pub peer_config_version: Cell<u64>,
     /// Notified when key ownership may have a write or a witness request due.
     pub ownership_due: Notify,
+    /// Notified when renewals were added to the batch.
+    pub renewals_due: Notify,
     /// Notified when calls that grant keys may be due.
     pub grants_due: Notify,
     /// Tells connections to close after the response in progress.
@@ -180,6 +189,8 @@
             waiters: Vec::new(),
             key_requests: KeyRequestCounts::default(),
             ownership: KeyOwnership::new(me, process, timing, now),
+            renewals: Renewals::default(),
+            renewal_writers: RenewalWriterSelector::default(),
             suspects: CrashSuspects::default(),
             witness: Witness::default(),
             deregistered_at: None,
@@ -202,6 +213,7 @@
             newer_config: Notify::new(),
             peer_config_version: Cell::new(0),
             ownership_due: Notify::new(),
+            renewals_due: Notify::new(),
             grants_due: Notify::new(),
             close_connections: Notify::new(),
             stopping: Cell::new(false),
@@ -355,6 +367,18 @@
 }
 
 impl State {
+    /// Updates the hosts from which witnesses of this host's lease are chosen.
+    pub fn update_peers(&mut self, service: &ServiceName) {
+        let of_service = self.hosts.iter().filter(|(_, row)| row.service == *service);
+        let peers = of_service.map(|(host, row)| PeerHost {
+            host,
+            process: row.process,
+            failure_domain: xxh3_64(row.zone.as_str().as_bytes()),
+        });
+        let peers = peers.collect();
+        self.ownership.set_peers(peers);
+    }
+
     /// Updates the load balancers of all services after a host row changed.
     pub fn host_changed(&mut self, host: HostAddr, distance: impl Fn(&HostRow) -> Distance) {
         let row = self.hosts.get(host).cloned();
--- a/crates/sidecar/src/store_watch.rs
+++ b/crates/sidecar/src/store_watch.rs
@@ -222,6 +222,9 @@
 /// Applies changes of host rows.
 pub fn apply_host_changes(cx: &Rc<Cx>, changes: HostChanges<HostRow>) {
     let changed = cx.state.borrow_mut().hosts.apply(changes);
+    if !changed.is_empty() {
+        cx.state.borrow_mut().update_peers(&cx.settings.service);
+    }
     for host in changed {
         host_changed(cx, host);
     }
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -3,7 +3,7 @@
 use adapter::HostRow;
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use mesh::{HostUpdate, LoadReport, SuspectUpdate};
+use mesh::{HostUpdate, LoadReport, Renewal, RowName, SuspectUpdate, WriteOutcome};
 use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName};
 use snafu::{ResultExt, Snafu};
 
@@ -202,6 +202,88 @@
     }
 }
 
+/// A request to write the renewal of a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RenewalRequest {
+    /// The service whose keys the lease is about.
+    pub service: String,
+    /// The holder of the lease.
+    pub host: std::net::SocketAddr,
+    /// The version of the lease row that the renewal replaces.
+    pub expected: u64,
+    /// The new row.
+    pub row: Vec<u8>,
+}
+
+impl RenewalRequest {
+    /// Creates a request.
+    pub fn new(service: &ServiceName, renewal: &Renewal) -> Self {
+        Self {
+            service: service.as_str().to_owned(),
+            host: renewal.host.0,
+            expected: renewal.expected.0,
+            row: renewal.row.clone(),
+        }
+    }
+}
+
+impl From<RenewalRequest> for Renewal {
+    fn from(wire: RenewalRequest) -> Self {
+        let (host, expected) = (HostAddr(wire.host), RowVersion(wire.expected));
+        Self { host, expected, row: wire.row }
+    }
+}
+
+/// The reply to a [`RenewalRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RenewalReply {
+    /// How the renewal ended.
+    pub outcome: RenewalOutcome,
+    /// When the host should renew again, in milliseconds from now.
+    pub next_ms: u64,
+}
+
+/// How a renewal ended.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum RenewalOutcome {
+    /// It was written, at this version.
+    Committed(u64),
+    /// The lease row has another version. Contains the row, if there is one.
+    Conflict(u64, Option<Vec<u8>>),
+    /// It was certainly not written and never will be.
+    NotApplied,
+    /// It may have been written, or may still be.
+    Unknown,
+}
+
+impl RenewalOutcome {
+    /// Returns the outcome of the renewal of `host`.
+    pub fn of_host(self, host: HostAddr) -> WriteOutcome {
+        match self {
+            Self::Committed(version) => WriteOutcome::Committed(RowVersion(version)),
+            Self::Conflict(version, row) => {
+                WriteOutcome::Conflict(vec![(RowName::Lease(host), RowVersion(version), row)])
+            }
+            Self::NotApplied => WriteOutcome::NotApplied,
+            Self::Unknown => WriteOutcome::Unknown,
+        }
+    }
+}
+
+impl From<WriteOutcome> for RenewalOutcome {
+    fn from(outcome: WriteOutcome) -> Self {
+        match outcome {
+            WriteOutcome::Committed(version) => Self::Committed(version.0),
+            WriteOutcome::Conflict(rows) => match rows.into_iter().next() {
+                Some((_, version, row)) => Self::Conflict(version.0, row),
+                None => Self::Unknown,
+            },
+            WriteOutcome::NotApplied => Self::NotApplied,
+            WriteOutcome::Unknown => Self::Unknown,
+        }
+    }
+}
+
 /// Why a message can't be decoded.
 #[derive(Debug, Snafu)]
 pub enum WireError {
