Release the rest of a range that is partly moving when its backend server leaves

A range of which a part was already moving was passed over when all keys were to be released, and while the store refuses the host, that part never finishes moving. Change: what is not moving yet of a range is released too. Shown by: a directed test that failed first.

--- a/crates/mesh/src/ownership.rs
+++ b/crates/mesh/src/ownership.rs
@@ -36,7 +36,7 @@
 use self::witnesses::{ConfirmRound, Denial};
 use crate::leases::{Incarnation, LeaseObserver, LeaseRow};
 use crate::placement::{self, Member};
-use crate::{GrantDelivery, KeyMap, KeyRequestCounts};
+use crate::{GrantDelivery, KeyMap, KeyRange, KeyRequestCounts};
 
 /// How many holders of leases read the leases at the shortest interval.
 const WATCHING_HOLDERS: usize = 2;
@@ -352,7 +352,11 @@
             self.shed_at = now;
         }
         for m in &moves {
-            self.start_release(m.from, m.to, Some(m.target));
+            let Some(range) = own.iter().find(|r| r.from <= m.from && m.to <= r.to) else {
+                continue;
+            };
+            let range = KeyRange { from: m.from, to: m.to, ..range.clone() };
+            self.start_release(&range, Some(m.target));
         }
         moves.len()
     }
--- a/crates/mesh/src/ownership/releases.rs
+++ b/crates/mesh/src/ownership/releases.rs
@@ -3,7 +3,7 @@
 use model::{HostAddr, Millis};
 
 use super::KeyOwnership;
-use super::heartbeats::{MAX_GRANTS_BYTES, grants_len, own_grants};
+use super::heartbeats::{MAX_GRANTS_BYTES, grants_len, own_grants, subtract_releases};
 use crate::ownership::types::{BackendHeartbeat, ConditionalWrite, HeldRange, RowName};
 use crate::{GrantDelivery, KeyRange};
 
@@ -46,7 +46,7 @@
 
     pub(super) fn release_all_keys(&mut self) {
         for range in self.own_ranges() {
-            self.start_release(range.from, range.to, range.next_owner);
+            self.start_release(&range, range.next_owner);
         }
     }
 
@@ -64,23 +64,22 @@
         let requested =
             self.own_ranges().into_iter().filter(|r| r.next_owner.is_some_and(|n| n != self.me));
         for range in requested.collect::<Vec<_>>() {
-            self.start_release(range.from, range.to, range.next_owner);
+            self.start_release(&range, range.next_owner);
         }
     }
 
-    /// Starts to release a range, unless a part of it is already being released.
-    pub(super) fn start_release(&mut self, from: u16, to: u16, target: Option<HostAddr>) {
-        let overlapping = |r: &Release| r.from <= to && from <= r.to;
-        if self.releases.iter().any(overlapping) {
-            return;
+    /// Starts to release the parts of a range that are not being released already.
+    pub(super) fn start_release(&mut self, range: &KeyRange, target: Option<HostAddr>) {
+        for KeyRange { from, to, .. } in subtract_releases(range, &self.releases) {
+            let overlaps = |all: &[HeldRange]| all.iter().any(|h| h.from <= to && from <= h.to);
+            // What was granted by calls is checked when the release is written.
+            let held = self
+                .backend
+                .as_ref()
+                .is_some_and(|b| b.calls.is_some() || overlaps(&b.held) || overlaps(&b.granted));
+            let handover = String::new();
+            self.releases.push(Release { from, to, done: !held, handover, target });
         }
-        let overlaps = |all: &[HeldRange]| all.iter().any(|h| h.from <= to && from <= h.to);
-        // What was granted by calls is checked when the release is written.
-        let held = self
-            .backend
-            .as_ref()
-            .is_some_and(|b| b.calls.is_some() || overlaps(&b.held) || overlaps(&b.granted));
-        self.releases.push(Release { from, to, done: !held, handover: String::new(), target });
     }
 
     /// Returns the write that hands the ranges over which the backend server has released.
--- a/crates/mesh/src/ownership/witnesses.rs
+++ b/crates/mesh/src/ownership/witnesses.rs
@@ -3,7 +3,7 @@
 
 use model::{HostAddr, Millis};
 
-use super::{KeyOwnership, Lease, PeerHost};
+use super::{KeyOwnership, Lease, PeerHost, WATCHING_HOLDERS};
 use crate::leases::LeaseRow;
 use crate::ownership::types::{ConditionalWrite, RowName};
 use crate::witness::{self, WitnessQuestion, WitnessReply, WitnessRequest};
@@ -104,7 +104,7 @@
     pub(super) fn deny_requests(&mut self, now: Millis) -> Vec<(HostAddr, WitnessRequest)> {
         self.denials.retain(|d| now.since(d.extension_end) < DENIAL_TTL);
         let fresh = now.since(self.leases_read_at) <= self.timing.lease_read_interval + Millis(500);
-        if !fresh || self.lease.is_none() {
+        if !fresh || self.lease.is_none() || self.rank(now) >= WATCHING_HOLDERS {
             return Vec::new();
         }
         // Requested early, so that the replies have arrived when the base term ends.
--- a/crates/mesh/tests/ownership/scenarios.rs
+++ b/crates/mesh/tests/ownership/scenarios.rs
@@ -2,8 +2,8 @@
 
 use mesh::{
     BackendHeartbeat, ConditionalWrite, GrantCall, GrantCallId, GrantCallOutcome, GrantDelivery,
-    Incarnation, KeyOwnership, OwnershipTiming, PeerHost, RowName, WitnessReply, WriteOutcome,
-    evict, initial_map,
+    Incarnation, KeyOwnership, KeyRejection, KeyRequestCounts, OwnershipTiming, PeerHost, RowName,
+    WitnessReply, WriteOutcome, evict, initial_map,
 };
 use model::{Fence, HostAddr, Millis, RowVersion};
 
@@ -289,3 +289,42 @@
     check(GrantCallOutcome::Rejected, false, false, false);
     check(GrantCallOutcome::HigherFence, false, false, true);
 }
+
+/// Part of a range is being moved to another host when the backend server starts to drain, and the
+/// store does not accept the write that completes the move.
+#[test]
+fn a_draining_backend_server_releases_the_rest_of_a_range_that_is_partly_moving() {
+    let mut fixture = Fixture::new();
+    let [mut ownership, mut other] = fixture.two_owners();
+    let (_, map) = fixture.store.map().unwrap();
+    let range = map.owned_by(addr(0)).next().unwrap().clone();
+    fixture.heartbeat(&mut ownership, 0, 2);
+    for _ in 0..3 {
+        fixture.now += Millis(1_000);
+        ownership.update_load(600, 600);
+        other.update_load(0, 600);
+        fixture.apply_writes(&mut ownership);
+        fixture.apply_writes(&mut other);
+        ownership.update_leases(fixture.store.leases(), fixture.now);
+    }
+    fixture.heartbeat(&mut ownership, 0, 3);
+    let mut request_counts = KeyRequestCounts::default();
+    (0..100).for_each(|_| request_counts.record(range.from));
+    (0..60).for_each(|_| request_counts.record(range.to));
+    assert!(ownership.shed_keys(&request_counts, &[], fixture.now) > 0);
+    let moving = |ownership: &KeyOwnership, key| {
+        ownership.check_key(key, fixture.now) == Err(KeyRejection::Moving)
+    };
+    let keys = [range.from, range.to];
+    assert!(keys.iter().any(|k| !moving(&ownership, *k)), "the whole range moves already");
+
+    let incarnation = Incarnation { started_at: 1, id: "b0".into() };
+    let mut heartbeat =
+        BackendHeartbeat { incarnation, seq: 2, draining: true, ..BackendHeartbeat::default() };
+    for seq in 4..6 {
+        heartbeat.seq = seq;
+        ownership.handle_heartbeat(&heartbeat, fixture.now);
+    }
+
+    assert!(keys.iter().all(|k| moving(&ownership, *k)), "some keys are still served");
+}
