Learn hosts, configuration and members from other hosts instead of the store

Cause: calls to the store grew with hosts in four more ways. At its start each host read the configuration, the hosts and the key map, and polled the configuration while it knew none. While the store refused calls, every host of a region repeated its reads each 0.8 to 1.6 s. A new backend server took two writes. Change: hosts read only the list of hosts at their start and ask others for the rest. Hosts with stale data read the store one after the other, by rank in their region, and repeat failed reads the less often the more hosts come before them. A loaded or leaving owner asks the first two holders of leases for the members. A registration raises the fences of a new backend server in the same write.

--- a/crates/mesh/src/ownership.rs
+++ b/crates/mesh/src/ownership.rs
@@ -130,7 +130,12 @@
     observed_leases: LeaseObserver,
     /// The other hosts of the service, sorted.
     peers: Vec<PeerHost>,
+    last_lease_read: Millis,
+    /// When the leases were read that are known; zero if they have to be read again.
     leases_read_at: Millis,
+    /// The members that another host reported, and when.
+    reported_members: (Millis, Vec<Member>),
+    members_asked_at: Millis,
     next_write_at: Millis,
     next_renewal_at: Millis,
     /// The write in progress and the time at which it was sent.
@@ -210,7 +215,7 @@
 
     /// Returns the interval between reads of the leases. The first two holders look for lost hosts.
     /// Those that write renewals notice if both are lost: the first holder that is left is one of
-    /// them. The others read only while they need to know the holders or their loads.
+    /// them. The others ask the first holders for what they need to know.
     fn read_interval(&self, writes_renewals: bool, now: Millis) -> Millis {
         let timing = &self.timing;
         let rank = self.rank(now);
@@ -218,7 +223,7 @@
         if rank == 0 && !self.observed_leases.unchanged_for(overdue, now).is_empty() {
             return timing.retry_interval;
         }
-        if rank < WATCHING_HOLDERS || self.is_loaded() || !self.releases.is_empty() {
+        if rank < WATCHING_HOLDERS {
             timing.lease_read_interval
         } else if writes_renewals {
             Millis(IDLE_READ_FACTOR * timing.lease_read_interval.0)
@@ -227,12 +232,50 @@
         }
     }
 
-    /// Returns how many holders of valid leases come before this host.
+    /// Returns how many hosts come before this one that hold valid leases or have just started.
     fn rank(&self, now: Millis) -> usize {
+        // Whether a holder is silent is known only as of the last read.
         let term = self.timing.base_term + self.timing.drift_margin;
-        let silent = self.observed_leases.unchanged_for(term, now);
-        let before = self.observed_leases.hosts().into_iter().filter(|(h, _)| *h < self.me);
-        before.filter(|(h, _)| !silent.iter().any(|(s, _)| s == h)).count()
+        let silent = self.observed_leases.unchanged_for(term, self.last_lease_read);
+        let holders = self.observed_leases.hosts().into_iter().map(|(h, _)| h);
+        let mut before: Vec<HostAddr> = holders.filter(|h| *h < self.me).collect();
+        if now.since(self.started_at) < self.timing.bootstrap_wait {
+            before.extend(self.peers.iter().map(|p| p.host).filter(|h| *h < self.me));
+            before.sort_unstable();
+            before.dedup();
+        }
+        before.into_iter().filter(|h| !silent.iter().any(|(s, _)| s == h)).count()
+    }
+
+    /// Returns whether this host needs to learn from the first holders of leases which hosts may be
+    /// assigned keys.
+    pub fn wants_members(&self, now: Millis) -> bool {
+        if self.lease.is_none() || self.leases_fresh(now) {
+            return false;
+        }
+        let since_asked = now.since(self.members_asked_at);
+        if !self.releases.is_empty() {
+            return since_asked >= self.timing.retry_interval;
+        }
+        let may_shed = now.since(self.shed_at) >= self.timing.shed_interval;
+        self.is_loaded() && may_shed && since_asked >= self.timing.shed_interval
+    }
+
+    /// Returns the hosts that may be asked for the members, in this order.
+    pub fn watching_hosts(&self) -> Vec<HostAddr> {
+        let mut hosts: Vec<HostAddr> = self.peers.iter().map(|p| p.host).collect();
+        hosts.truncate(2 * WATCHING_HOLDERS);
+        hosts
+    }
+
+    /// Returns the members to tell another host, if they are known well enough.
+    pub fn fresh_members(&self, now: Millis) -> Option<Vec<Member>> {
+        self.leases_fresh(now).then(|| self.members(now))
+    }
+
+    /// Returns whether the leases were read so recently that decisions may rest on them.
+    fn leases_fresh(&self, now: Millis) -> bool {
+        now.since(self.leases_read_at) <= self.timing.lease_read_interval + Millis(500)
     }
 
     /// Returns whether utilization is above two thirds, so that the host needs the loads of others
@@ -268,7 +311,10 @@
             releases: Vec::new(),
             observed_leases: LeaseObserver::default(),
             peers: Vec::new(),
+            last_lease_read: Millis::ZERO,
             leases_read_at: Millis::ZERO,
+            reported_members: (Millis::ZERO, Vec::new()),
+            members_asked_at: Millis::ZERO,
             next_write_at: Millis::ZERO,
             next_renewal_at: Millis::ZERO,
             pending_write: None,
@@ -310,11 +356,22 @@
             self.found_row = own.map(|(_, version, row)| (*version, row.clone()));
             self.leases_read = true;
         }
+        self.last_lease_read = now;
         self.leases_read_at = now;
         self.store_contact_at = now;
         self.observed_leases.observe(rows, now);
     }
 
+    /// Records that other hosts are asked for the members.
+    pub fn members_asked(&mut self, now: Millis) {
+        self.members_asked_at = now;
+    }
+
+    /// Sets the members that another host reported.
+    pub fn update_members(&mut self, members: Vec<Member>, now: Millis) {
+        self.reported_members = (now, members);
+    }
+
     /// Sets the hosts of the service from which witnesses are chosen.
     pub fn set_peers(&mut self, mut peers: Vec<PeerHost>) {
         peers.retain(|p| p.host != self.me);
@@ -336,10 +393,9 @@
         unreachable: &[HostAddr],
         now: Millis,
     ) -> usize {
-        let fresh = now.since(self.leases_read_at) <= self.timing.lease_read_interval + Millis(500);
         let settled =
             self.releases.is_empty() && now.since(self.shed_at) >= self.timing.shed_interval;
-        if !fresh || !settled || !self.store_reachable(now) || self.lease.is_none() {
+        if !settled || !self.store_reachable(now) || self.lease.is_none() {
             return 0;
         }
         let (load, capacity) = self.load;
--- a/crates/mesh/src/ownership/assignment.rs
+++ b/crates/mesh/src/ownership/assignment.rs
@@ -8,6 +8,9 @@
 use crate::ownership::types::{ConditionalWrite, RowName};
 use crate::placement::{self, Member};
 
+/// Members that another host reported are used for this time.
+const MEMBERS_TTL: Millis = Millis(2_000);
+
 impl KeyOwnership {
     /// Returns the other hosts that may be assigned keys.
     pub(super) fn recipients(&self, now: Millis) -> Vec<HostAddr> {
@@ -16,9 +19,17 @@
         eligible.map(|m| m.host).collect()
     }
 
-    /// Returns the hosts with a lease. One that missed a renewal is assigned no keys: its row may
-    /// show no load only because the host is cut off.
+    /// Returns the hosts with a lease, as read from the store or reported by another host; none if
+    /// neither is recent. One that missed a renewal is assigned no keys: its row may show no load
+    /// only because the host is cut off.
     pub(super) fn members(&self, now: Millis) -> Vec<Member> {
+        let ranges = |host| self.map.as_ref().map_or(0, |(_, map)| map.owned_by(host).count());
+        if !self.leases_fresh(now) {
+            let (reported_at, members) = &self.reported_members;
+            let recent = now.since(*reported_at) <= MEMBERS_TTL;
+            let members = members.iter().filter(|_| recent);
+            return members.map(|m| Member { ranges: ranges(m.host), ..*m }).collect();
+        }
         let late = self
             .observed_leases
             .unchanged_for(self.timing.renew_interval + self.timing.renewal_grace, now);
@@ -28,7 +39,7 @@
             accepts_keys: row.accepts_keys && !late.iter().any(|(h, _)| *h == host),
             load: row.load,
             capacity: row.capacity,
-            ranges: self.map.as_ref().map_or(0, |(_, map)| map.owned_by(host).count()),
+            ranges: ranges(host),
         };
         hosts.map(member).collect()
     }
@@ -38,7 +49,7 @@
     pub(super) fn assignment_write(&mut self, now: Millis) -> Option<ConditionalWrite> {
         self.lease?;
         // Stale data about the leases is not acted on.
-        if now.since(self.leases_read_at) > self.timing.lease_read_interval + Millis(500) {
+        if !self.leases_fresh(now) {
             return None;
         }
         let Some((version, map)) = &self.map else { return self.initial_map_write(now) };
--- a/crates/mesh/src/ownership/witnesses.rs
+++ b/crates/mesh/src/ownership/witnesses.rs
@@ -103,8 +103,7 @@
     /// Returns the requests to deny the leases that are about to reach the end of their base term.
     pub(super) fn deny_requests(&mut self, now: Millis) -> Vec<(HostAddr, WitnessRequest)> {
         self.denials.retain(|d| now.since(d.extension_end) < DENIAL_TTL);
-        let fresh = now.since(self.leases_read_at) <= self.timing.lease_read_interval + Millis(500);
-        if !fresh || self.lease.is_none() || self.rank(now) >= WATCHING_HOLDERS {
+        if !self.leases_fresh(now) || self.lease.is_none() || self.rank(now) >= WATCHING_HOLDERS {
             return Vec::new();
         }
         // Requested early, so that the replies have arrived when the base term ends.
--- a/crates/mesh/src/ownership/writes.rs
+++ b/crates/mesh/src/ownership/writes.rs
@@ -171,12 +171,33 @@
         // have been applied after the map was read. After this write, such a write fails because it
         // expects the old version of the lease.
         let map = self.map.as_ref().map_or(RowVersion(0), |(version, _)| *version);
-        Some(ConditionalWrite {
+        let mut row = self.new_lease_row();
+        let map_row = self.raise_fences(&mut row);
+        let mut write = ConditionalWrite {
             expect: vec![(RowName::Lease(self.me), version), (RowName::Map, map)],
-            put: vec![(RowName::Lease(self.me), self.new_lease_row().encode())],
             reason: "register",
             ..ConditionalWrite::default()
-        })
+        };
+        write.put.extend(map_row);
+        write.put.push((RowName::Lease(self.me), row.encode()));
+        Some(write)
+    }
+
+    /// Prepares `row` for the current incarnation of the backend server, if the keys were granted to
+    /// another one. Returns the map in which the fence of the host's keys is raised.
+    fn raise_fences(&self, row: &mut LeaseRow) -> Option<(RowName, Vec<u8>)> {
+        let incarnation = &self.backend.as_ref()?.incarnation;
+        if *incarnation == row.incarnation {
+            return None;
+        }
+        row.incarnation.clone_from(incarnation);
+        let (_, map) = self.map.as_ref()?;
+        row.fence_floor = map.last_fence.0;
+        map.owned_by(self.me).next()?;
+        let mut map = map.clone();
+        let fence = map.allocate_fence();
+        map.ranges.iter_mut().filter(|r| r.owner == self.me).for_each(|r| r.fence = fence);
+        Some((RowName::Map, map.encode()))
     }
 
     /// Returns the write that raises the fence of this host's keys for a new incarnation of the
@@ -185,27 +206,21 @@
         let lease = self.lease?;
         let backend = self.backend.as_mut()?;
         let needs_higher_fence = backend.calls.as_mut().is_some_and(GrantCalls::take_fence_request);
-        let incarnation = &backend.incarnation;
-        if *incarnation == self.own_row.incarnation && !needs_higher_fence {
+        if backend.incarnation == self.own_row.incarnation && !needs_higher_fence {
             return None;
         }
-        let mut row = LeaseRow { incarnation: incarnation.clone(), ..self.new_lease_row() };
+        let mut row = self.new_lease_row();
+        if needs_higher_fence {
+            row.incarnation = Incarnation::default();
+        }
+        let map_row = self.raise_fences(&mut row);
         let mut write = ConditionalWrite {
             expect: vec![(RowName::Lease(self.me), lease.version)],
             reason: "new-boot",
             ..ConditionalWrite::default()
         };
-        if let Some((version, map)) = &self.map {
-            row.fence_floor = map.last_fence.0;
-            write.expect.push((RowName::Map, *version));
-            if map.owned_by(self.me).next().is_some() {
-                let mut map = map.clone();
-                let fence = map.allocate_fence();
-                let own = map.ranges.iter_mut().filter(|r| r.owner == self.me);
-                own.for_each(|r| r.fence = fence);
-                write.put.push((RowName::Map, map.encode()));
-            }
-        }
+        write.expect.extend(self.map.as_ref().map(|(version, _)| (RowName::Map, *version)));
+        write.put.extend(map_row);
         write.put.push((RowName::Lease(self.me), row.encode()));
         Some(write)
     }
--- a/crates/mesh/src/update_source.rs
+++ b/crates/mesh/src/update_source.rs
@@ -18,8 +18,24 @@
 const STALE_AFTER: Millis = Millis(1_600);
 
 /// A process that normally polls another host reads the store if its contact is older than
-/// [`STALE_AFTER`] by this. By then one of the hosts that it can poll should have read the store.
-const FALLBACK_DELAY: Millis = Millis(500);
+/// [`STALE_AFTER`] by this times its rank, so that usually only the next one does.
+const FALLBACK_STEP: Millis = Millis(150);
+
+/// The rank from which on all processes read the store at the same age.
+const MAX_FALLBACK_STEPS: usize = 10;
+
+/// Processes up to this rank read the store at once if all hosts before them failed.
+const MAX_QUICK_RANK: usize = 2;
+
+/// The delay before the first process of a region repeats a failed read.
+const READ_RETRY: Millis = Millis(200);
+
+/// The delay before another process repeats a failed read, times its rank: while the store fails,
+/// the calls of a region should not grow with its hosts.
+const FALLBACK_READ_RETRY: Millis = Millis(500);
+
+/// The longest delay before a failed read is repeated.
+const MAX_READ_RETRY: Millis = Millis(15_000);
 
 /// The shortest time that a poll waits for changes.
 const MIN_POLL_WAIT: Millis = Millis(100);
@@ -30,6 +46,9 @@
 /// A host that failed to answer or had only stale data is not polled for this time.
 const BACKOFF: Millis = Millis(4_000);
 
+/// A host that has no data yet is not polled for this time.
+const STARTING_BACKOFF: Millis = Millis(200);
+
 derive_common! {
     value
     /// Where a process reads changes from.
@@ -54,6 +73,7 @@
 #[derive(Clone, Debug)]
 pub struct UpdateSourceSelector {
     me: HostAddr,
+    started_at: Millis,
     backoffs: Vec<(HostAddr, Millis)>,
     /// When the store held everything that is known.
     last_contact: Option<Millis>,
@@ -76,10 +96,25 @@
 
     /// Returns whether this process should read the store.
     pub fn should_read_store(&self, candidates: &UpdateSourceCandidates, now: Millis) -> bool {
-        if self.parent(candidates, now).is_none() {
+        let rank = self.rank(candidates);
+        if rank == 0 || rank <= MAX_QUICK_RANK && self.parent(candidates, now).is_none() {
             return true;
         }
-        self.contact_age(now).is_none_or(|age| age > STALE_AFTER + FALLBACK_DELAY)
+        let steps = u64::try_from(rank.min(MAX_FALLBACK_STEPS)).unwrap_or(u64::MAX);
+        let age = now.since(self.last_contact.unwrap_or(self.started_at));
+        age > STALE_AFTER + Millis(steps * FALLBACK_STEP.0)
+    }
+
+    /// Returns the delay before a failed read of the store is repeated.
+    pub fn read_retry_delay(&self, candidates: &UpdateSourceCandidates) -> Millis {
+        let rank = u64::try_from(self.rank(candidates)).unwrap_or(u64::MAX);
+        Millis(rank.saturating_mul(FALLBACK_READ_RETRY.0)).max(READ_RETRY).min(MAX_READ_RETRY)
+    }
+
+    /// Returns how many hosts of the region read the store rather than this process.
+    fn rank(&self, candidates: &UpdateSourceCandidates) -> usize {
+        let same_zone = candidates.same_zone.iter().filter(|h| **h < self.me);
+        candidates.earlier_zones.len() + same_zone.count()
     }
 
     /// Returns how long a poll may wait for changes: until the contact with the store becomes
@@ -120,8 +155,8 @@
 /// Commands.
 impl UpdateSourceSelector {
     /// Creates the selector of a process that has had no contact yet.
-    pub fn new(me: HostAddr) -> Self {
-        Self { me, backoffs: Vec::new(), last_contact: None }
+    pub fn new(me: HostAddr, now: Millis) -> Self {
+        Self { me, started_at: now, backoffs: Vec::new(), last_contact: None }
     }
 
     /// Records that everything that was in the store at time `at` is known.
@@ -131,7 +166,16 @@
 
     /// Stops polling a host for a while, because it didn't answer or had only stale data.
     pub fn back_off(&mut self, host: HostAddr, now: Millis) {
+        self.back_off_for(host, BACKOFF, now);
+    }
+
+    /// Stops polling a host for a short while, because it has just started and has no data yet.
+    pub fn back_off_starting(&mut self, host: HostAddr, now: Millis) {
+        self.back_off_for(host, STARTING_BACKOFF, now);
+    }
+
+    fn back_off_for(&mut self, host: HostAddr, span: Millis, now: Millis) {
         self.backoffs.retain(|(h, until)| *h != host && now < *until);
-        self.backoffs.push((host, now + BACKOFF));
+        self.backoffs.push((host, now + span));
     }
 }
--- a/crates/mesh/tests/ownership/scenarios.rs
+++ b/crates/mesh/tests/ownership/scenarios.rs
@@ -328,3 +328,37 @@
 
     assert!(keys.iter().all(|k| moving(&ownership, *k)), "some keys are still served");
 }
+
+#[test]
+fn only_the_first_holders_and_writers_of_renewals_keep_reading_the_leases() {
+    let mut fixture = Fixture::new();
+    let hosts: Vec<HostAddr> = (0..6).map(addr).collect();
+    fixture.put_map(|_| initial_map(&hosts).unwrap());
+    let mut all: Vec<KeyOwnership> = (0..6).map(|i| fixture.ownership(i, 1 + i as u64)).collect();
+    for (i, ownership) in all.iter_mut().enumerate() {
+        fixture.heartbeat(ownership, i, 1);
+        fixture.apply_writes(ownership);
+    }
+    all.iter_mut().for_each(|o| o.update_leases(fixture.store.leases(), fixture.now));
+
+    let mut check = |i: usize, writes_renewals: bool, expected: std::ops::RangeInclusive<u64>| {
+        let ownership = &mut all[i];
+        let mut reads = 0;
+        for ms in (0..20_000).step_by(250) {
+            let now = fixture.now + Millis(ms);
+            if ownership.wants_lease_read(writes_renewals, now) {
+                reads += 1;
+                // All holders have renewed their leases.
+                let rows = fixture.store.leases().into_iter();
+                let renewed = rows.map(|(host, v, row)| (host, RowVersion(v.0 + ms), row));
+                ownership.update_leases(renewed.collect(), now);
+            }
+        }
+        assert!(expected.contains(&reads), "host {i}, writer {writes_renewals}: {reads} reads");
+    };
+    check(0, true, 18..=21);
+    check(1, false, 18..=21);
+    check(2, false, 0..=0);
+    check(3, true, 3..=4);
+    check(5, false, 0..=0);
+}
--- a/crates/mesh/tests/ownership/simulation.rs
+++ b/crates/mesh/tests/ownership/simulation.rs
@@ -674,6 +674,16 @@
         if self.store.unavailable_until <= now && self.hosts[i].store_partition_until <= now {
             self.read(i);
         }
+        if self.hosts[i].ownership.wants_members(Millis(now)) {
+            self.hosts[i].ownership.members_asked(Millis(now));
+            let others = (0..self.hosts.len()).filter(|o| *o != i);
+            let others = others.filter(|o| self.is_up(*o) && self.connected(i, *o));
+            let members =
+                others.filter_map(|o| self.hosts[o].ownership.fresh_members(Millis(now))).next();
+            if let Some(members) = members {
+                self.hosts[i].ownership.update_members(members, Millis(now));
+            }
+        }
         // Random loads make the hosts move keys all the time.
         if self.vary_load && self.rng.random_bool(0.01) {
             let load = self.rng.random_range(0..1_200);
--- a/crates/sidecar/src/key_ownership.rs
+++ b/crates/sidecar/src/key_ownership.rs
@@ -11,6 +11,7 @@
 
 use crate::dependency::Dependency;
 use crate::state::Cx;
+use crate::wire::{MembersReply, MembersRequest};
 use crate::{renewals, rpc};
 
 /// Due work is looked for at least this often.
@@ -22,6 +23,9 @@
 /// A witness that doesn't reply within this time counts as unreachable.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Timeout of a request for the members, which goes to another region at most.
+const MEMBERS_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Sends due requests to witnesses. Runs apart from the calls to the store.
 pub async fn ask_witnesses(cx: Rc<Cx>) {
     loop {
@@ -63,28 +67,63 @@
         if !cx.owns_keys() {
             continue;
         }
-        let service = cx.settings.service.clone();
         let now = cx.now();
         let wants_read = {
             let state = cx.state.borrow();
             state.ownership.wants_lease_read(state.renewals.is_writer(now), now)
         };
         if wants_read {
-            match cx.store.read_leases(&service).await {
-                Ok(rows) => {
-                    dependency.succeeded();
-                    cx.state.borrow_mut().ownership.update_leases(rows, cx.now());
-                }
-                Err(e) => {
-                    dependency.failed(&e);
-                    sleep(RETRY_DELAY).await;
-                }
-            }
+            read_leases(&cx, &mut dependency).await;
+        }
+        if cx.state.borrow().ownership.wants_members(cx.now()) && !ask_for_members(&cx).await {
+            read_leases(&cx, &mut dependency).await;
         }
         write_due(&cx, &mut dependency).await;
     }
 }
 
+async fn read_leases(cx: &Cx, dependency: &mut Dependency) {
+    match cx.store.read_leases(&cx.settings.service).await {
+        Ok(rows) => {
+            dependency.succeeded();
+            cx.state.borrow_mut().ownership.update_leases(rows, cx.now());
+        }
+        Err(e) => {
+            dependency.failed(&e);
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+/// Asks the hosts that watch the leases for those that may be assigned keys. Returns whether one of
+/// them knows.
+async fn ask_for_members(cx: &Cx) -> bool {
+    let watching = {
+        let ownership = &mut cx.state.borrow_mut().ownership;
+        ownership.members_asked(cx.now());
+        ownership.watching_hosts()
+    };
+    let request = MembersRequest { service: cx.settings.service.as_str().to_owned() };
+    for host in watching {
+        let reply = rpc::call(cx, host, rpc::MEMBERS_PATH, &request, MEMBERS_TIMEOUT).await;
+        let Some(MembersReply { members: Some(members) }) = reply else { continue };
+        let members = members.into_iter().map(Into::into).collect();
+        cx.state.borrow_mut().ownership.update_members(members, cx.now());
+        return true;
+    }
+    info!("event=members-unknown");
+    false
+}
+
+/// Handles a request for the hosts that hold leases.
+pub fn handle_members(cx: &Cx, request: &MembersRequest) -> MembersReply {
+    if request.service != cx.settings.service.as_str() {
+        return MembersReply { members: None };
+    }
+    let members = cx.state.borrow().ownership.fresh_members(cx.now());
+    MembersReply { members: members.map(|all| all.into_iter().map(Into::into).collect()) }
+}
+
 async fn write_due(cx: &Rc<Cx>, dependency: &mut Dependency) {
     let due_write = {
         let mut state = cx.state.borrow_mut();
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -79,6 +79,7 @@
         return cx.state.borrow_mut().source_selector.back_off(host, now);
     };
     cx.merge_suspects(&reply.suspects);
+    let has_data = reply.age_ms.is_some();
     if let Some(age) = reply.age_ms {
         // The transit time of the request is not counted, so the actual contact was no earlier
         // than this.
@@ -90,7 +91,9 @@
         return cx.state.borrow_mut().source_selector.back_off(host, now);
     }
     let mut state = cx.state.borrow_mut();
-    if state.source_selector.is_stale(now) {
+    if !has_data {
+        state.source_selector.back_off_starting(host, now);
+    } else if state.source_selector.is_stale(now) {
         info!(
             "event=update-source-stale host={host} age={:?}",
             state.source_selector.contact_age(now)
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -24,7 +24,7 @@
 
 use crate::state::Cx;
 use crate::wire::{Forward, ForwardReply, NotRun, Outcome, decode, encode};
-use crate::{backend, listeners, relay, renewals};
+use crate::{backend, key_ownership, listeners, relay, renewals};
 
 /// Connect timeout. The longest round trip between regions takes 60 ms; a longer wait would cost
 /// the caller more than trying another host.
@@ -52,6 +52,9 @@
 /// Path of renewals that a host writes for another one.
 pub const RENEWAL_PATH: &str = "/renewal";
 
+/// Path of requests for the hosts that hold leases.
+pub const MEMBERS_PATH: &str = "/members";
+
 /// Path of requests for changes in the store.
 pub const CHANGES_PATH: &str = "/news";
 
@@ -286,6 +289,8 @@
             Ok((request, _)) => Ok(encode(&relay::handle_pull(&cx, &request).await, &[])),
             Err(e) => Err(e),
         },
+        MEMBERS_PATH => decode(message)
+            .map(|(request, _)| encode(&key_ownership::handle_members(&cx, &request), &[])),
         RENEWAL_PATH => match decode(message) {
             Ok((request, _)) => Ok(encode(&renewals::handle(&cx, request).await, &[])),
             Err(e) => Err(e),
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -30,6 +30,8 @@
     pub source_selector: UpdateSourceSelector,
     /// The load balancer over the hosts of each service, sorted by service.
     pub load_balancers: Vec<(ServiceName, LoadBalancer)>,
+    /// Whether the hosts were read from the store at the start, so that others can be asked.
+    pub hosts_read: bool,
     /// When this process itself last read the store.
     pub reads: LastReads,
     /// The key maps, sorted by service.
@@ -180,7 +182,8 @@
         let state = State {
             config: None,
             hosts: HostDirectory::default(),
-            source_selector: UpdateSourceSelector::new(me),
+            source_selector: UpdateSourceSelector::new(me, now),
+            hosts_read: false,
             reads: LastReads::default(),
             load_balancers: Vec::new(),
             maps: Vec::new(),
@@ -280,12 +283,6 @@
         self.state.borrow().source_selector.should_read_store(&candidates, self.now())
     }
 
-    /// Returns whether the content of the store was learned recently, directly or through other
-    /// hosts.
-    pub fn is_fresh(&self) -> bool {
-        !self.state.borrow().source_selector.is_stale(self.now())
-    }
-
     /// Records that this process read a part of the store.
     pub fn record_read(&self, part: StorePart) {
         let now = self.now();
--- a/crates/sidecar/src/store_watch.rs
+++ b/crates/sidecar/src/store_watch.rs
@@ -10,19 +10,18 @@
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use log::{info, warn};
-use mesh::{Distance, HostChanges, KeyMap, UpdateSource};
+use mesh::{Distance, HostChanges, KeyMap};
 use model::{ConfigVersion, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::time::{sleep, timeout};
 
 use crate::dependency::Dependency;
 use crate::state::{ActiveConfig, Cx, StorePart};
 
-/// Delay before a failed call is repeated.
+/// Delay before a call is repeated that failed or returned old data.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// The same, in milliseconds, for hosts that read the store only because no other host sends them
-/// changes. There may be many of them, so the delay is longer and random.
-const FALLBACK_RETRY_MS: (u64, u64) = (800, 1_600);
+/// The longest delay before a failed read of the hosts at the start is repeated.
+const MAX_START_DELAY: Duration = Duration::from_millis(1_600);
 
 /// How often a process that receives changes from other hosts checks whether it has to read the
 /// store itself.
@@ -41,7 +40,12 @@
     let mut known: Option<RowVersion> = None;
     loop {
         let before = cx.version();
-        if known.is_some() && !cx.reads_store() {
+        if !cx.state.borrow().hosts_read {
+            // The hosts that may have the configuration are not known yet.
+            let _ = timeout(CHECK_INTERVAL, cx.changed.notified()).await;
+            continue;
+        }
+        if !cx.reads_store() {
             if timeout(CHECK_INTERVAL, wait_until_behind(&cx)).await.is_err() {
                 continue;
             }
@@ -114,13 +118,25 @@
 pub async fn watch_fleet(cx: Rc<Cx>) {
     let mut dependency = Dependency::new("store-fleet");
     let mut history_gone = false;
+    let mut start_delay = RETRY_DELAY;
     loop {
-        let position = cx.state.borrow().hosts.position();
-        let read = position == RowVersion(0) || history_gone;
-        if !read && !cx.reads_store() {
+        if !cx.state.borrow().hosts_read {
+            match read_hosts(&cx).await {
+                Ok(()) => dependency.succeeded(),
+                Err(e) => {
+                    dependency.failed(&e);
+                    sleep(start_delay).await;
+                    start_delay = (start_delay * 2).min(MAX_START_DELAY);
+                }
+            }
+            continue;
+        }
+        if !history_gone && !cx.reads_store() {
             sleep(CHECK_INTERVAL).await;
             continue;
         }
+        let position = cx.state.borrow().hosts.position();
+        let read = position == RowVersion(0) || history_gone;
         let result = if read {
             read_fleet(&cx).await
         } else {
@@ -152,17 +168,30 @@
     }
 }
 
-/// Waits after a failure. Hosts that usually receive changes from other hosts wait longer.
+/// Waits after a failure, the longer the more hosts can be expected to read the store.
 async fn back_off(cx: &Cx) {
     let candidates = cx.source_candidates();
-    let source = cx.state.borrow().source_selector.pick(&candidates, cx.now());
-    let fallback = source != UpdateSource::Store || cx.is_fresh();
-    if fallback {
-        sleep(Duration::from_millis(rand::random_range(FALLBACK_RETRY_MS.0..FALLBACK_RETRY_MS.1)))
-            .await;
-    } else {
-        sleep(RETRY_DELAY).await;
+    let delay = cx.state.borrow().source_selector.read_retry_delay(&candidates);
+    sleep(Duration::from(delay)).await;
+}
+
+/// Reads the hosts at the start. Whatever else is in the store can then be learned from them.
+async fn read_hosts(cx: &Rc<Cx>) -> Result<(), StoreError> {
+    let (updates, _) = cx.store.read_fleet(&[]).await?;
+    let mut rows = Vec::new();
+    for update in updates {
+        match update {
+            RowUpdate::Host(row) => rows.push(row),
+            other => apply_update(cx, other),
+        }
     }
+    rows.sort_by_key(|(host, ..)| *host);
+    let newest = rows.iter().map(|(_, version, _)| *version).max();
+    let position = RowVersion(0);
+    apply_host_changes(cx, HostChanges { snapshot_version: newest, position, rows });
+    cx.state.borrow_mut().hosts_read = true;
+    cx.changed.notify_waiters();
+    Ok(())
 }
 
 /// Polls for changes after `position` and applies them. Returns whether there were any.
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -3,7 +3,7 @@
 use adapter::HostRow;
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use mesh::{HostUpdate, LoadReport, Renewal, RowName, SuspectUpdate, WriteOutcome};
+use mesh::{HostUpdate, LoadReport, Member, Renewal, RowName, SuspectUpdate, WriteOutcome};
 use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName};
 use snafu::{ResultExt, Snafu};
 
@@ -284,6 +284,47 @@
     }
 }
 
+/// A request for the hosts of a service that hold leases.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct MembersRequest {
+    /// The service.
+    pub service: String,
+}
+
+/// The reply to a [`MembersRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct MembersReply {
+    /// The members, or `None` if the host doesn't know them well enough.
+    pub members: Option<Vec<MemberWire>>,
+}
+
+/// A host of a service that holds a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct MemberWire {
+    /// The address.
+    pub host: std::net::SocketAddr,
+    /// Whether it may be assigned keys.
+    pub accepts_keys: bool,
+    /// The number of occupied slots, in hundredths.
+    pub load: u32,
+    /// The number of slots, in hundredths.
+    pub capacity: u32,
+}
+
+impl From<Member> for MemberWire {
+    fn from(member: Member) -> Self {
+        let Member { host, accepts_keys, load, capacity, .. } = member;
+        Self { host: host.0, accepts_keys, load, capacity }
+    }
+}
+
+impl From<MemberWire> for Member {
+    fn from(wire: MemberWire) -> Self {
+        let MemberWire { host, accepts_keys, load, capacity } = wire;
+        Self { host: HostAddr(host), accepts_keys, load, capacity, ranges: 0 }
+    }
+}
+
 /// Why a message can't be decoded.
 #[derive(Debug, Snafu)]
 pub enum WireError {
