Ask before a large body is sent to another host, and bound the memory of bodies

Change: a body of 16 KB or more is announced; its receiver admits as many as keep its link busy, in order, and refuses one that would arrive too late before any of it is sent (mesh/src/body_admission.rs). Bodies of callers are read only into memory that is free, with back pressure, and refused truthfully beyond it; the limits come from the settings (limits.memory_mb, limits.link_mbps). A ping has 1.8 s.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 //! events and the current time and carries out the returned actions, so tests can replay whole load
 //! patterns deterministically.
 
+mod body_admission;
 mod compression;
 mod config;
 mod directory;
@@ -21,6 +22,7 @@
 mod update_source;
 mod witness;
 
+pub use body_admission::{BodyAdmission, BodyLimits, TransferDecision, TransferId};
 pub use compression::{compress, decompress};
 pub use config::{
     Config, GrantDelivery, RequestLimits, RetrySafety, Route, Service, WeightedService,
--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -11,6 +11,7 @@
     Backend, CRASH_PATH_SUFFIX, CallerRequest, CallerResponse, Fault, KeyGrants, Store,
     send_request,
 };
+use bytes::Bytes;
 use serde_json::json;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -149,7 +150,7 @@
         id: id.into(),
         key,
         timeout_ms: 10_000,
-        body: if method == "POST" { "an order" } else { "" },
+        body: if method == "POST" { "an order".into() } else { Bytes::new() },
     }
 }
 
@@ -398,6 +399,31 @@
     assert!(fences.iter().max() < higher.iter().min(), "{fences:?}, then {higher:?}");
 }
 
+#[actix_rt::test]
+async fn large_bodies_reach_other_hosts_whole_and_bodies_beyond_the_memory_are_refused() {
+    let store = Store::start().await;
+    store.put_config(&document(1));
+    let a = start_host(&store, CALLED_SERVICE, "large-a").await;
+    let b = start_host(&store, UNSHARDED_SERVICE, "large-b").await;
+    request_until(&a, "/order/x", None, 200).await;
+    let upload = |id: &str, bytes: usize| {
+        let mut req = caller_request("/order/x", id, None);
+        req.body = vec![b'v'; bytes].into();
+        req
+    };
+
+    let sizes = [1, 15_000, 17_000, 600_000, 6_000_000];
+    for (i, bytes) in sizes.into_iter().enumerate() {
+        let response = send_request(a.callers, &upload(&format!("up-{i}"), bytes)).await;
+        assert_eq!(response.map(|r| r.status), Some(200), "{bytes}");
+    }
+    let too_large = send_request(a.callers, &upload("up-large", 30_000_000)).await.unwrap();
+
+    let lengths: Vec<usize> = b.backend.executed().iter().map(|r| r.body.len()).collect();
+    assert!(lengths.ends_with(&sizes), "{lengths:?}");
+    assert_eq!((too_large.status, too_large.retry_after.is_some()), (503, true));
+}
+
 #[actix_rt::test]
 async fn a_host_without_a_configuration_is_not_ready_and_refuses_requests_with_503() {
     let store = Store::start().await;
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -189,7 +189,7 @@
             }
             // Ownership and the state of the backend server may have changed while the request
             // waited.
-            if let Err(why) = check_runnable(&cx.state.borrow(), cx, forward) {
+            if let Err(why) = check_runnable(&cx.state.borrow(), cx, forward.key) {
                 return not_run(why);
             }
             guard
@@ -207,7 +207,7 @@
     let wait = Millis((f64::from(forward.target_ms) * GRANT_WAIT_FRACTION) as u64).min(half_limit);
     loop {
         let changed = cx.changed.notified();
-        let why = match check_runnable(&cx.state.borrow(), cx, forward) {
+        let why = match check_runnable(&cx.state.borrow(), cx, forward.key) {
             Ok(()) => return Ok(()),
             Err(why) => why,
         };
@@ -220,8 +220,8 @@
     }
 }
 
-/// Checks whether the request may be sent to the backend server now.
-fn check_runnable(state: &State, cx: &Cx, forward: &Forward) -> Result<(), NotRun> {
+/// Checks whether a request with `key` may be sent to the backend server now.
+pub(crate) fn check_runnable(state: &State, cx: &Cx, key: Option<u16>) -> Result<(), NotRun> {
     let now = cx.now();
     if cx.rejecting.get() {
         return Err(NotRun::Leaving);
@@ -233,11 +233,10 @@
         return Err(NotRun::NoBackend);
     }
     let drain_limit = Millis(cx.settings.drain_ms).since(DRAIN_MARGIN);
-    if state.deregistered_at.is_some_and(|at| forward.key.is_none() || now.since(at) > drain_limit)
-    {
+    if state.deregistered_at.is_some_and(|at| key.is_none() || now.since(at) > drain_limit) {
         return Err(NotRun::Leaving);
     }
-    match forward.key {
+    match key {
         None if !state.ownership.backend_serving() => Err(NotRun::Leaving),
         None => Ok(()),
         Some(key) => match state.ownership.check_key(key, now) {
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -7,7 +7,7 @@
 use adapter::{ErrorResponse, RequestHead, error_response};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use log::info;
 use mesh::{Config, RetrySafety, SuspectUpdate};
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::attempts::execute;
+use crate::bodies::{self, BodyError};
 use crate::response::{DEFAULT_RETRY_AFTER_MS, caller_response, retry_after};
 use crate::state::{ActiveConfig, Cx};
 use crate::wire::{Forward, NotRun};
@@ -110,13 +111,20 @@
         info!("event=refused id={id} why=head-too-long limit={}", config.limits.max_header_bytes);
         return error_response(ErrorResponse::HeadersTooLarge, Some(&id));
     }
-    let body = match Limited::new(body, config.limits.max_body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.downcast_ref::<LengthLimitError>().is_some() => {
-            info!("event=refused id={id} why=body-too-long limit={}", config.limits.max_body_bytes);
+    let max_bytes = config.limits.max_body_bytes;
+    // The memory counts as used until the request has ended.
+    let (body, _memory) = match bodies::read(cx, &head.headers, body, max_bytes).await {
+        Ok(read) => read,
+        Err(BodyError::TooLong) => {
+            info!("event=refused id={id} why=body-too-long limit={max_bytes}");
             return error_response(ErrorResponse::BodyTooLarge, Some(&id));
         }
-        Err(e) => {
+        Err(BodyError::NoMemory) => {
+            info!("event=refused id={id} why=no-memory");
+            let after = retry_after(DEFAULT_RETRY_AFTER_MS);
+            return error_response(ErrorResponse::NotRun(after), Some(&id));
+        }
+        Err(BodyError::Cut(e)) => {
             info!("event=refused id={id} why=body-cut error={e:?}");
             return error_response(ErrorResponse::BadRequest, Some(&id));
         }
--- a/crates/sidecar/src/key_ownership.rs
+++ b/crates/sidecar/src/key_ownership.rs
@@ -12,7 +12,7 @@
 use crate::dependency::Dependency;
 use crate::state::Cx;
 use crate::wire::{MembersReply, MembersRequest};
-use crate::{renewals, rpc};
+use crate::{bodies, renewals, rpc};
 
 /// Due work is looked for at least this often.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -64,6 +64,7 @@
         let _ = timeout(CHECK_INTERVAL, cx.ownership_due.notified()).await;
         // Refuses queued requests in time if they wait behind runs that don't finish.
         cx.start_queued();
+        bodies::start_waiting(&cx);
         if !cx.owns_keys() {
             continue;
         }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod backend;
+mod bodies;
 mod dependency;
 mod grant_calls;
 mod ingress;
@@ -24,4 +25,4 @@
 
 pub use lifecycle::{StartError, run};
 pub use log_writer::LogWriter;
-pub use settings::{Listen, Retry, Settings, SettingsError};
+pub use settings::{Limits, Listen, Retry, Settings, SettingsError};
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -16,15 +16,16 @@
 use hyper::rt::Executor;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
-use mesh::{WitnessReply, WitnessRequest};
+use mesh::{TransferId, WitnessReply, WitnessRequest};
 use model::{HostAddr, Millis};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
+use crate::bodies::TransferGuard;
 use crate::state::Cx;
 use crate::wire::{Forward, ForwardReply, NotRun, Outcome, decode, encode};
-use crate::{backend, key_ownership, listeners, relay, renewals};
+use crate::{backend, bodies, key_ownership, listeners, relay, renewals};
 
 /// Connect timeout. The longest round trip between regions takes 60 ms; a longer wait would cost
 /// the caller more than trying another host.
@@ -34,8 +35,8 @@
 const CONNECT_BACKOFF: Millis = Millis(200);
 
 /// Interval and timeout of pings. While requests are in flight, a host that doesn't answer a ping
-/// within the timeout counts as unreachable.
-const KEEPALIVE: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1_000));
+/// within the timeout counts as unreachable. A ping may wait behind bodies on a narrow link.
+const KEEPALIVE: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(1_800));
 
 /// The peer must acknowledge written bytes within this time.
 const TCP_USER_TIMEOUT: Millis = Millis(1_800);
@@ -46,6 +47,9 @@
 /// Path of requests that a host runs on its backend server.
 const RUN_PATH: &str = "/run";
 
+/// Path of questions whether a large body may be sent.
+pub const ANNOUNCE_PATH: &str = "/announce";
+
 /// Path of questions to a host as a witness of leases.
 pub const WITNESS_PATH: &str = "/witness";
 
@@ -58,8 +62,11 @@
 /// Path of requests for changes in the store.
 pub const CHANGES_PATH: &str = "/news";
 
-/// The largest message between hosts, in bytes.
-const MAX_MESSAGE_BYTES: usize = 80 << 20;
+/// The largest reply between hosts, in bytes.
+const MAX_REPLY_BYTES: usize = 80 << 20;
+
+/// The largest message to another host in addition to an announced body, in bytes.
+const MAX_MESSAGE_BYTES: usize = (1 << 20) + bodies::LARGE_BODY_BYTES;
 
 /// Spawns the futures of HTTP/2 connections on the local task set.
 #[derive(Clone, Copy)]
@@ -133,13 +140,20 @@
     forward: &Forward,
     body: &Bytes,
 ) -> (ForwardReply, Bytes) {
+    let mut path = RUN_PATH.to_owned();
+    if body.len() >= bodies::LARGE_BODY_BYTES {
+        match bodies::announce(cx, host, forward, body.len()).await {
+            Ok(TransferId(id)) => path = format!("{RUN_PATH}/{id}"),
+            Err(reply) => return (reply, Bytes::new()),
+        }
+    }
     let message = encode(forward, body);
     // A connection that turns out to be closed before anything was written is replaced once.
     for _ in 0..2 {
         let Some(mut tx) = connect(cx, host).await else {
             return (not_run(NotRun::Unreachable), Bytes::new());
         };
-        let req = Request::post(uri(RUN_PATH)).body(Full::new(message.clone()));
+        let req = Request::post(uri(&path)).body(Full::new(message.clone()));
         let Ok(req) = req else { return (not_run(NotRun::Malformed), Bytes::new()) };
         let response = match tx.try_send_request(req).await {
             Ok(response) => response,
@@ -151,7 +165,7 @@
                 return (unknown(e.into_error().to_string()), Bytes::new());
             }
         };
-        let body = match Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect().await {
+        let body = match Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(e) => return (unknown(e.to_string()), Bytes::new()),
         };
@@ -244,7 +258,7 @@
         let req = Request::post(uri(path)).body(Full::new(encode(message, &[]))).ok()?;
         let response = tx.send_request(req).await.ok()?;
         let body =
-            Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect().await.ok()?.to_bytes();
+            Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
         decode::<R>(body).ok().map(|(response, _)| response)
     };
     timeout(limit, exchange).await.ok().flatten()
@@ -282,13 +296,18 @@
 
 async fn handle(cx: Rc<Cx>, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
     let path = req.uri().path().to_owned();
-    let message = match Limited::new(req.into_body(), MAX_MESSAGE_BYTES).collect().await {
+    let transfer = path.strip_prefix(RUN_PATH).and_then(|p| p.strip_prefix('/')?.parse().ok());
+    let transfer = transfer.map(|id| TransferGuard::new(&cx, TransferId(id)));
+    let announced = transfer.as_ref().map_or(0, TransferGuard::admitted_bytes);
+    let limit = MAX_MESSAGE_BYTES + announced;
+    let message = match Limited::new(req.into_body(), limit).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) => {
             warn!("event=message-truncated path={path} error={e:?}");
             return Ok(malformed_reply());
         }
     };
+    drop(transfer);
     let handled = match path.as_str() {
         WITNESS_PATH => {
             decode(message).map(|(request, _)| encode(&handle_witness(&cx, &request), &[]))
@@ -297,6 +316,10 @@
             Ok((request, _)) => Ok(encode(&relay::handle_pull(&cx, &request).await, &[])),
             Err(e) => Err(e),
         },
+        ANNOUNCE_PATH => match decode(message) {
+            Ok((request, _)) => Ok(encode(&bodies::handle_announcement(&cx, request).await, &[])),
+            Err(e) => Err(e),
+        },
         MEMBERS_PATH => decode(message)
             .map(|(request, _)| encode(&key_ownership::handle_members(&cx, &request), &[])),
         RENEWAL_PATH => match decode(message) {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use mesh::{Distance, RetryBudgetLimits};
+use mesh::{BodyLimits, Distance, RetryBudgetLimits};
 use model::{Millis, RegionName, ServiceName, ZoneName};
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
@@ -62,6 +62,61 @@
     pub window_s: f64,
 }
 
+/// What the host can hold and carry.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The memory that the process may use, in MB.
+    pub memory_mb: f64,
+    /// What the link of the host carries, in Mbit/s.
+    pub link_mbps: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: 128.0, link_mbps: 100.0 }
+    }
+}
+
+/// The fraction of the memory that the bodies of callers may take. Each is copied once when it is
+/// sent to another host.
+const CALLER_BODY_SHARE: f64 = 1.0 / 6.0;
+
+/// The fraction of the memory that the bodies sent by other hosts may take.
+const PEER_BODY_SHARE: f64 = 1.0 / 8.0;
+
+/// The fraction of the memory that the response to one request may take. A backend server runs few
+/// requests at once, and responses are far smaller unless a backend server misbehaves.
+const RESPONSE_SHARE: f64 = 1.0 / 32.0;
+
+/// The bodies on the link at once take about this long to arrive, longer than a round trip between
+/// regions, so that the link stays busy.
+const LINK_FILL_MS: f64 = 100.0;
+
+impl Limits {
+    fn memory_bytes(&self, share: f64) -> u64 {
+        (self.memory_mb * share * 1_048_576.0) as u64
+    }
+
+    /// Returns the memory that the bodies of callers may take.
+    pub fn caller_body_bytes(&self) -> u64 {
+        self.memory_bytes(CALLER_BODY_SHARE)
+    }
+
+    /// Returns the largest response of a backend server.
+    pub fn max_response_bytes(&self) -> usize {
+        usize::try_from(self.memory_bytes(RESPONSE_SHARE)).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the limits on bodies that other hosts send.
+    pub fn bodies(&self) -> BodyLimits {
+        let bytes_per_ms = self.link_mbps * 1_000_000.0 / 8.0 / 1_000.0;
+        let max_body = self.memory_bytes(PEER_BODY_SHARE);
+        let max_in_flight = ((bytes_per_ms * LINK_FILL_MS) as u64).min(max_body);
+        BodyLimits { bytes_per_ms, max_in_flight, max_body }
+    }
+}
+
 /// The settings of one sidecar process.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -88,6 +143,9 @@
     pub hold_max_ms: u64,
     /// The retry budget.
     pub retry: Retry,
+    /// What the host can hold and carry.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 impl Settings {
@@ -103,6 +161,9 @@
         ensure!(window_s > 0.0, range("retry.window_s", window_s, "more than 0"));
         let hold = settings.hold_max_ms as f64;
         ensure!(hold >= 1_000.0, range("hold_max_ms", hold, "1000 or more"));
+        let Limits { memory_mb, link_mbps } = settings.limits;
+        ensure!(memory_mb >= 16.0, range("limits.memory_mb", memory_mb, "16 or more"));
+        ensure!(link_mbps >= 0.1, range("limits.link_mbps", link_mbps, "0.1 or more"));
         Ok(settings)
     }
 
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -7,15 +7,16 @@
 use bytes::Bytes;
 use log::info;
 use mesh::{
-    Config, CrashSuspects, Distance, GrantDelivery, HostDirectory, KeyMap, KeyOwnership,
-    KeyRequestCounts, LoadBalancer, LoadReport, OwnershipTiming, PeerHost, QueueLimits,
-    RenewalWriterSelector, RequestQueue, RetryBudget, Service, SuspectUpdate,
-    UpdateSourceCandidates, UpdateSourceSelector, Witness,
+    BodyAdmission, Config, CrashSuspects, Distance, GrantDelivery, HostDirectory, KeyMap,
+    KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport, OwnershipTiming, PeerHost,
+    QueueLimits, RenewalWriterSelector, RequestQueue, RetryBudget, Service, SuspectUpdate,
+    TransferId, UpdateSourceCandidates, UpdateSourceSelector, Witness,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::bodies::BodyMemory;
 use crate::renewals::Renewals;
 use crate::rpc::HostConnections;
 use crate::settings::Settings;
@@ -42,6 +43,10 @@
     pub queue: RequestQueue,
     /// Requests waiting in the queue.
     pub waiters: Vec<(mesh::JobId, oneshot::Sender<WaitOutcome>)>,
+    /// The large bodies that other hosts send to this one.
+    pub bodies: BodyAdmission,
+    /// Other hosts that wait until they may send a body.
+    pub body_waiters: Vec<(TransferId, oneshot::Sender<bool>)>,
     /// The request rate per key of this host's backend server.
     pub key_requests: KeyRequestCounts,
     /// Key ownership of this host's backend server.
@@ -142,6 +147,8 @@
     pub backend: http1::Client,
     /// Connections to the backend server for calls that grant keys, to one incarnation only.
     pub grant_client: http1::Client,
+    /// The memory that the bodies of callers take.
+    pub body_memory: BodyMemory,
     /// Connections to other hosts.
     pub host_connections: HostConnections,
     /// The client of the store.
@@ -190,6 +197,8 @@
             retry_budgets: Vec::new(),
             queue: RequestQueue::new(QueueLimits::default()),
             waiters: Vec::new(),
+            bodies: BodyAdmission::new(settings.limits.bodies()),
+            body_waiters: Vec::new(),
             key_requests: KeyRequestCounts::default(),
             ownership: KeyOwnership::new(me, process, timing, now),
             renewals: Renewals::default(),
@@ -200,8 +209,11 @@
             connect_failed_at: None,
             unreachable: Vec::new(),
         };
-        let backend =
-            http1::Client::new(settings.backend_server, http1::Settings::default(), clock.clone());
+        let client_settings = http1::Settings {
+            max_response_bytes: settings.limits.max_response_bytes(),
+            ..http1::Settings::default()
+        };
+        let backend = http1::Client::new(settings.backend_server, client_settings, clock.clone());
         let grant_client =
             http1::Client::new(settings.backend_server, http1::Settings::default(), clock.clone());
         Rc::new(Self {
@@ -209,6 +221,7 @@
             state: RefCell::new(state),
             backend,
             grant_client,
+            body_memory: BodyMemory::new(settings.limits.caller_body_bytes()),
             host_connections: HostConnections::default(),
             store: adapter::StoreClient::new(settings.store, clock.clone()),
             process,
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -45,6 +45,29 @@
     pub suspects: SuspectUpdate,
 }
 
+/// A question whether a large body may be sent.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct AnnounceRequest {
+    /// The service that is to run the request.
+    pub service: String,
+    /// The key, if it has one.
+    pub key: Option<u16>,
+    /// The size of the body.
+    pub bytes: u64,
+    /// The time left until the deadline of the request, in milliseconds.
+    pub limit_ms: u32,
+}
+
+/// The reply to an [`AnnounceRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct AnnounceReply {
+    /// The id under which the request is to be sent, or why it is refused and when capacity is
+    /// expected, in milliseconds from now.
+    pub decision: Result<u64, (NotRun, u32)>,
+    /// The load of the backend server.
+    pub report: LoadReport,
+}
+
 /// How a request ended on the host that it was forwarded to.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum Outcome {
