Keep uploads on target over full links, and write finished releases together

The load balancer did not count the time on the link: three of seven hosts got 62% of the uploads. Change: hosts report how long a body waits and what their link carries, and a body goes where it arrives soonest, with a price per KB between regions. Finished releases wait 200 ms for others; hosts that conflict try again at different times. Leases count as overdue after 2.3 s, as reads and renewals are a second apart each.

--- a/crates/mesh/src/load_balancer.rs
+++ b/crates/mesh/src/load_balancer.rs
@@ -20,15 +20,18 @@
     OtherRegion,
 }
 
+/// The acceptable extra wait to avoid sending 1 KB to another region, in milliseconds.
+const REGION_COST_MS_PER_KB: f64 = 4.0;
+
 impl Distance {
-    /// The extra wait at a closer host that is acceptable to avoid sending a request this far, in
-    /// milliseconds: the round trip, plus the cost of the traffic between regions, which is a
-    /// fraction of what a request is worth.
-    fn cost_ms(self) -> f64 {
+    /// The extra wait at a closer host that is acceptable to avoid sending a request with a body of
+    /// `body_bytes` this far, in milliseconds: the round trip, plus the cost of the traffic between
+    /// regions, which is a fraction of what a request is worth.
+    fn cost_ms(self, body_bytes: u64) -> f64 {
         match self {
             Self::SameHost | Self::SameZone => 0.0,
             Self::SameRegion => 25.0,
-            Self::OtherRegion => 250.0,
+            Self::OtherRegion => 250.0 + body_bytes as f64 / 1_024.0 * REGION_COST_MS_PER_KB,
         }
     }
 }
@@ -48,6 +51,10 @@
         pub mean_run_ms: u32,
         /// Whether the host accepts new requests.
         pub accepting: bool,
+        /// How long a large body waits until it may be sent to the host, in milliseconds.
+        pub body_wait_ms: u32,
+        /// What the link of the host carries, in bytes per millisecond; 0 if it is not known.
+        pub link_bytes_per_ms: u32,
     }
 }
 
@@ -110,6 +117,8 @@
     reported_at: Millis,
     /// The number of requests sent there that have not ended.
     in_flight: u32,
+    /// The size of their large bodies.
+    in_flight_bytes: u64,
     /// The failure rate as of `failures_updated_at`.
     failures: f64,
     failures_updated_at: Millis,
@@ -124,8 +133,9 @@
         self.failures * (-age / FAILURE_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
     }
 
-    /// Returns the expected time to completion of a request, plus penalties, in milliseconds.
-    fn cost_ms(&self, now: Millis) -> f64 {
+    /// Returns the expected time to completion of a request with a large body of `body_bytes`, or
+    /// without one, plus penalties, in milliseconds.
+    fn cost_ms(&self, body_bytes: u64, now: Millis) -> f64 {
         let r = &self.report;
         let slots = f64::from(r.slots.max(1));
         let stale = self.reported_at == Millis::ZERO || now.since(self.reported_at) > PROBE_AFTER;
@@ -142,11 +152,25 @@
         let congestion = (demand / slots).min(1.0).powi(3) * run * 0.5;
         run + queued
             + congestion
-            + self.distance.cost_ms()
+            + self.transfer_ms(body_bytes, freshness)
+            + self.distance.cost_ms(body_bytes)
             + self.failure_rate(now) * FAILURE_COST_MS
     }
 }
 
+impl Peer {
+    /// Returns how long a large body takes to arrive, in milliseconds. The bodies that were sent
+    /// there and did not end outweigh a report that is older.
+    fn transfer_ms(&self, body_bytes: u64, freshness: f64) -> f64 {
+        let rate = f64::from(self.report.link_bytes_per_ms);
+        if body_bytes == 0 || rate == 0.0 {
+            return 0.0;
+        }
+        let reported = f64::from(self.report.body_wait_ms) * freshness;
+        reported.max(self.in_flight_bytes as f64 / rate) + body_bytes as f64 / rate
+    }
+}
+
 /// Picks among the hosts of one service.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBalancer {
@@ -156,11 +180,18 @@
 /// Queries.
 impl LoadBalancer {
     /// Picks a host for a request, other than the hosts in `tried` that it was already sent to.
-    /// `random` breaks ties. If no host accepts requests, one whose report of this is old enough is
-    /// tried again.
-    pub fn pick(&self, tried: &[HostAddr], random: u32, now: Millis) -> Option<HostAddr> {
-        self.pick_with_closed_retry(CLOSED_RETRY, tried, random, now)
-            .or_else(|| self.pick_with_closed_retry(ALL_CLOSED_RETRY, tried, random, now))
+    /// `body_bytes` is the size of its body if that is large, or else 0, and `random` breaks ties. If
+    /// no host accepts requests, one whose report of this is old enough is tried again.
+    pub fn pick(
+        &self,
+        tried: &[HostAddr],
+        body_bytes: u64,
+        random: u32,
+        now: Millis,
+    ) -> Option<HostAddr> {
+        let pick =
+            |retry_after| self.pick_with_closed_retry(retry_after, tried, body_bytes, random, now);
+        pick(CLOSED_RETRY).or_else(|| pick(ALL_CLOSED_RETRY))
     }
 
     /// Picks among hosts that accept requests and those whose last report is older than
@@ -169,6 +200,7 @@
         &self,
         retry_after: Millis,
         tried: &[HostAddr],
+        body_bytes: u64,
         random: u32,
         now: Millis,
     ) -> Option<HostAddr> {
@@ -179,7 +211,7 @@
         };
         let count = u32::try_from(self.peers.len().max(1)).unwrap_or(u32::MAX);
         let tie_break = |i: usize| (u32::try_from(i).unwrap_or(0) + random % count) % count;
-        let cost = |(i, p): &(usize, &Peer)| (p.cost_ms(now) as u64, tie_break(*i));
+        let cost = |(i, p): &(usize, &Peer)| (p.cost_ms(body_bytes, now) as u64, tie_break(*i));
         let usable = self.peers.iter().enumerate().filter(|(_, p)| usable(p));
         usable.min_by_key(cost).map(|(_, p)| p.host)
     }
@@ -209,6 +241,7 @@
             },
             reported_at: Millis::ZERO,
             in_flight: 0,
+            in_flight_bytes: 0,
             failures: 0.0,
             failures_updated_at: Millis::ZERO,
             backoff_until: Millis::ZERO,
@@ -224,10 +257,12 @@
         }
     }
 
-    /// Records that a request is being sent to `host`.
-    pub fn attempt_started(&mut self, host: HostAddr) {
+    /// Records that a request with a large body of `body_bytes`, or without one, is being sent to
+    /// `host`.
+    pub fn attempt_started(&mut self, host: HostAddr, body_bytes: u64) {
         if let Ok(i) = self.find(host) {
             self.peers[i].in_flight += 1;
+            self.peers[i].in_flight_bytes += body_bytes;
         }
     }
 
@@ -236,6 +271,7 @@
     pub fn attempt_ended(
         &mut self,
         host: HostAddr,
+        body_bytes: u64,
         result: AttemptResult,
         report: Option<LoadReport>,
         now: Millis,
@@ -243,6 +279,7 @@
         let Ok(i) = self.find(host) else { return };
         let p = &mut self.peers[i];
         p.in_flight = p.in_flight.saturating_sub(1);
+        p.in_flight_bytes = p.in_flight_bytes.saturating_sub(body_bytes);
         if let Some(report) = report {
             p.report = report;
             p.reported_at = now;
--- a/crates/mesh/src/ownership.rs
+++ b/crates/mesh/src/ownership.rs
@@ -138,6 +138,8 @@
     map_read: bool,
     backend: Option<Backend>,
     releases: Vec<Release>,
+    /// When the first of the releases was done that have not been written yet.
+    release_done_at: Option<Millis>,
     observed_leases: LeaseObserver,
     /// The other hosts of the service, sorted.
     peers: Vec<PeerHost>,
@@ -148,6 +150,8 @@
     reported_members: (Millis, Vec<Member>),
     members_asked_at: Millis,
     next_write_at: Millis,
+    /// How many writes in a row conflicted.
+    conflicts: u32,
     next_renewal_at: Millis,
     /// The write in progress and the time at which it was sent.
     pending_write: Option<(ConditionalWrite, Millis)>,
@@ -317,6 +321,7 @@
             map_read: false,
             backend: None,
             releases: Vec::new(),
+            release_done_at: None,
             observed_leases: LeaseObserver::default(),
             peers: Vec::new(),
             last_lease_read: Millis::ZERO,
@@ -324,6 +329,7 @@
             reported_members: (Millis::ZERO, Vec::new()),
             members_asked_at: Millis::ZERO,
             next_write_at: Millis::ZERO,
+            conflicts: 0,
             next_renewal_at: Millis::ZERO,
             pending_write: None,
             witnesses_certain: true,
--- a/crates/mesh/src/ownership/releases.rs
+++ b/crates/mesh/src/ownership/releases.rs
@@ -11,6 +11,9 @@
 /// second.
 const MAX_CALLED_GRANTS: usize = 150;
 
+/// How long a finished release waits for others, so that they are written together.
+const RELEASE_GATHER_TIME: Millis = Millis(200);
+
 /// A range of keys that is being released to another host.
 #[derive(Clone, Debug)]
 pub(super) struct Release {
@@ -82,6 +85,18 @@
         }
     }
 
+    /// Returns whether the releases that are done should be written: if all are, or the first one has
+    /// waited long enough for others.
+    fn releases_gathered(&mut self, now: Millis) -> bool {
+        let done = self.releases.iter().filter(|r| r.done).count();
+        if done == 0 {
+            self.release_done_at = None;
+            return false;
+        }
+        let first = *self.release_done_at.get_or_insert(now);
+        done == self.releases.len() || now.since(first) >= RELEASE_GATHER_TIME
+    }
+
     /// Returns the write that hands the ranges over which the backend server has released.
     pub(super) fn release_write(&mut self, now: Millis) -> Option<ConditionalWrite> {
         let lease = self.lease?;
@@ -90,7 +105,7 @@
         }
         self.complete_called_releases(now);
         let grants_ended = self.backend.as_ref().is_none_or(|b| now > b.grants_end());
-        if !self.releases.iter().any(|r| r.done || grants_ended) {
+        if self.releases.is_empty() || !grants_ended && !self.releases_gathered(now) {
             return None;
         }
         let recipients = self.recipients(now);
--- a/crates/mesh/src/ownership/timing.rs
+++ b/crates/mesh/src/ownership/timing.rs
@@ -64,7 +64,8 @@
             // Two requests may be lost before a witness denies the holder.
             witness_interval: Millis(500),
             renew_interval: Millis(1_000),
-            overdue_after: Millis(1_600),
+            // Leases are read every second, and a renewal takes part of another second.
+            overdue_after: Millis(2_300),
             retry_interval: Millis(300),
             // Longer than three heartbeat intervals, so one or two heartbeats may be lost.
             grant_duration: Millis(4_000),
--- a/crates/mesh/src/ownership/writes.rs
+++ b/crates/mesh/src/ownership/writes.rs
@@ -8,6 +8,16 @@
 use crate::leases::{Incarnation, LeaseRow};
 use crate::ownership::types::{ConditionalWrite, RowName, WriteOutcome};
 
+/// The shortest delay before the write after a conflict.
+const MIN_CONFLICT_DELAY: Millis = Millis(20);
+
+/// Writes after a first conflict are spread over this time, about as long as a write from another
+/// region takes. It doubles with each further conflict.
+const CONFLICT_WINDOW: Millis = Millis(80);
+
+/// How often the time doubles.
+const MAX_CONFLICT_DOUBLINGS: u32 = 3;
+
 impl KeyOwnership {
     /// Returns the write that is due, if any. Its outcome is passed to
     /// [`KeyOwnership::write_finished`].
@@ -37,7 +47,10 @@
     pub fn write_finished(&mut self, outcome: WriteOutcome, now: Millis) {
         let Some((write, sent)) = self.pending_write.take() else { return };
         match outcome {
-            WriteOutcome::Committed(version) => self.write_committed(&write, version, sent, now),
+            WriteOutcome::Committed(version) => {
+                self.conflicts = 0;
+                self.write_committed(&write, version, sent, now);
+            }
             WriteOutcome::Conflict(rows) => {
                 self.store_contact_at = now;
                 self.write_conflicted(rows, now);
@@ -113,7 +126,16 @@
                 (RowName::Map, None) => {}
             }
         }
-        self.next_write_at = now + Millis(20);
+        self.next_write_at = now + self.conflict_delay();
+    }
+
+    /// Returns the delay before the write after a conflict. Hosts that change the map at the same
+    /// time try again at different times, spread the wider the more often they conflict.
+    fn conflict_delay(&mut self) -> Millis {
+        let window = CONFLICT_WINDOW.0 << self.conflicts.min(MAX_CONFLICT_DOUBLINGS);
+        let bits = self.process.rotate_right(11 * self.conflicts);
+        self.conflicts += 1;
+        Millis(MIN_CONFLICT_DELAY.0 + bits % window)
     }
 
     /// Applies this host's lease row if it had another version than expected.
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -10,6 +10,7 @@
 use model::{HostAddr, Millis, ServiceName};
 use tokio::time::timeout;
 
+use crate::bodies::LARGE_BODY_BYTES;
 use crate::ingress::{Call, Failure};
 use crate::response::DEFAULT_RETRY_AFTER_MS;
 use crate::state::Cx;
@@ -48,6 +49,7 @@
     cx: &'a Cx,
     service: &'a ServiceName,
     host: HostAddr,
+    body_bytes: u64,
     end: AttemptResult,
     report: Option<LoadReport>,
 }
@@ -56,7 +58,8 @@
     fn drop(&mut self) {
         let now = self.cx.now();
         let mut state = self.cx.state.borrow_mut();
-        state.load_balancer(self.service).attempt_ended(self.host, self.end, self.report, now);
+        let balancer = state.load_balancer(self.service);
+        balancer.attempt_ended(self.host, self.body_bytes, self.end, self.report, now);
     }
 }
 
@@ -198,11 +201,21 @@
     granted
 }
 
+/// Returns the size of the body if it is announced before it is sent, or else 0.
+fn large_body_bytes(call: &Call) -> u64 {
+    if call.body.len() < LARGE_BODY_BYTES { 0 } else { call.body.len() as u64 }
+}
+
 fn pick_host(cx: &Cx, call: &Call, tried: &[HostAddr], now: Millis) -> Option<HostAddr> {
     let mut state = cx.state.borrow_mut();
     match call.key {
         Some(key) => state.map(&call.service).map(|m| m.range_of(key).owner),
-        None => state.load_balancer(&call.service).pick(tried, rand::random(), now),
+        None => state.load_balancer(&call.service).pick(
+            tried,
+            large_body_bytes(call),
+            rand::random(),
+            now,
+        ),
     }
 }
 
@@ -252,8 +265,10 @@
     now: Millis,
 ) -> Result<(ForwardReply, Bytes), tokio::time::error::Elapsed> {
     let service = &call.service;
-    cx.state.borrow_mut().load_balancer(service).attempt_started(host);
-    let mut guard = SendGuard { cx, service, host, end: AttemptResult::Abandoned, report: None };
+    cx.state.borrow_mut().load_balancer(service).attempt_started(host, large_body_bytes(call));
+    let body_bytes = large_body_bytes(call);
+    let end = AttemptResult::Abandoned;
+    let mut guard = SendGuard { cx, service, host, body_bytes, end, report: None };
     let left = call.deadline.since(now);
     let saturating_ms = |m: Millis| u32::try_from(m.0).unwrap_or(u32::MAX);
     let margin = if is_cross_region(cx, host) { CROSS_REGION_MARGIN } else { SAME_REGION_MARGIN };
--- a/crates/sidecar/src/bodies.rs
+++ b/crates/sidecar/src/bodies.rs
@@ -164,14 +164,17 @@
         service: forward.service.clone(),
         key: forward.key,
         bytes: bytes as u64,
+        target_ms: forward.target_ms,
         limit_ms: forward.limit_ms,
     };
     let limit = Duration::from_millis(u64::from(forward.limit_ms));
     let not_run = |why, after_ms| Outcome::NotRun { why, after_ms };
+    let sent_at = cx.now();
     let reply = rpc::call(cx, host, rpc::ANNOUNCE_PATH, &request, limit).await;
     let Some(AnnounceReply { decision, report }) = reply else {
-        let outcome = not_run(NotRun::Unreachable, 0);
-        return Err(ForwardReply { outcome, ..ForwardReply::default() });
+        let late = cx.now().since(sent_at) >= Millis::from(limit);
+        let why = if late { NotRun::Late } else { NotRun::Unreachable };
+        return Err(ForwardReply { outcome: not_run(why, 0), ..ForwardReply::default() });
     };
     decision.map(TransferId).map_err(|(why, after_ms)| {
         let outcome = not_run(why, after_ms);
@@ -197,6 +200,14 @@
         bytes.and_then(|b| usize::try_from(b).ok()).unwrap_or(0)
     }
 
+    /// Records that the body arrived.
+    pub fn arrived(mut self) {
+        if let Some(id) = self.id.take() {
+            self.cx.state.borrow_mut().bodies.arrived(id, self.cx.now());
+            start_waiting(self.cx);
+        }
+    }
+
     /// Leaves the place to the sender, who was told to start.
     fn keep(mut self) -> TransferId {
         self.id.take().unwrap_or(TransferId(0))
@@ -207,7 +218,7 @@
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
             let mut state = self.cx.state.borrow_mut();
-            state.bodies.finish(id);
+            state.bodies.cancel(id);
             state.body_waiters.retain(|(waiting, _)| *waiting != id);
             drop(state);
             start_waiting(self.cx);
@@ -246,12 +257,14 @@
         let mut state = cx.state.borrow_mut();
         check_runnable(&state, cx, request.key).map_err(|why| (why, 0))?;
         let deadline = now + Millis(u64::from(request.limit_ms));
-        let latest_end = deadline.since(Millis(state.queue.mean_run_time().0 / 2));
+        let run = state.queue.mean_run_time();
+        let latest_end = deadline.since(Millis(run.0 / 2));
+        let target_end = (now + Millis(u64::from(request.target_ms))).since(run);
         let wait = state.queue.expected_wait(now);
         if now + wait > latest_end {
             return Err(refusal(wait));
         }
-        match state.bodies.submit(request.bytes, latest_end, now) {
+        match state.bodies.submit(request.bytes, target_end, latest_end, now) {
             TransferDecision::Start(id) => return Ok(id.0),
             TransferDecision::Refused(after) => return Err(refusal(after)),
             TransferDecision::Wait(id) => {
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -307,7 +307,9 @@
             return Ok(malformed_reply());
         }
     };
-    drop(transfer);
+    if let Some(transfer) = transfer {
+        transfer.arrived();
+    }
     let handled = match path.as_str() {
         WITNESS_PATH => {
             decode(message).map(|(request, _)| encode(&handle_witness(&cx, &request), &[]))
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -355,6 +355,8 @@
             accepting: state.deregistered_at.is_none()
                 && state.ownership.backend_serving()
                 && !self.stopping.get(),
+            body_wait_ms: u32::try_from(state.bodies.expected_wait().0).unwrap_or(u32::MAX),
+            link_bytes_per_ms: self.settings.limits.bodies().bytes_per_ms as u32,
         }
     }
 
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -54,6 +54,8 @@
     pub key: Option<u16>,
     /// The size of the body.
     pub bytes: u64,
+    /// The time left of the target latency, in milliseconds.
+    pub target_ms: u32,
     /// The time left until the deadline of the request, in milliseconds.
     pub limit_ms: u32,
 }
