--- a/crates/sidecar/src/key_ownership.rs
+++ b/crates/sidecar/src/key_ownership.rs
@@ -82,9 +82,10 @@
 
 async fn read_leases(cx: &Cx, dependency: &mut Dependency) {
     match cx.store.read_leases(&cx.settings.service).await {
-        Ok(rows) => {
+        Ok((leases, unreadable)) => {
             dependency.succeeded();
-            cx.state.borrow_mut().ownership.update_leases(rows, cx.now());
+            report_unreadable_leases(cx, unreadable);
+            cx.state.borrow_mut().ownership.update_leases(leases, cx.now());
         }
         Err(e) => {
             dependency.failed(&e);
@@ -93,6 +94,15 @@
     }
 }
 
+/// Logs rows among the leases that some other writer left there, once for each set of them.
+fn report_unreadable_leases(cx: &Cx, unreadable: Vec<String>) {
+    let mut known = cx.unreadable_leases.borrow_mut();
+    if *known != unreadable {
+        warn!("event=leases-ignored keys={unreadable:?}");
+        *known = unreadable;
+    }
+}
+
 /// Asks the hosts that watch the leases for those that may be assigned keys. Returns whether one of
 /// them knows.
 async fn ask_for_members(cx: &Cx) -> bool {
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -167,6 +167,8 @@
     pub renewals_due: Notify,
     /// Notified when calls that grant keys may be due.
     pub grants_due: Notify,
+    /// The keys of the rows among the leases that can't be read.
+    pub unreadable_leases: RefCell<Vec<String>>,
     /// Tells connections to close after the response in progress.
     pub close_connections: Notify,
     /// Set once the process is told to stop.
@@ -231,6 +233,7 @@
             ownership_due: Notify::new(),
             renewals_due: Notify::new(),
             grants_due: Notify::new(),
+            unreadable_leases: RefCell::default(),
             close_connections: Notify::new(),
             stopping: Cell::new(false),
             rejecting: Cell::new(false),
