--- a/review/stand-ins/src/bin/owner.rs
+++ b/review/stand-ins/src/bin/owner.rs
@@ -49,7 +49,7 @@
     let places = [
         ("khomas-a", 10),
         ("khomas-b", 20),
-        ("karas-a", 30),
+        ("karas-a", 21),
         ("khomas-a", 60),
         ("khomas-b", 70),
         ("khomas-a", 80),
@@ -60,6 +60,10 @@
         ("khomas-b", 35),
         ("khomas-a", 34),
         ("khomas-b", 33),
+        ("khomas-a", 32),
+        ("khomas-b", 31),
+        ("khomas-a", 30),
+        ("khomas-b", 29),
     ];
     let machines: Vec<Machine> = places
         .iter()
@@ -163,7 +167,7 @@
     let mut processes: Vec<Process> = Vec::new();
     let add = |i: usize, upstreams: &mut Vec<Arc<Upstream>>, processes: &mut Vec<Process>| {
         let up =
-            Upstream::start(&format!("i-{i:08x}"), &machines[i], 12, true, record.clone(), None);
+            Upstream::start(&format!("i-{i:08x}"), &machines[i], 18, true, record.clone(), None);
         let runs = runs.clone();
         *up.on_run.lock().unwrap() = Some(Box::new(move |m| {
             let key = m.header("shard-key").parse().unwrap_or(0);
@@ -190,7 +194,7 @@
     let over = Arc::new(AtomicBool::new(false));
     let next_id = Arc::new(AtomicU64::new(1));
     let mut callers = Vec::new();
-    for n in 0..70_u64 {
+    for n in 0..150_u64 {
         let (record, over, next_id) = (record.clone(), over.clone(), next_id.clone());
         let to = machines[(n % 7) as usize].outbound;
         callers.push(thread::spawn(move || {
@@ -201,7 +205,7 @@
                 let id = id(next_id.fetch_add(1, Ordering::SeqCst));
                 let limit = Duration::from_secs(3);
                 let key = Some((random >> 40) as u16);
-                let path = format!("/index/w{}/b500/1", 400 + (random >> 32) % 1100);
+                let path = format!("/index/w{}/b500/1", 700 + (random >> 32) % 700);
                 record.line(&format!("send    {id} key={key:?}"));
                 let result = caller.send("GET", &path, &id, key, limit, b"");
                 let text = result.map_or_else(|e| e.to_string(), |m| m.status().to_string());
@@ -246,8 +250,8 @@
             }
         })
     };
-    // Two upstreams are added, up to three times.
-    for i in [7, 9, 11] {
+    // Two upstreams are added, up to five times.
+    for i in [7, 9, 11, 13, 15] {
         thread::sleep(Duration::from_secs(6));
         let writes = trouble.lock().unwrap().writes;
         *trouble.lock().unwrap() = Trouble { writes, ..Trouble::default() };
