Settle a change of a lease's witnesses only by another version of its row

Cause: a renewal that changes the witnesses is lost, and the store may do it seconds later. A write of a release then conflicts over the map, and the store returns the lease row too, in the version that both writes expect. The holder took this as the outcome of the renewal and counted on the former witnesses again, while other hosts ask the new ones.

Ruled out: a witness that confirms a generation it has denied, and a lease counted from too late.

Change: in place of two flags, the holder keeps the version that the undecided write expected. It is decided once the lease row is known to have another version. Rows that a refused write returns in the expected version are passed over. row-conflict logs the versions found, witness-reply the generation.

--- a/crates/mesh/src/ownership.rs
+++ b/crates/mesh/src/ownership.rs
@@ -155,11 +155,9 @@
     next_renewal_at: Millis,
     /// The write in progress and the time at which it was sent.
     pending_write: Option<(ConditionalWrite, Millis)>,
-    /// Whether the witnesses in `own_row` are certainly those in the store. False while it is
-    /// unknown whether a write that changes them has been applied.
-    witnesses_certain: bool,
-    /// The value of `witnesses_certain` before the pending write.
-    witnesses_certain_before: bool,
+    /// The version of the lease row that a write expected which changes the witnesses and whose
+    /// outcome is unknown. It may still be applied while the row has this version.
+    unsettled_witnesses: Option<RowVersion>,
     /// Whether a witness refused a confirmation, so that the next renewal starts a new generation.
     witness_refused: bool,
     witnesses_asked_at: Millis,
@@ -332,8 +330,7 @@
             conflicts: 0,
             next_renewal_at: Millis::ZERO,
             pending_write: None,
-            witnesses_certain: true,
-            witnesses_certain_before: true,
+            unsettled_witnesses: None,
             witness_refused: false,
             witnesses_asked_at: Millis::ZERO,
             confirm_rounds: Vec::new(),
--- a/crates/mesh/src/ownership/types.rs
+++ b/crates/mesh/src/ownership/types.rs
@@ -32,6 +32,13 @@
     pub reason: &'static str,
 }
 
+impl ConditionalWrite {
+    /// Returns the version that a row must have, if the write depends on the row.
+    pub fn expected_version(&self, row: RowName) -> Option<RowVersion> {
+        self.expect.iter().find(|(name, _)| *name == row).map(|(_, version)| *version)
+    }
+}
+
 /// The outcome of a conditional write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
--- a/crates/mesh/src/ownership/witnesses.rs
+++ b/crates/mesh/src/ownership/witnesses.rs
@@ -74,6 +74,14 @@
         row.is_some_and(|row| row.generation != self.own_row.generation)
     }
 
+    /// Returns whether the witnesses in `own_row` are certainly those in the store: no write that
+    /// changes them is on its way or can still be applied.
+    pub(super) fn witnesses_certain(&self) -> bool {
+        let changing = self.pending_write.as_ref().is_some_and(|(w, _)| self.changes_generation(w));
+        let unsettled = |l: &Lease| self.unsettled_witnesses == Some(l.version);
+        !changing && !self.lease.as_ref().is_some_and(unsettled)
+    }
+
     /// Returns the requests that are due to other hosts. Only an early reply is of use, so requests
     /// should time out quickly, and lost ones are not resent. Replies are passed to
     /// [`KeyOwnership::witness_replied`].
@@ -92,7 +100,7 @@
     /// Returns the requests to confirm this host's lease, if its renewal is overdue.
     pub(super) fn confirm_requests(&mut self, now: Millis) -> Vec<(HostAddr, WitnessRequest)> {
         let renewal_overdue = |l: &Lease| now.since(l.renewal_sent) > self.timing.confirm_after;
-        if !self.witnesses_certain || !self.lease.as_ref().is_some_and(renewal_overdue) {
+        if !self.witnesses_certain() || !self.lease.as_ref().is_some_and(renewal_overdue) {
             self.confirm_rounds.clear();
             return Vec::new();
         }
@@ -171,7 +179,7 @@
     /// Counts a confirmation, and extends the lease if a majority of the witnesses has confirmed
     /// it.
     pub(super) fn confirmed(&mut self, request: &WitnessRequest, sent: Millis) {
-        let current = request.generation == self.own_row.generation && self.witnesses_certain;
+        let current = request.generation == self.own_row.generation && self.witnesses_certain();
         let needed = witness::majority(self.own_row.witnesses.len());
         let Some(round) = self.confirm_rounds.iter_mut().find(|r| r.sent == sent) else { return };
         round.confirmations += 1;
--- a/crates/mesh/src/ownership/writes.rs
+++ b/crates/mesh/src/ownership/writes.rs
@@ -35,10 +35,6 @@
             .or_else(|| self.merge_write())
             .or_else(|| self.renewal_write(now))
             .or_else(|| self.assignment_write(now))?;
-        self.witnesses_certain_before = self.witnesses_certain;
-        if self.changes_generation(&write) {
-            self.witnesses_certain = false;
-        }
         self.pending_write = Some((write.clone(), now));
         Some(write)
     }
@@ -53,13 +49,15 @@
             }
             WriteOutcome::Conflict(rows) => {
                 self.store_contact_at = now;
-                self.write_conflicted(rows, now);
+                self.write_conflicted(&write, rows, now);
             }
-            WriteOutcome::NotApplied => {
-                self.witnesses_certain = self.witnesses_certain_before;
+            WriteOutcome::NotApplied => self.next_write_at = now + self.timing.retry_interval,
+            WriteOutcome::Unknown => {
+                if self.changes_generation(&write) {
+                    self.unsettled_witnesses = write.expected_version(RowName::Lease(self.me));
+                }
                 self.next_write_at = now + self.timing.retry_interval;
             }
-            WriteOutcome::Unknown => self.next_write_at = now + self.timing.retry_interval,
         }
     }
 
@@ -88,7 +86,6 @@
             match name {
                 RowName::Lease(_) => {
                     self.lease = Some(Lease { version, renewal_sent: sent, confirm_sent: sent });
-                    self.witnesses_certain = true;
                     self.next_renewal_at = sent + self.timing.renew_interval;
                     if let Ok(row) = LeaseRow::decode(bytes) {
                         self.witness_refused =
@@ -105,12 +102,16 @@
         }
     }
 
-    /// Applies the rows that had another version than the write expected.
+    /// Applies the rows that had another version than the write expected. The store also returns
+    /// the rows that had the expected version. Those say nothing about earlier writes of unknown
+    /// outcome, which may still be applied.
     pub(super) fn write_conflicted(
         &mut self,
-        rows: Vec<(RowName, RowVersion, Option<Vec<u8>>)>,
+        write: &ConditionalWrite,
+        mut rows: Vec<(RowName, RowVersion, Option<Vec<u8>>)>,
         now: Millis,
     ) {
+        rows.retain(|(name, version, _)| write.expected_version(*name) != Some(*version));
         for (name, version, value) in rows {
             match (name, value) {
                 (RowName::Map, Some(bytes)) => {
@@ -145,7 +146,6 @@
             Some(row) if row.process == self.process => {
                 // An earlier write by this process, for which the response was lost.
                 self.own_row = row;
-                self.witnesses_certain = true;
                 match &mut self.lease {
                     Some(lease) => lease.version = version,
                     None => self.found_row = Some((version, self.own_row.clone())),
--- a/crates/mesh/tests/ownership/scenarios.rs
+++ b/crates/mesh/tests/ownership/scenarios.rs
@@ -163,6 +163,49 @@
     );
 }
 
+/// Guards against two holders of a key: a conflict over the map returned the unchanged lease row,
+/// which was taken as proof that a lost renewal with other witnesses would never be applied.
+#[test]
+fn a_conflict_over_the_map_does_not_settle_a_lost_change_of_the_witnesses() {
+    let mut fixture = Fixture::new();
+    let [mut holder, _other] = fixture.two_owners();
+    let peer = |process| PeerHost { host: addr(1), process, failure_domain: 1 };
+    holder.set_peers(vec![peer(2)]);
+    fixture.now += Millis(1_100);
+    fixture.heartbeat(&mut holder, 0, 2);
+    fixture.apply_writes(&mut holder);
+    let expiry = holder.lease_expiry().unwrap();
+    // The answer to a renewal with another witness is lost, and the store delays the write.
+    holder.set_peers(vec![peer(33)]);
+    fixture.now += Millis(1_100);
+    let delayed = holder.next_write(fixture.now).unwrap();
+    assert_eq!(delayed.reason, "renew");
+    holder.write_finished(WriteOutcome::Unknown, fixture.now);
+    // A release conflicts with a change of the map that the holder has not seen.
+    fixture.request_move(addr(0), addr(1));
+    let (version, map) = fixture.store.map().unwrap();
+    holder.update_map(version, map);
+    holder.update_leases(fixture.store.leases(), fixture.now);
+    fixture.heartbeat(&mut holder, 0, 3);
+    fixture.heartbeat(&mut holder, 0, 4);
+    fixture.request_move(addr(1), addr(0));
+    fixture.now += Millis(400);
+    let release = holder.next_write(fixture.now).unwrap();
+    assert_eq!(release.reason, "release");
+    let conflict = fixture.store.apply(&release);
+    assert!(matches!(conflict, WriteOutcome::Conflict(_)), "{conflict:?}");
+    holder.write_finished(conflict, fixture.now);
+
+    fixture.now += Millis(200);
+    for (_, request) in holder.witness_requests(fixture.now) {
+        holder.witness_replied(&request, WitnessReply::Confirmed, fixture.now, fixture.now);
+    }
+
+    assert_eq!(holder.lease_expiry(), Some(expiry), "extended by the former witnesses");
+    let applied = fixture.store.apply(&delayed);
+    assert!(matches!(applied, WriteOutcome::Committed(_)), "the renewal was settled: {applied:?}");
+}
+
 #[test]
 fn nothing_is_granted_without_a_lease_or_to_an_earlier_incarnation() {
     let mut fixture = Fixture::new();
--- a/crates/sidecar/src/key_ownership.rs
+++ b/crates/sidecar/src/key_ownership.rs
@@ -43,10 +43,10 @@
                     WITNESS_TIMEOUT,
                 );
                 let Some(reply) = asked.await else { return };
-                let question = request.question;
-                let holder = request.holder;
                 info!(
-                    "event=witness-reply witness={host} question={question:?} holder={holder} word={reply:?}"
+                    "event=witness-reply witness={host} question={:?} holder={} generation={} \
+                     word={reply:?}",
+                    request.question, request.holder, request.generation
                 );
                 cx.state.borrow_mut().ownership.witness_replied(&request, reply, now, cx.now());
                 cx.ownership_due.notify_one();
@@ -190,8 +190,9 @@
     match &written {
         WriteOutcome::Committed(_) if why == "renew" => {}
         WriteOutcome::Committed(version) => info!("event=row-written why={why} version={version}"),
-        WriteOutcome::Conflict(_) => {
-            info!("event=row-conflict why={why} expected={:?}", due_write.expect);
+        WriteOutcome::Conflict(rows) => {
+            let found: Vec<_> = rows.iter().map(|(name, version, _)| (name, version)).collect();
+            info!("event=row-conflict why={why} expected={:?} found={found:?}", due_write.expect);
         }
         WriteOutcome::NotApplied => info!("event=row-refused why={why} error={error:?}"),
         WriteOutcome::Unknown => info!("event=row-unknown why={why} error={error:?}"),
