Count the memory that a body holds, not the length of its pieces

Cause: a body was collected as a list of frames. Each frame keeps the 8 KiB buffer alive that it was cut from, and only the sum of the lengths was bounded.

Ruled out: a limit that is too high (2,048 bytes in pieces of one byte held 8.4 MB before they were rejected at their limit), and heads without end (bounded by the parser, covered by an earlier test).

Change: http1::read_body copies the frames into one buffer. Responses of backend servers and of the store, heartbeats, messages between hosts, and callers' bodies of a single frame use it or copy too.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -11,9 +11,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Body;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use model::{Clock, Millis};
@@ -38,6 +39,23 @@
     },
 }
 
+/// Why a body could not be read.
+#[derive(Debug, Snafu)]
+pub enum BodyError {
+    /// It is longer than allowed.
+    #[snafu(display("the body is longer than {max_bytes} bytes"))]
+    TooLong {
+        /// The limit.
+        max_bytes: usize,
+    },
+    /// It broke off.
+    #[snafu(display("the body broke off: {reason}"))]
+    Incomplete {
+        /// The cause.
+        reason: String,
+    },
+}
+
 /// Timeouts and limits of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -152,8 +170,8 @@
         response: Response<hyper::body::Incoming>,
     ) -> Result<Response<Bytes>, SendError> {
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.settings.max_response_bytes).collect().await;
-        let body = body.map_err(|e| SendError::Unknown { reason: e.to_string() })?.to_bytes();
+        let body = read_body(body, self.settings.max_response_bytes).await;
+        let body = body.map_err(|e| SendError::Unknown { reason: e.to_string() })?;
         self.keep_idle(tx, &head);
         Ok(Response::from_parts(head, body))
     }
@@ -199,6 +217,27 @@
     }
 }
 
+/// Reads a body of at most `max_bytes` into one buffer. The frames are copied: each is a part of the
+/// buffer that the connection read it into, which stays allocated as long as the frame, so that a
+/// body in small pieces would take many times its length.
+pub async fn read_body<B>(body: B, max_bytes: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: std::fmt::Display,
+{
+    let mut body = std::pin::pin!(body);
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| BodyError::Incomplete { reason: e.to_string() })?;
+        let Ok(data) = frame.into_data() else { continue };
+        if data.len() > max_bytes - read.len() {
+            return TooLongSnafu { max_bytes }.fail();
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok(read.freeze())
+}
+
 /// Configures the socket so that the operating system closes the connection if the peer becomes
 /// unresponsive: sets `TCP_USER_TIMEOUT` and TCP keepalive. Also sets `TCP_NODELAY`.
 pub fn set_liveness_options(
--- a/crates/sidecar/src/bodies.rs
+++ b/crates/sidecar/src/bodies.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use log::info;
 use mesh::{TransferDecision, TransferId};
 use model::{HostAddr, Millis};
@@ -131,9 +131,6 @@
         }
         let missing = ((read.len() + data.len()) as u64).saturating_sub(guard.bytes);
         guard.reserve(missing).await?;
-        if read.is_empty() && body.is_end_stream() {
-            return Ok(data);
-        }
         read.extend_from_slice(&data);
     }
     Ok(read.freeze())
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -9,7 +9,7 @@
 use futures_util::future::{Either, select};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
@@ -114,10 +114,10 @@
 pub async fn handle_registry_call(cx: Rc<Cx>, req: Request<Incoming>) -> HandlerResult {
     let (head, body) = req.into_parts();
     let target = head.uri.path_and_query().map_or("", |t| t.as_str()).to_owned();
-    let body = match Limited::new(body, MAX_HEARTBEAT_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match http1::read_body(body, MAX_HEARTBEAT_BYTES).await {
+        Ok(body) => body,
         Err(e) => {
-            warn!("event=heartbeat-rejected error={e:?}");
+            warn!("event=heartbeat-rejected error={:?}", e.to_string());
             return Ok(text_response(
                 StatusCode::BAD_REQUEST,
                 Bytes::from_static(b"body cut or too long"),
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
 use hyper::rt::Executor;
@@ -165,8 +165,8 @@
                 return (unknown(e.into_error().to_string()), Bytes::new());
             }
         };
-        let body = match Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
+        let body = match http1::read_body(response.into_body(), MAX_REPLY_BYTES).await {
+            Ok(body) => body,
             Err(e) => return (unknown(e.to_string()), Bytes::new()),
         };
         return match decode::<ForwardReply>(body) {
@@ -257,8 +257,7 @@
         let mut tx = connect(cx, host).await?;
         let req = Request::post(uri(path)).body(Full::new(encode(message, &[]))).ok()?;
         let response = tx.send_request(req).await.ok()?;
-        let body =
-            Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await.ok()?.to_bytes();
+        let body = http1::read_body(response.into_body(), MAX_REPLY_BYTES).await.ok()?;
         decode::<R>(body).ok().map(|(response, _)| response)
     };
     timeout(limit, exchange).await.ok().flatten()
@@ -300,10 +299,10 @@
     let transfer = transfer.map(|id| TransferGuard::new(&cx, TransferId(id)));
     let announced = transfer.as_ref().map_or(0, TransferGuard::admitted_bytes);
     let limit = MAX_MESSAGE_BYTES + announced;
-    let message = match Limited::new(req.into_body(), limit).collect().await {
-        Ok(body) => body.to_bytes(),
+    let message = match http1::read_body(req.into_body(), limit).await {
+        Ok(message) => message,
         Err(e) => {
-            warn!("event=message-truncated path={path} error={e:?}");
+            warn!("event=message-truncated path={path} error={:?}", e.to_string());
             return Ok(malformed_reply());
         }
     };
