Record the departure of a backend server before it is confirmed

Cause: the deregistration, or the report that it drains, was known to one process only. After a restart the next process took a heartbeat from before it as a sign of life.

Ruled out: the order of heartbeats within one process (no harm without the restart), and the discovery by other hosts (the restarted process itself reported that it accepts requests).

Change: the departure is written to a row of its own, on condition of its version, before it is confirmed. A process reads the row before it takes any heartbeat, and passes over those from before the departure. A deregistration counts before the first heartbeat too; one of an earlier start changes nothing.

Tests: a_backend_server_that_left_is_not_used_again_after_a_restart_and_a_late_heartbeat gives 200 in place of 503 with what the store has passed over (as before this change); a_departure_is_confirmed_only_ once_the_store_has_it fails when confirmed at once.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 mod body_admission;
 mod compression;
 mod config;
+mod departure;
 mod directory;
 mod key_map;
 mod key_request_counts;
@@ -27,6 +28,7 @@
 pub use config::{
     Config, GrantDelivery, RequestLimits, RetrySafety, Route, Service, WeightedService,
 };
+pub use departure::{Departure, DepartureError, DepartureLog};
 pub use directory::{HostChanges, HostDirectory, HostUpdate};
 pub use key_map::{KeyMap, KeyMapError, KeyRange, MAX_KEY};
 pub use key_request_counts::KeyRequestCounts;
--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -351,6 +351,60 @@
     assert_eq!(a.backend.executed().len(), before);
 }
 
+/// Guards against requests at a server that has left: the confirmation that it leaves was forgotten at
+/// a restart of the sidecar, and a heartbeat from before was taken as a sign that it serves.
+#[actix_rt::test]
+async fn a_backend_server_that_left_is_not_used_again_after_a_restart_and_a_late_heartbeat() {
+    for deregisters in [true, false] {
+        let store = Store::start().await;
+        store.put_config(&document(1));
+        let mut a = start_host(&store, UNSHARDED_SERVICE, "late-a").await;
+        request_until(&a, "/order/x", None, 200).await;
+
+        let late = a.backend.hold_back_heartbeat();
+        if deregisters {
+            a.backend.stop_heartbeats();
+            assert!(a.backend.deregister().await, "not confirmed");
+        } else {
+            a.backend.drain();
+            wait_until("that is acknowledged", || a.backend.is_draining_acknowledged()).await;
+            a.backend.stop_heartbeats();
+        }
+        a.child.kill().unwrap();
+        a.child.wait().unwrap();
+        a.child = spawn_sidecar(&a.settings);
+        request_until(&a, "/nowhere/", None, 404).await;
+        let before = a.backend.executed().len();
+        a.backend.deliver(late).await;
+        for i in 0..10 {
+            let request = caller_request("/order/x", &format!("left-{i}"), None);
+            let response = send_request(a.callers, &request).await;
+            assert_eq!(response.map(|r| r.status), Some(503), "{i}, deregisters: {deregisters}");
+        }
+
+        assert_eq!(a.backend.executed().len(), before, "deregisters: {deregisters}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_departure_is_confirmed_only_once_the_store_has_it() {
+    let store = Store::start().await;
+    store.put_config(&document(1));
+    let a = start_host(&store, UNSHARDED_SERVICE, "leave-c").await;
+    request_until(&a, "/order/x", None, 200).await;
+    a.backend.stop_heartbeats();
+
+    store.set_fault(Fault::Busy);
+    let during_outage = a.backend.deregister().await;
+    let refused = request_until(&a, "/order/x", None, 503).await;
+    store.set_fault(Fault::None);
+    wait_until("the departure is recorded", || store.keys("departures").len() == 1).await;
+
+    assert!(!during_outage, "confirmed while the store refused to record it");
+    assert!(refused.retry_after.is_some(), "{refused:?}");
+    assert!(a.backend.deregister().await, "not confirmed once it was recorded");
+}
+
 #[actix_rt::test]
 async fn keys_granted_by_calls_survive_a_sidecar_restart_and_leave_a_draining_backend_server() {
     let store = Store::start().await;
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -13,7 +13,7 @@
 
 use crate::settings::{Settings, SettingsError};
 use crate::state::Cx;
-use crate::{grant_calls, key_ownership, listeners, relay, renewals, rpc, store_watch};
+use crate::{departures, grant_calls, key_ownership, listeners, relay, renewals, rpc, store_watch};
 
 /// The platform checks readiness every second and assigns a process no new work after two failed
 /// checks; requests that arrive until then are still served.
@@ -107,6 +107,7 @@
     actix_rt::spawn(store_watch::watch_fleet(cx.clone()));
     actix_rt::spawn(relay::pull_changes(cx.clone()));
     actix_rt::spawn(store_watch::register_host(cx.clone()));
+    actix_rt::spawn(departures::record_departures(cx.clone()));
     actix_rt::spawn(key_ownership::maintain_ownership(cx.clone()));
     actix_rt::spawn(key_ownership::ask_witnesses(cx.clone()));
     actix_rt::spawn(renewals::write_batches(cx.clone()));
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -13,14 +13,14 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
-use mesh::{BackendHeartbeat, GrantDelivery, HeartbeatAction, HeartbeatReply};
+use mesh::{BackendHeartbeat, GrantDelivery, HeartbeatAction, HeartbeatReply, Incarnation};
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::Millis;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::ingress;
 use crate::state::Cx;
+use crate::{departures, ingress};
 
 /// The largest heartbeat, in bytes: all keys of a service in short ranges.
 const MAX_HEARTBEAT_BYTES: usize = 1 << 20;
@@ -126,9 +126,12 @@
     };
     match parse_registry_call(&target, &body) {
         Ok(RegistryCall::Heartbeat(heartbeat)) => Ok(handle_heartbeat(&cx, &heartbeat).await),
-        Ok(RegistryCall::Deregister(id)) => {
-            handle_deregister(&cx, &id);
-            Ok(json_response(Bytes::from_static(b"{}")))
+        Ok(RegistryCall::Deregister { id, started_at }) => {
+            handle_deregister(&cx, &id, started_at);
+            Ok(match departures::wait_until_recorded(&cx).await {
+                true => json_response(Bytes::from_static(b"{}")),
+                false => not_recorded(),
+            })
         }
         Err(e) => {
             warn!("event=heartbeat-rejected error={:?}", e.to_string());
@@ -144,7 +147,26 @@
     }
     let received_at = cx.now();
     let backend = &heartbeat.backend;
-    let action = record_heartbeat(cx, heartbeat, received_at);
+    if !departures::wait_until_known(cx).await {
+        return not_recorded();
+    }
+    let action = if cx.state.borrow().departures.admits(&backend.incarnation, backend.seq) {
+        record_heartbeat(cx, heartbeat, received_at)
+    } else {
+        info!(
+            "event=heartbeat-late id={} seq={} why=departed",
+            backend.incarnation.id, backend.seq
+        );
+        metrics::counter!("papayarill_late_heartbeats").increment(1);
+        HeartbeatAction::Stale
+    };
+    if backend.draining && action != HeartbeatAction::Stale {
+        cx.state.borrow_mut().departures.record_draining(&backend.incarnation, backend.seq);
+        cx.departure_due.notify_one();
+        if !departures::wait_until_recorded(cx).await {
+            return not_recorded();
+        }
+    }
     let carries_grants = cx.owns_keys() && cx.grant_delivery() == GrantDelivery::HeartbeatReply;
     if action == HeartbeatAction::MayDefer && carries_grants {
         wait_for_grant_change(cx, backend, received_at).await;
@@ -204,15 +226,30 @@
     }
 }
 
-fn handle_deregister(cx: &Cx, id: &str) {
+/// Records that a backend server has deregistered. A call without its start concerns the current
+/// incarnation; one of an earlier incarnation changes nothing.
+fn handle_deregister(cx: &Cx, id: &str, started_at: Option<u64>) {
     let mut state = cx.state.borrow_mut();
-    let known = state.ownership.backend_incarnation().is_some_and(|b| b.id == id);
-    info!("event=backend-deregistered id={id} known={known}");
+    let current = state.ownership.backend_incarnation().cloned();
+    let same_id = current.as_ref().filter(|b| b.id == id);
+    let started_at = started_at.or(same_id.map(|b| b.started_at));
+    let leaving = started_at.map(|started_at| Incarnation { started_at, id: id.to_owned() });
+    let known = current.is_some() && current == leaving;
+    info!("event=backend-deregistered id={id} started={started_at:?} known={known}");
     if known {
         state.ownership.backend_deregistered();
         state.deregistered_at = Some(cx.now());
         cx.grants_due.notify_one();
     }
+    if let Some(leaving) = leaving.filter(|l| current.as_ref().is_none_or(|c| l >= c)) {
+        state.departures.record_deregistration(leaving);
+        cx.departure_due.notify_one();
+    }
+}
+
+/// The response to a call that can't be confirmed while the store doesn't answer.
+fn not_recorded() -> Response<Full<Bytes>> {
+    text_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not recorded yet"))
 }
 
 fn json_response(body: Bytes) -> Response<Full<Bytes>> {
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use log::info;
 use mesh::{
-    BodyAdmission, Config, CrashSuspects, Distance, GrantDelivery, HostDirectory, KeyMap,
-    KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport, OwnershipTiming, PeerHost,
+    BodyAdmission, Config, CrashSuspects, DepartureLog, Distance, GrantDelivery, HostDirectory,
+    KeyMap, KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport, OwnershipTiming, PeerHost,
     QueueLimits, RenewalWriterSelector, RequestQueue, RetryBudget, Service, SuspectUpdate,
     TransferId, UpdateSourceCandidates, UpdateSourceSelector, Witness,
 };
@@ -59,6 +59,8 @@
     pub suspects: CrashSuspects,
     /// This process's replies as a witness of other hosts' leases.
     pub witness: Witness,
+    /// Whether the backend server has announced that it leaves.
+    pub departures: DepartureLog,
     /// When the backend server deregistered; it sends no heartbeats after that.
     pub deregistered_at: Option<Millis>,
     /// When a connection attempt to the backend server last failed; cleared by its next heartbeat.
@@ -165,6 +167,8 @@
     pub ownership_due: Notify,
     /// Notified when renewals were added to the batch.
     pub renewals_due: Notify,
+    /// Notified when a departure may have to be written to the store.
+    pub departure_due: Notify,
     /// Notified when calls that grant keys may be due.
     pub grants_due: Notify,
     /// The keys of the rows among the leases that can't be read.
@@ -207,6 +211,7 @@
             renewal_writers: RenewalWriterSelector::default(),
             suspects: CrashSuspects::default(),
             witness: Witness::default(),
+            departures: DepartureLog::default(),
             deregistered_at: None,
             connect_failed_at: None,
             unreachable: Vec::new(),
@@ -232,6 +237,7 @@
             peer_config_version: Cell::new(0),
             ownership_due: Notify::new(),
             renewals_due: Notify::new(),
+            departure_due: Notify::new(),
             grants_due: Notify::new(),
             unreadable_leases: RefCell::default(),
             close_connections: Notify::new(),
