--- a/crates/host/src/start.rs
+++ b/crates/host/src/start.rs
@@ -259,7 +259,7 @@
     handle.clone()
 }
 
-/// Ticks the queue and removes expired request records. Runs until the process ends.
+/// Ticks the queue, removes expired request records and summarizes metrics. Runs until the process ends.
 async fn housekeeping(cx: Cx) {
     let mut expired_at = cx.now();
     loop {
@@ -269,6 +269,8 @@
         if cx.now().since(expired_at) >= EXPIRY_INTERVAL {
             expired_at = cx.now();
             owner::expire_records(&cx);
+            // Without it, the recorder keeps each sample until the metrics are read.
+            metrics_handle().run_upkeep();
         }
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -24,6 +24,6 @@
 mod store_watch;
 mod wire;
 
-pub use lifecycle::{StartError, run};
+pub use lifecycle::{StartError, maintain_metrics, run};
 pub use log_writer::LogWriter;
 pub use settings::{Limits, Listen, Retry, Settings, SettingsError};
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use model::Millis;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
@@ -29,6 +29,9 @@
 /// Time for the log thread to write the last lines.
 const LOG_FLUSH_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval between summaries of the samples of histograms.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Timeout for removing this host's row during a graceful shutdown.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -88,6 +91,7 @@
         cx.process,
         env!("CARGO_PKG_VERSION")
     );
+    actix_rt::spawn(maintain_metrics(handle.clone(), METRICS_UPKEEP_INTERVAL));
     actix_rt::spawn(listeners::listen(cx.clone(), "callers", callers, listeners::handle_caller));
     actix_rt::spawn(listeners::listen(cx.clone(), "ready", ready, listeners::handle_ready));
     actix_rt::spawn(listeners::listen(
@@ -122,6 +126,15 @@
     Ok(())
 }
 
+/// Summarizes the recorded samples at this interval until the process ends. Otherwise the recorder
+/// keeps each sample until the metrics are read.
+pub async fn maintain_metrics(handle: PrometheusHandle, interval: Duration) {
+    loop {
+        sleep(interval).await;
+        handle.run_upkeep();
+    }
+}
+
 /// The settings contain addresses and the location of the host, which a running process can't
 /// change. The others change so rarely that they take effect at the next start.
 fn reload(cx: &Cx, text: Result<String, String>) {
