Take a refusal as proof only for the request that it names, on a connection of its own

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that had run (REFUSED), or the request ran at a second server (TWICE).

Can it happen here: yes. A request that is refused may be sent to the same backend server again with the same id, over the same connection, where a second copy of the refusal answers it. A refusal without an id was accepted for any request.

Tests: a_refusal_that_comes_twice_is_not_the_response_to_the_next_request got (503, 503) in place of (503, 200) with reuse, and passes now. a_head_that_breaks_off_is_no_response cuts four heads at each byte: it passed before, so a response that stops in its head does not reach callers of a sidecar as whole.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -70,6 +70,8 @@
     pub max_response_bytes: usize,
     /// TCP keepalive probes on an idle connection start after this time.
     pub keepalive_idle: Millis,
+    /// Whether the connection may carry another request after a response with this head.
+    pub may_reuse: fn(&http::response::Parts) -> bool,
 }
 
 impl Default for Settings {
@@ -82,6 +84,7 @@
             idle_timeout: Millis(4_000),
             max_response_bytes: 16 << 20,
             keepalive_idle: Millis(3_000),
+            may_reuse: |_| true,
         }
     }
 }
@@ -185,9 +188,11 @@
         Some(idle.remove(index).tx)
     }
 
-    /// Adds the connection to the idle ones, unless the response closes it.
+    /// Adds the connection to the idle ones, unless the response or the settings close it.
     fn keep_idle(&self, tx: SendRequest<Full<Bytes>>, head: &http::response::Parts) {
-        if has_token(&head.headers, http::header::CONNECTION, "close") {
+        if !(self.settings.may_reuse)(head)
+            || has_token(&head.headers, http::header::CONNECTION, "close")
+        {
             return;
         }
         let announced = keep_alive_timeout(&head.headers).map(|s| Millis(s.0 * 2 / 3));
--- a/crates/http1/tests/misbehaving_servers.rs
+++ b/crates/http1/tests/misbehaving_servers.rs
@@ -115,3 +115,65 @@
         }
     }
 }
+
+/// Guards against a request that is told not to have run although it did: a server wrote a refusal
+/// once more, where the response to the same request, sent again, was due.
+#[actix_rt::test]
+async fn a_refusal_that_comes_twice_is_not_the_response_to_the_next_request() {
+    let refusal =
+        "HTTP/1.1 503 Busy\r\nattempt-id: a1\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        for first in [refusal, "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ncontent-length: 3\r\n\r\nran"]
+        {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            actix_rt::spawn(async move {
+                let mut request = [0; 1_024];
+                let mut answer = first;
+                while stream.read(&mut request).await.is_ok_and(|n| n > 0) {
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    answer = refusal;
+                }
+            });
+        }
+    });
+    let may_reuse = |head: &http::response::Parts| !head.headers.contains_key("not-executed");
+    let client = Client::new(address, Settings { may_reuse, ..Settings::default() }, Clock::boot());
+
+    let refused = client.send(request()).await.unwrap();
+    let sent_again = client.send(request()).await.unwrap();
+
+    assert_eq!((refused.status().as_u16(), sent_again.status().as_u16()), (503, 200));
+}
+
+/// Guards against a response that breaks off in its head and reaches the caller as a whole one.
+#[actix_rt::test]
+async fn a_head_that_breaks_off_is_no_response() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\nattempt-id: a1\r\nserver-seal: s\r\ncontent-length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nattempt-id: a1\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nattempt-id: a1\r\nserver-seal: s\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nattempt-id: a1\r\nserver-seal: s\r\n\r\n",
+    ];
+    for head in heads {
+        for cut in 1..head.len() {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            actix_rt::spawn(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut request = [0; 1_024];
+                let _ = stream.read(&mut request).await.unwrap();
+                stream.write_all(&head.as_bytes()[..cut]).await.unwrap();
+            });
+            let client = Client::new(address, Settings::default(), Clock::boot());
+
+            let result = client.send(request()).await;
+
+            let broken_off = &head[..cut];
+            assert!(matches!(result, Err(SendError::Unknown { .. })), "{broken_off:?}: {result:?}");
+        }
+    }
+}
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -218,6 +218,7 @@
         };
         let client_settings = http1::Settings {
             max_response_bytes: settings.limits.max_response_bytes(),
+            may_reuse: adapter::allows_reuse,
             ..http1::Settings::default()
         };
         let backend = http1::Client::new(settings.backend_server, client_settings, clock.clone());
