Write the responses in progress to their end before a planned stop ends

Cause: a request counted as ended when its response was built, not when it was written, and the process ended as soon as no request was in flight. The same holds for replies to other hosts.

Change: the stop also waits for connections that may still have to write a response: of callers and the backend server from a response until the connection goes on or ends, of other hosts from the GOAWAY until they end. Refusals of a stopping process don't count, so callers that repeat don't delay it.

Test: a_planned_stop_writes_long_responses_to_their_end failed without the wait ("cut after 6797149 bytes" of 8,000,000) and passes now.

--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use adapter_stand_in::{
-    Backend, CRASH_PATH_SUFFIX, CallerRequest, CallerResponse, Fault, KeyGrants, Store,
-    send_request,
+    Backend, CRASH_PATH_SUFFIX, CallerRequest, CallerResponse, Fault, KeyGrants, LARGE_PATH_SUFFIX,
+    LARGE_RESPONSE_BYTES, Store, send_request,
 };
 use bytes::Bytes;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Far longer than any step takes, so that a test times out only because of a real fault.
@@ -100,12 +101,17 @@
 }
 
 async fn start_host(store: &Store, service: &str, name: &str) -> Host {
+    start_host_with(store, service, name, "").await
+}
+
+/// Starts a host with additional settings.
+async fn start_host_with(store: &Store, service: &str, name: &str, more: &str) -> Host {
     let [callers, hosts, ready, control, metrics, server] = free_ports();
     let text = format!(
         "host: {name}\nzone: a\nregions: {{a: r}}\nservice: {service}\nbackend_server: '{server}'\n\
          store: '{}'\nlisten: {{callers: '{callers}', hosts: '{hosts}', ready: '{ready}', \
          backend: '{control}', metrics: '{metrics}'}}\ndrain_ms: 2500\nstop_ms: 6000\n\
-         hold_max_ms: 10000\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\n",
+         hold_max_ms: 10000\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\n{more}",
         store.address()
     );
     let settings =
@@ -508,6 +514,52 @@
     assert!(a.child.wait().unwrap().success());
 }
 
+/// Reads a large response at 1.4 MB/s, which takes almost the whole time that a stop may take. Returns
+/// the bytes that came.
+async fn read_slowly(to: SocketAddr, id: String) -> usize {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(64 << 10).unwrap();
+    let mut stream = socket.connect(to).await.unwrap();
+    let request = format!(
+        "POST /order{LARGE_PATH_SUFFIX} HTTP/1.1\r\nhost: h.example\r\nattempt-id: {id}\r\n\
+         deadline-ms: 9000\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut buf = vec![0; 14_000];
+    let mut received = 0;
+    while received < LARGE_RESPONSE_BYTES {
+        match stream.read(&mut buf).await {
+            Ok(n) if n > 0 => received += n,
+            _ => return received,
+        }
+        sleep(Duration::from_millis(buf.len() as u64 / 1_400)).await;
+    }
+    received
+}
+
+/// Guards against answers that a planned stop cuts: a request counted as ended when its response was
+/// built, and the process ended while the response was still being written.
+#[actix_rt::test]
+async fn a_planned_stop_writes_long_responses_to_their_end() {
+    let store = Store::start().await;
+    store.put_config(&document(1));
+    let a = start_host_with(&store, UNSHARDED_SERVICE, "long-a", "limits: {memory_mb: 260}\n");
+    let mut a = a.await;
+    request_until(&a, "/order/x", None, 200).await;
+
+    let callers = (0..3).map(|i| actix_rt::spawn(read_slowly(a.callers, format!("long-{i}"))));
+    let callers: Vec<_> = callers.collect();
+    wait_until("the answers are made", || a.backend.executed().len() >= 4).await;
+    let pid = rustix::process::Pid::from_child(&a.child);
+    rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    wait_until("the stopping host ends by itself", || a.child.try_wait().unwrap().is_some()).await;
+
+    for caller in callers {
+        let received = caller.await.unwrap();
+        assert!(received >= LARGE_RESPONSE_BYTES, "cut after {received} bytes");
+    }
+}
+
 #[actix_rt::test]
 async fn a_planned_stop_loses_no_request_of_another_host() {
     let store = Store::start().await;
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -171,13 +171,18 @@
             cx.close_connections.notify_waiters();
         }
         let running = cx.state.borrow().queue.running();
-        let idle = cx.in_flight.get() == 0 && running == 0;
+        let idle = cx.in_flight.get() == 0 && running == 0 && cx.writing.get() == 0;
         let goaway_delivered = closed_at.is_some_and(|at| now.since(at) >= GOAWAY_GRACE);
         if idle && goaway_delivered || elapsed >= time_limit {
             break;
         }
         sleep(Duration::from_millis(30)).await;
     }
-    info!("event=stopped under_way={} took_ms={}", cx.in_flight.get(), cx.now().since(started_at));
+    info!(
+        "event=stopped under_way={} writing={} took_ms={}",
+        cx.in_flight.get(),
+        cx.writing.get(),
+        cx.now().since(started_at)
+    );
     sleep(LOG_FLUSH_DELAY).await;
 }
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 listeners for callers, the backend server, readiness checks and metrics.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::state::Cx;
+use crate::state::{Cx, WritingGuard};
 use crate::{departures, ingress};
 
 /// The largest heartbeat, in bytes: all keys of a service in short ranges.
@@ -83,7 +84,21 @@
     // The head of the next request must arrive before the idle timeout.
     let limits = cx.state.borrow().config.as_ref().map(|c| c.config.limits).unwrap_or_default();
     let shared = cx.clone();
-    let service = hyper::service::service_fn(move |req| handler(shared.clone(), req));
+    // The response was written when the next request is read or the connection ends.
+    let writing = Rc::new(Cell::new(None));
+    let service = hyper::service::service_fn(move |req| {
+        writing.take();
+        let (cx, writing) = (shared.clone(), writing.clone());
+        let handled = handler(shared.clone(), req);
+        async move {
+            let response = handled.await;
+            // Callers that repeat refused requests don't keep a stopping process from its end.
+            if !cx.rejecting.get() {
+                writing.set(Some(WritingGuard::new(&cx.writing)));
+            }
+            response
+        }
+    });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from(limits.idle_timeout))
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -23,7 +23,7 @@
 use tokio::time::timeout;
 
 use crate::bodies::TransferGuard;
-use crate::state::Cx;
+use crate::state::{Cx, WritingGuard};
 use crate::wire::{Forward, ForwardReply, NotRun, Outcome, decode, encode};
 use crate::{backend, bodies, key_ownership, listeners, relay, renewals};
 
@@ -288,6 +288,7 @@
     let stopped = pin!(cx.close_connections.notified());
     // A broken connection reaches its requests as an error.
     if let Either::Right((_, mut connection)) = select(connection, stopped).await {
+        let _writing = WritingGuard::new(&cx.writing);
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -181,6 +181,25 @@
     pub rejecting: Cell<bool>,
     /// Requests of callers that are in flight.
     pub in_flight: Cell<usize>,
+    /// Connections that may still have to write a response, once connections close.
+    pub writing: Rc<Cell<usize>>,
+}
+
+/// Counts a connection that may still have to write a response, until it is dropped.
+pub struct WritingGuard(Rc<Cell<usize>>);
+
+impl WritingGuard {
+    /// Counts a connection in `count`.
+    pub fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for WritingGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
 }
 
 impl Cx {
@@ -245,6 +264,7 @@
             stopping: Cell::new(false),
             rejecting: Cell::new(false),
             in_flight: Cell::new(0),
+            writing: Rc::default(),
             settings,
             clock,
         })
