Tell each renewal its own outcome when a host has sent several

If one of the host's requests timed out while its renewal was being written, and two more followed, the request that was in flight was told "not applied", and a later one could be told the outcome of an earlier renewal; after a refused batch, all later ones of that host.

Change: the batch keeps the reply handle with each renewal, and the list of waiting requests goes. A renewal of a refused batch that a later one replaces is told "not applied", as nothing of the batch was.

Test: each_renewal_is_told_its_own_outcome, a table over the outcomes of the first batch.

--- a/crates/mesh/src/renewal_batch.rs
+++ b/crates/mesh/src/renewal_batch.rs
@@ -56,20 +56,40 @@
     }
 }
 
-/// The renewals that one host writes for others.
-#[derive(Debug, Default)]
-pub struct RenewalBatch {
-    waiting: Vec<Renewal>, // Sorted by host.
+/// A renewal with the handle by which its host learns the outcome.
+#[derive(Debug)]
+struct Submitted<R> {
+    renewal: Renewal,
+    reply: R,
+}
+
+/// The renewals that one host writes for others. Each has a reply handle of type `R`, since a host
+/// whose request timed out sends another one while the first is still being written.
+#[derive(Debug)]
+pub struct RenewalBatch<R> {
+    waiting: Vec<Submitted<R>>, // Sorted by host.
     /// When the first of them arrived.
     waiting_since: Millis,
     /// The renewals that are being written.
-    in_flight: Vec<Renewal>,
+    in_flight: Vec<Submitted<R>>,
     first_written: Option<Millis>,
     last_written: Option<Millis>,
 }
 
+impl<R> Default for RenewalBatch<R> {
+    fn default() -> Self {
+        Self {
+            waiting: Vec::new(),
+            waiting_since: Millis::ZERO,
+            in_flight: Vec::new(),
+            first_written: None,
+            last_written: None,
+        }
+    }
+}
+
 /// Queries.
-impl RenewalBatch {
+impl<R> RenewalBatch<R> {
     /// Returns when the next batch is due, if one is.
     pub fn due_at(&self) -> Option<Millis> {
         if self.waiting.is_empty() || !self.in_flight.is_empty() {
@@ -93,22 +113,28 @@
 }
 
 /// Commands.
-impl RenewalBatch {
-    /// Adds a renewal. Returns the earlier one of the same host that it replaces, which is certain
-    /// not to be written.
-    pub fn submit(&mut self, renewal: Renewal, now: Millis) -> Option<Renewal> {
+impl<R> RenewalBatch<R> {
+    /// Adds a renewal. Returns the reply handle of an earlier one of the same host that it replaces,
+    /// which is certain not to be written.
+    pub fn submit(&mut self, renewal: Renewal, reply: R, now: Millis) -> Option<R> {
         if self.waiting.is_empty() {
             self.waiting_since = now;
         }
-        match self.waiting.binary_search_by_key(&renewal.host, |r| r.host) {
-            Ok(i) => Some(std::mem::replace(&mut self.waiting[i], renewal)),
+        let host = renewal.host;
+        let submitted = Submitted { renewal, reply };
+        match self.find_waiting(host) {
+            Ok(i) => Some(std::mem::replace(&mut self.waiting[i], submitted).reply),
             Err(i) => {
-                self.waiting.insert(i, renewal);
+                self.waiting.insert(i, submitted);
                 None
             }
         }
     }
 
+    fn find_waiting(&self, host: HostAddr) -> Result<usize, usize> {
+        self.waiting.binary_search_by_key(&host, |s| s.renewal.host)
+    }
+
     /// Returns the write of the batch that is due. Its outcome is passed to
     /// [`RenewalBatch::finished`].
     pub fn next_write(&mut self, now: Millis) -> Option<ConditionalWrite> {
@@ -120,7 +146,7 @@
         self.waiting_since = now;
         self.last_written = Some(now);
         self.first_written.get_or_insert(now);
-        let rows = self.in_flight.iter();
+        let rows = self.in_flight.iter().map(|s| &s.renewal);
         Some(ConditionalWrite {
             expect: rows.clone().map(|r| (RowName::Lease(r.host), r.expected)).collect(),
             put: rows.map(|r| (RowName::Lease(r.host), r.row.clone())).collect(),
@@ -129,38 +155,42 @@
         })
     }
 
-    /// Applies the outcome of the batch, and returns what is certain for each host. After a
+    /// Applies the outcome of the batch, and returns what is certain for each renewal. After a
     /// conflict, the renewals that it did not concern are written again at once.
-    pub fn finished(
-        &mut self,
-        outcome: &WriteOutcome,
-        now: Millis,
-    ) -> Vec<(HostAddr, WriteOutcome)> {
+    pub fn finished(&mut self, outcome: &WriteOutcome, now: Millis) -> Vec<(R, WriteOutcome)> {
         let written = std::mem::take(&mut self.in_flight);
         let WriteOutcome::Conflict(rows) = outcome else {
-            return written.into_iter().map(|r| (r.host, outcome.clone())).collect();
+            return written.into_iter().map(|s| (s.reply, outcome.clone())).collect();
         };
         let mut decided = Vec::new();
-        for renewal in written {
-            let name = RowName::Lease(renewal.host);
-            let found = rows.iter().find(|(row, ..)| *row == name);
-            match found.filter(|(_, version, _)| *version != renewal.expected) {
+        for submitted in written {
+            let Renewal { host, expected, .. } = submitted.renewal;
+            let found = rows.iter().find(|(row, ..)| *row == RowName::Lease(host));
+            match found.filter(|(_, version, _)| *version != expected) {
                 Some(row) => {
-                    decided.push((renewal.host, WriteOutcome::Conflict(vec![row.clone()])));
+                    decided.push((submitted.reply, WriteOutcome::Conflict(vec![row.clone()])));
                 }
-                None => self.resubmit(renewal, now),
+                // Nothing of the batch was applied.
+                None => decided.extend(
+                    self.resubmit(submitted, now).map(|reply| (reply, WriteOutcome::NotApplied)),
+                ),
             }
         }
         decided
     }
 
-    /// Adds a renewal that has waited already, unless its host has sent a later one.
-    fn resubmit(&mut self, renewal: Renewal, now: Millis) {
-        if let Err(i) = self.waiting.binary_search_by_key(&renewal.host, |r| r.host) {
-            self.waiting.insert(i, renewal);
-        }
+    /// Adds a renewal that has waited already. Returns its reply handle if its host has sent a later
+    /// one.
+    fn resubmit(&mut self, submitted: Submitted<R>, now: Millis) -> Option<R> {
         self.waiting_since = now.since(GATHER_TIME);
         self.last_written = self.last_written.map(|at| at.since(MIN_INTERVAL));
+        match self.find_waiting(submitted.renewal.host) {
+            Ok(_) => Some(submitted.reply),
+            Err(i) => {
+                self.waiting.insert(i, submitted);
+                None
+            }
+        }
     }
 }
 
--- a/crates/mesh/tests/ownership/simulation.rs
+++ b/crates/mesh/tests/ownership/simulation.rs
@@ -106,7 +106,7 @@
     write_response: Option<(u64, WriteOutcome)>,
     /// The renewal that is being written together with others: when it was sent, and to whom.
     renewing: Option<(u64, HostAddr)>,
-    renewals: RenewalBatch,
+    renewals: RenewalBatch<HostAddr>,
     renewal_writers: RenewalWriterSelector,
     /// The outcome of the batch that this host is writing.
     batch_response: Option<(u64, WriteOutcome)>,
@@ -431,7 +431,8 @@
             let from = self.hosts[m.from].addr;
             let h = &mut self.hosts[m.to];
             let Some(outcome) = m.outcome else {
-                h.renewals.submit(m.renewal, Millis(now));
+                let submitter = m.renewal.host;
+                h.renewals.submit(m.renewal, submitter, Millis(now));
                 continue;
             };
             // The outcome of a renewal that was given up is ignored.
--- a/crates/mesh/tests/renewals.rs
+++ b/crates/mesh/tests/renewals.rs
@@ -14,10 +14,10 @@
 }
 
 /// Writes a batch of three renewals at `START` and returns what each host learns.
-fn outcomes(outcome: WriteOutcome) -> (RenewalBatch, Vec<(HostAddr, WriteOutcome)>) {
+fn outcomes(outcome: WriteOutcome) -> (RenewalBatch<HostAddr>, Vec<(HostAddr, WriteOutcome)>) {
     let mut batch = RenewalBatch::default();
     for i in [2, 1, 3] {
-        batch.submit(renewal(i), START);
+        batch.submit(renewal(i), host(i), START);
     }
     let now = START + Millis(80);
     let write = batch.next_write(now).expect("the batch is due");
@@ -32,11 +32,11 @@
         let mut batch = RenewalBatch::default();
         let mut now = START;
         if let Some(since_last) = since_last {
-            batch.submit(renewal(9), now.since(Millis(80 + since_last)));
+            batch.submit(renewal(9), host(9), now.since(Millis(80 + since_last)));
             batch.next_write(now.since(Millis(since_last))).expect("the batch is due");
             batch.finished(&WriteOutcome::NotApplied, now);
         }
-        batch.submit(renewal(1), now);
+        batch.submit(renewal(1), host(1), now);
         while batch.next_write(now).is_none() {
             now += Millis(1);
         }
@@ -71,12 +71,39 @@
     assert_eq!(names, [RowName::Lease(host(1)), RowName::Lease(host(3))]);
 }
 
+/// Guards against a holder that learns the outcome of another of its renewals: a request timed out
+/// while its renewal was being written, and the replies went to the requests of a host in order.
+#[test]
+fn each_renewal_is_told_its_own_outcome() {
+    let committed = WriteOutcome::Committed(RowVersion(200));
+    let unchanged = vec![(RowName::Lease(host(1)), RowVersion(101), Some(vec![9]))];
+    let check = |first: WriteOutcome, expected_first: WriteOutcome| {
+        let mut batch = RenewalBatch::default();
+        batch.submit(renewal(1), "first", START);
+        batch.next_write(START + Millis(80)).expect("the batch is due");
+        batch.submit(renewal(1), "second", START + Millis(800));
+        let replaced = batch.submit(renewal(1), "third", START + Millis(1_600));
+        let decided = batch.finished(&first, START + Millis(1_700));
+        batch.next_write(START + Millis(2_000)).expect("the next batch is due");
+        let last = batch.finished(&committed, START + Millis(2_100));
+
+        assert_eq!(replaced, Some("second"), "{first:?}");
+        assert_eq!(decided, [("first", expected_first)], "{first:?}");
+        assert_eq!(last, [("third", committed.clone())], "{first:?}");
+    };
+    check(committed.clone(), committed.clone());
+    check(WriteOutcome::Unknown, WriteOutcome::Unknown);
+    check(WriteOutcome::NotApplied, WriteOutcome::NotApplied);
+    // A refused batch was not applied at all.
+    check(WriteOutcome::Conflict(unchanged), WriteOutcome::NotApplied);
+}
+
 #[test]
 fn a_later_renewal_of_a_host_replaces_the_one_that_waits() {
     let mut batch = RenewalBatch::default();
-    assert_eq!(batch.submit(renewal(1), START), None);
-    let replaced = batch.submit(renewal(1), START);
-    assert_eq!(replaced, Some(renewal(1)));
+    assert_eq!(batch.submit(renewal(1), "first", START), None);
+    let replaced = batch.submit(renewal(1), "second", START);
+    assert_eq!(replaced, Some("first"));
 }
 
 /// Load: 33 hosts of a zone that renew each second, at first at different times.
@@ -89,7 +116,7 @@
         let now = Millis(ms);
         for (i, at) in next.iter_mut().enumerate().filter(|(_, at)| **at == ms) {
             *at = u64::MAX;
-            batch.submit(renewal(i), now);
+            batch.submit(renewal(i), host(i), now);
         }
         if let Some(write) = batch.next_write(now) {
             assert!(ms < 30_000 || write.put.len() == 33, "{} renewals at {now}", write.put.len());
--- a/crates/sidecar/src/renewals.rs
+++ b/crates/sidecar/src/renewals.rs
@@ -13,7 +13,7 @@
 
 use crate::dependency::Dependency;
 use crate::rpc;
-use crate::state::{Cx, State};
+use crate::state::Cx;
 use crate::wire::{RenewalOutcome, RenewalReply, RenewalRequest};
 
 /// Timeout of a renewal through another host. Two attempts fit into the term of a lease.
@@ -25,8 +25,7 @@
 /// The renewals that this host writes.
 #[derive(Default)]
 pub struct Renewals {
-    batch: RenewalBatch,
-    waiters: Vec<(HostAddr, oneshot::Sender<WriteOutcome>)>,
+    batch: RenewalBatch<oneshot::Sender<WriteOutcome>>,
 }
 
 impl Renewals {
@@ -105,13 +104,9 @@
 /// next renewal should be sent.
 async fn submit(cx: &Rc<Cx>, renewal: Renewal) -> (WriteOutcome, Millis) {
     let (tx, rx) = oneshot::channel();
-    let host = renewal.host;
-    {
-        let mut state = cx.state.borrow_mut();
-        if state.renewals.batch.submit(renewal, cx.now()).is_some() {
-            decide(&mut state, host, WriteOutcome::NotApplied);
-        }
-        state.renewals.waiters.push((host, tx));
+    let replaced = cx.state.borrow_mut().renewals.batch.submit(renewal, tx, cx.now());
+    if let Some(reply) = replaced {
+        send_outcome(reply, WriteOutcome::NotApplied);
     }
     cx.renewals_due.notify_one();
     let outcome = rx.await.unwrap_or(WriteOutcome::Unknown);
@@ -119,13 +114,9 @@
     (outcome, next)
 }
 
-/// Tells the oldest waiting request of a host how its renewal ended.
-fn decide(state: &mut State, host: HostAddr, outcome: WriteOutcome) {
-    let waiters = &mut state.renewals.waiters;
-    if let Some(at) = waiters.iter().position(|(h, _)| *h == host) {
-        // A host that no longer waits has given up or closed its connection.
-        let _ = waiters.remove(at).1.send(outcome);
-    }
+fn send_outcome(reply: oneshot::Sender<WriteOutcome>, outcome: WriteOutcome) {
+    // A host that no longer waits has given up or closed its connection.
+    let _ = reply.send(outcome);
 }
 
 /// Writes the batches that are due until the process ends.
@@ -166,8 +157,8 @@
         if let WriteOutcome::Committed(version) = outcome {
             state.ownership.record_store_version(version, cx.now());
         }
-        for (host, outcome) in state.renewals.batch.finished(&outcome, cx.now()) {
-            decide(&mut state, host, outcome);
+        for (reply, outcome) in state.renewals.batch.finished(&outcome, cx.now()) {
+            send_outcome(reply, outcome);
         }
     }
 }
