Release no keys that an earlier process may have granted on a late heartbeat

A heartbeat that was sent before a grant arrives at the next process. It lists no keys, so the new process took a range for free and handed it over, while the backend server held it under the grant of its predecessor.

Cause: a process forgets at a restart what it granted, and a heartbeat was taken as proof of what is held now rather than when it was sent.

Change: if the lease row says that an earlier process granted keys to this incarnation, releases are written and moves start only once all those grants have ended, 4.6 s after the start. The keys are served meanwhile.

Test: keys_that_an_earlier_process_may_have_granted_are_not_released_on_a_late_heartbeat failed before ("after Some(200) ms") and passes now; cargo test -p mesh passes.

--- a/crates/mesh/src/ownership.rs
+++ b/crates/mesh/src/ownership.rs
@@ -119,7 +119,7 @@
 
 /// The state of the key ownership of one host. It does no I/O: the caller passes in heartbeats,
 /// reads and results, and carries out the returned writes and witness requests.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct KeyOwnership {
     me: HostAddr,
     process: u64,
@@ -131,6 +131,8 @@
     own_row: LeaseRow,
     /// The host's lease row as found in the store, possibly written by an earlier process.
     found_row: Option<(RowVersion, LeaseRow)>,
+    /// The incarnation to which an earlier process on this host may have granted keys.
+    predecessor_granted_to: Option<Incarnation>,
     /// Whether the leases have been read at least once.
     leases_read: bool,
     map: Option<(RowVersion, KeyMap)>,
@@ -314,6 +316,7 @@
             lease: None,
             own_row: LeaseRow::default(),
             found_row: None,
+            predecessor_granted_to: None,
             leases_read: false,
             map: None,
             map_read: false,
@@ -365,6 +368,7 @@
         if !self.leases_read {
             let own = rows.iter().find(|(h, ..)| *h == self.me);
             self.found_row = own.map(|(_, version, row)| (*version, row.clone()));
+            self.predecessor_granted_to = own.map(|(.., row)| row.incarnation.clone());
             self.leases_read = true;
         }
         self.last_lease_read = now;
@@ -406,6 +410,9 @@
     ) -> usize {
         let settled =
             self.releases.is_empty() && now.since(self.shed_at) >= self.timing.shed_interval;
+        if now < self.predecessor_grants_end() {
+            return 0;
+        }
         if !settled || !self.store_reachable(now) || self.lease.is_none() {
             return 0;
         }
--- a/crates/mesh/src/ownership/heartbeats.rs
+++ b/crates/mesh/src/ownership/heartbeats.rs
@@ -198,6 +198,16 @@
         now + longest + Millis(longest.0 / CLOCK_DRIFT_DIVISOR) + self.timing.silence_limit
     }
 
+    /// Returns when the grants have ended that an earlier process gave in replies to heartbeats. Until
+    /// then, a heartbeat does not tell which keys are free: it may have been sent before a grant.
+    pub(super) fn predecessor_grants_end(&self) -> Millis {
+        let granted = |b: &&Backend| {
+            b.calls.is_none() && self.predecessor_granted_to.as_ref() == Some(&b.incarnation)
+        };
+        let backend = self.backend.as_ref().filter(granted);
+        backend.map_or(Millis::ZERO, |_| self.end_of_unknown_grants(self.started_at))
+    }
+
     /// Sets how grants reach the backend server.
     pub fn set_grant_delivery(&mut self, delivery: GrantDelivery, now: Millis) {
         if delivery == self.delivery {
--- a/crates/mesh/src/ownership/releases.rs
+++ b/crates/mesh/src/ownership/releases.rs
@@ -59,9 +59,10 @@
         now.since(self.store_contact_at) <= self.timing.renew_interval + Millis(500)
     }
 
-    /// Starts to release the ranges for which the map names a next owner.
+    /// Starts to release the ranges for which the map names a next owner. They go on being served
+    /// while it is unknown until when an earlier process granted them.
     pub(super) fn start_requested_releases(&mut self, now: Millis) {
-        if !self.store_reachable(now) {
+        if !self.store_reachable(now) || now < self.predecessor_grants_end() {
             return;
         }
         let requested =
@@ -89,7 +90,7 @@
     /// waited long enough for others.
     fn releases_gathered(&mut self, now: Millis) -> bool {
         let done = self.releases.iter().filter(|r| r.done).count();
-        if done == 0 {
+        if done == 0 || now < self.predecessor_grants_end() {
             self.release_done_at = None;
             return false;
         }
@@ -104,7 +105,9 @@
             self.release_all_keys();
         }
         self.complete_called_releases(now);
-        let grants_ended = self.backend.as_ref().is_none_or(|b| now > b.grants_end());
+        let predecessor_ended = now >= self.predecessor_grants_end();
+        let grants_ended =
+            predecessor_ended && self.backend.as_ref().is_none_or(|b| now > b.grants_end());
         if self.releases.is_empty() || !grants_ended && !self.releases_gathered(now) {
             return None;
         }
@@ -113,7 +116,7 @@
         let mut map = known.clone();
         let fence = map.allocate_fence();
         let ready: Vec<&Release> =
-            self.releases.iter().filter(|r| r.done || grants_ended).collect();
+            self.releases.iter().filter(|r| predecessor_ended && r.done || grants_ended).collect();
         for r in &ready {
             map.split_at(r.from);
             if let Some(after) = r.to.checked_add(1) {
--- a/crates/mesh/tests/ownership/scenarios.rs
+++ b/crates/mesh/tests/ownership/scenarios.rs
@@ -106,6 +106,45 @@
     );
 }
 
+/// Guards against two holders of a key: a heartbeat that was sent before a grant arrived at the next
+/// process, which took the keys that it does not list for free.
+#[test]
+fn keys_that_an_earlier_process_may_have_granted_are_not_released_on_a_late_heartbeat() {
+    let check = |started_at: u64, expected: std::ops::Range<u64>| {
+        let mut fixture = Fixture::new();
+        let [_first, mut other] = fixture.two_owners();
+        fixture.request_move(addr(0), addr(1));
+        let mut next = fixture.ownership(0, 9);
+        let started = fixture.now;
+        let mut released = None;
+        for seq in 4..80 {
+            fixture.now += Millis(100);
+            fixture.heartbeat(&mut other, 1, seq);
+            fixture.apply_writes(&mut other);
+            let incarnation = Incarnation { started_at, id: "b0".into() };
+            let late = BackendHeartbeat { incarnation, seq, ..BackendHeartbeat::default() };
+            next.handle_heartbeat(&late, fixture.now);
+            if let Some((version, map)) = fixture.store.map() {
+                next.update_map(version, map);
+            }
+            next.update_leases(fixture.store.leases(), fixture.now);
+            if let Some(write) = next.next_write(fixture.now) {
+                let outcome = fixture.store.apply(&write);
+                next.write_finished(outcome, fixture.now);
+                if write.reason == "release" {
+                    released.get_or_insert(fixture.now.since(started).0);
+                }
+            }
+        }
+        let in_time = released.is_some_and(|at| expected.contains(&at));
+        assert!(in_time, "incarnation {started_at}: after {released:?} ms");
+    };
+    // The longest grant, the drift of the backend server's clock and a margin.
+    check(1, 4_580..5_500);
+    // Another incarnation was granted nothing by the earlier process.
+    check(2, 0..1_500);
+}
+
 #[test]
 fn registration_based_on_a_stale_map_conflicts() {
     let mut fixture = Fixture::new();
