--- a/crates/host/src/start.rs
+++ b/crates/host/src/start.rs
@@ -259,7 +259,8 @@
     handle.clone()
 }
 
-/// Ticks the queue, removes expired request records and summarizes metrics. Runs until the process ends.
+/// Ticks the queue, removes expired request records and summarizes metrics. Runs until the process
+/// ends.
 async fn housekeeping(cx: Cx) {
     let mut expired_at = cx.now();
     loop {
--- a/crates/mesh/tests/ownership/search.rs
+++ b/crates/mesh/tests/ownership/search.rs
@@ -91,6 +91,7 @@
     held_heartbeat: Option<BackendHeartbeat>,
 }
 
+/// The deployment, with its store and what is checked.
 #[derive(Clone)]
 struct World {
     now: Millis,
@@ -109,7 +110,7 @@
     Incarnation { started_at, id: format!("b{i}") }
 }
 
-fn subtract(range: HeldRange, kept: &[HeldRange]) -> bool {
+fn is_dropped(range: HeldRange, kept: &[HeldRange]) -> bool {
     !kept.iter().any(|k| k.from <= range.from && range.to <= k.to)
 }
 
@@ -416,7 +417,7 @@
         let current = heartbeat.incarnation == b.incarnation && heartbeat.seq == b.seq;
         let Some(grants) = reply.grants.filter(|_| current) else { return };
         let granted: Vec<HeldRange> = grants.iter().map(|g| g.range).collect();
-        let dropped = b.held.iter().map(|(r, _)| *r).filter(|r| subtract(*r, &granted));
+        let dropped = b.held.iter().map(|(r, _)| *r).filter(|r| is_dropped(*r, &granted));
         let dropped: Vec<HeldRange> = dropped.collect();
         b.released.extend(dropped.iter().map(|r| (r.from, r.to, "h".to_owned())));
         let until = now + reply.valid_for + Millis(reply.valid_for.0 / CLOCK_DRIFT_DIVISOR);
--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -560,6 +560,39 @@
     }
 }
 
+/// Guards against requests that come late in a planned stop, are passed on, and are cut at its end.
+#[actix_rt::test]
+async fn a_planned_stop_answers_each_request_that_it_passed_on() {
+    let store = Store::start().await;
+    store.put_config(&document(1));
+    let mut a = start_host(&store, UNSHARDED_SERVICE, "grace-a").await;
+    request_until(&a, "/order/x", None, 200).await;
+
+    let pid = rustix::process::Pid::from_child(&a.child);
+    rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    let mut responses = Vec::new();
+    let mut n = 0;
+    while a.child.try_wait().unwrap().is_none() {
+        n += 1;
+        let ids: Vec<String> = (0..8).map(|i| format!("grace-{n}-{i}")).collect();
+        let requests: Vec<_> = ids.iter().map(|id| caller_request("/order/y", id, None)).collect();
+        let batch =
+            futures_util::future::join_all(requests.iter().map(|r| send_request(a.callers, r)))
+                .await;
+        responses.extend(ids.into_iter().zip(batch.into_iter().map(|r| r.map(|r| r.status))));
+    }
+
+    let executed = a.backend.executed();
+    let ran = |id: &String| executed.iter().any(|r| r.id == *id);
+    let cut: Vec<_> = responses.iter().filter(|(id, s)| ran(id) && *s != Some(200)).collect();
+    let other: Vec<_> =
+        responses.iter().filter(|(_, s)| !matches!(s, None | Some(200 | 503))).collect();
+    assert!(cut.is_empty() && other.is_empty(), "cut: {cut:?}, other: {other:?}");
+    let statuses = [Some(200), Some(503)];
+    let seen = statuses.map(|status| responses.iter().any(|(_, s)| *s == status));
+    assert_eq!(seen, [true, true], "served at first, refused later");
+}
+
 #[actix_rt::test]
 async fn a_planned_stop_loses_no_request_of_another_host() {
     let store = Store::start().await;
