Let messages between hosts grow fields that an earlier release ignores

A host of this release could not decode a message of an earlier release that lacks a new field, so a fleet could not be upgraded host by host once a message grows.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -22,7 +22,7 @@
 mod settings;
 mod state;
 mod store_watch;
-mod wire;
+pub mod wire;
 
 pub use lifecycle::{StartError, maintain_metrics, run};
 pub use log_writer::LogWriter;
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -366,8 +366,17 @@
 
 /// Encodes a message from its head and body.
 pub fn encode(head: &impl Encode, body: &[u8]) -> Bytes {
+    encode_extended(head, &(), body)
+}
+
+/// Encodes a message whose head is followed by `extension`: fields that were added after the first
+/// release of the message. Hosts of an earlier release ignore them, so that a fleet can be upgraded
+/// host by host.
+pub fn encode_extended(head: &impl Encode, extension: &impl Encode, body: &[u8]) -> Bytes {
     // Plain data always encodes; a decoder would reject the empty head of the default.
-    let head = bincode::encode_to_vec(head, bincode::config::standard()).unwrap_or_default();
+    let config = bincode::config::standard();
+    let mut head = bincode::encode_to_vec(head, config).unwrap_or_default();
+    head.extend(bincode::encode_to_vec(extension, config).unwrap_or_default());
     let mut buf = BytesMut::with_capacity(4 + head.len() + body.len());
     buf.put_u32(u32::try_from(head.len()).unwrap_or(u32::MAX));
     buf.put_slice(&head);
@@ -376,7 +385,15 @@
 }
 
 /// Decodes the head of a message and returns it with the body.
-pub fn decode<T: Decode<()>>(mut bytes: Bytes) -> Result<(T, Bytes), WireError> {
+pub fn decode<T: Decode<()>>(bytes: Bytes) -> Result<(T, Bytes), WireError> {
+    decode_extended::<T, ()>(bytes).map(|(head, _, body)| (head, body))
+}
+
+/// Decodes a message that was encoded with [`encode_extended`]. The extension has its default if a
+/// host of an earlier release sent the message.
+pub fn decode_extended<T: Decode<()>, E: Decode<()> + Default>(
+    mut bytes: Bytes,
+) -> Result<(T, E, Bytes), WireError> {
     if bytes.len() < 4 {
         return TruncatedSnafu.fail();
     }
@@ -385,7 +402,11 @@
         return TruncatedSnafu.fail();
     }
     let config = bincode::config::standard().with_limit::<MAX_HEAD_BYTES>();
-    let (head, _) =
-        bincode::decode_from_slice(&bytes.split_to(length), config).context(HeadSnafu)?;
-    Ok((head, bytes))
+    let encoded = bytes.split_to(length);
+    let (head, read) = bincode::decode_from_slice(&encoded, config).context(HeadSnafu)?;
+    let extension = match &encoded[read..] {
+        [] => E::default(),
+        rest => bincode::decode_from_slice(rest, config).context(HeadSnafu)?.0,
+    };
+    Ok((head, extension, bytes))
 }
