Send a cold backend server no more requests than its service tolerates

A backend server that has just started got as many requests as it has slots, whatever its service tolerates while it is cold. Jobs that can wait do, and others are refused on arrival. Load reports name as many slots as the allowed requests keep busy. Without the settings cold.overage and cold.slack or a positive cold_per_s nothing changes.

A process that has just started assumes that its predecessor used the whole bound. A refused connection or a crash counts as a start, since the backend server may accept connections before its first heartbeat.

--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -72,7 +72,7 @@
 }
 
 /// The configuration of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
@@ -82,6 +82,10 @@
     pub grant_delivery: GrantDelivery,
     /// The maximum number of connections that one of its backend servers accepts.
     pub max_connections: usize,
+    /// How long one of its backend servers is cold after its start.
+    pub cold_for: Millis,
+    /// The requests per second that a cold backend server tolerates, if that is limited.
+    pub cold_per_second: Option<f64>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -103,7 +107,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// The version number.
     pub version: ConfigVersion,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 //! patterns deterministically.
 
 mod body_admission;
+mod cold_start;
 mod compression;
 mod config;
 mod departure;
@@ -24,6 +25,7 @@
 mod witness;
 
 pub use body_admission::{BodyAdmission, BodyLimits, TransferDecision, TransferId};
+pub use cold_start::{ColdLimits, ColdStart};
 pub use compression::{compress, decompress};
 pub use config::{
     Config, GrantDelivery, RequestLimits, RetrySafety, Route, Service, WeightedService,
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -6,10 +6,13 @@
 //! have been sent. A job that is expected to miss its deadline is refused on arrival rather than
 //! after waiting. Waiting jobs start by priority, then by earliest target deadline. A job that can
 //! no longer meet its target deadline gives way to jobs that can, and is refused as soon as this
-//! leaves it too little time before its deadline.
+//! leaves it too little time before its deadline. While the backend server is cold, [`ColdStart`]
+//! holds back the start of jobs, which wait like those without a free slot.
 
 use model::{Millis, derive_common};
 
+use crate::ColdStart;
+
 derive_common! {
     value
     /// Identifies a job from its submission to its end.
@@ -89,6 +92,7 @@
     waiting: Vec<Waiting>,        // Sorted by rank, then by id.
     class_means: Vec<(u64, f64)>, // Sorted by class.
     overall_mean: f64,
+    cold_start: ColdStart,
 }
 
 /// Queries.
@@ -108,6 +112,23 @@
         self.slots
     }
 
+    /// Returns the cold period of the backend server.
+    pub fn cold_start(&self) -> &ColdStart {
+        &self.cold_start
+    }
+
+    /// Returns the number of jobs that may run concurrently, or fewer if the backend server is cold
+    /// and the jobs that may start keep fewer slots busy.
+    pub fn usable_slots(&self, now: Millis) -> usize {
+        let cold = self.cold_start.usable_slots(self.mean_run_time(), now);
+        cold.map_or(self.slots, |usable| usable.min(self.slots))
+    }
+
+    /// Returns whether only the cold period keeps another job from starting.
+    pub fn held_back_while_cold(&self, now: Millis) -> bool {
+        self.running.len() < self.slots && self.cold_start.admit(now).is_err()
+    }
+
     /// Returns the mean run time of all jobs.
     pub fn mean_run_time(&self) -> Millis {
         Millis(self.overall_mean as u64)
@@ -120,6 +141,10 @@
 
     /// Returns the expected wait of a job that starts after the first `ahead` waiting jobs.
     fn wait_behind(&self, ahead: usize, now: Millis) -> Millis {
+        self.wait_for_slot(ahead, now).max(self.cold_start.nth_start(ahead, now).since(now))
+    }
+
+    fn wait_for_slot(&self, ahead: usize, now: Millis) -> Millis {
         if self.running.len() < self.slots && ahead == 0 {
             return Millis::ZERO;
         }
@@ -160,9 +185,20 @@
             waiting: Vec::new(),
             class_means: Vec::new(),
             overall_mean: limits.initial_run_time.0 as f64,
+            cold_start: ColdStart::new(Millis::ZERO),
         }
     }
 
+    /// Sets the cold period of the backend server and the requests that it was sent.
+    pub fn set_cold_start(&mut self, cold_start: ColdStart) {
+        self.cold_start = cold_start;
+    }
+
+    /// Returns the cold period of the backend server, to be updated.
+    pub fn cold_start_mut(&mut self) -> &mut ColdStart {
+        &mut self.cold_start
+    }
+
     /// Sets the number of slots that the backend server reported.
     pub fn set_slots(&mut self, slots: usize) {
         self.slots = slots.max(1);
@@ -180,8 +216,9 @@
         }
         self.last_id += 1;
         let id = JobId(self.last_id);
-        if self.running.len() < self.slots && self.waiting.is_empty() {
-            self.running.push(Running { id, class: job.class, started_at: now });
+        let admitted = self.cold_start.admit(now).is_ok();
+        if self.running.len() < self.slots && self.waiting.is_empty() && admitted {
+            self.start(id, job.class, now);
             return Admission::Start(id);
         }
         self.waiting.insert(ahead, Waiting { rank, id, job });
@@ -193,18 +230,26 @@
     pub fn dispatch(&mut self, now: Millis) -> (Vec<JobId>, Vec<JobId>) {
         let mut started = Vec::new();
         let mut late = self.remove_late(now);
-        while self.running.len() < self.slots && !self.waiting.is_empty() {
+        while self.running.len() < self.slots
+            && !self.waiting.is_empty()
+            && self.cold_start.admit(now).is_ok()
+        {
             let w = self.waiting.remove(self.next_to_start(now));
             if self.misses_deadline(&w, Millis::ZERO, now) {
                 late.push(w.id);
                 continue;
             }
-            self.running.push(Running { id: w.id, class: w.job.class, started_at: now });
+            self.start(w.id, w.job.class, now);
             started.push(w.id);
         }
         (started, late)
     }
 
+    fn start(&mut self, id: JobId, class: u64, now: Millis) {
+        self.running.push(Running { id, class, started_at: now });
+        self.cold_start.record_sent(id, now);
+    }
+
     /// Removes and returns the jobs that would miss their deadline if all jobs ahead of them ran
     /// first.
     fn remove_late(&mut self, now: Millis) -> Vec<JobId> {
@@ -212,12 +257,15 @@
             (0..self.waiting.len()).partition(|i| self.meets_target(&self.waiting[*i], now));
         let mut work = self.remaining_work(now);
         let mut late = Vec::new();
+        let mut ahead = 0;
         for i in on_target.into_iter().chain(off_target) {
             let w = &self.waiting[i];
             let wait = Millis((work.max(0.0) / self.slots.max(1) as f64) as u64);
+            let wait = wait.max(self.cold_start.nth_start(ahead, now).since(now));
             if self.misses_deadline(w, wait, now) {
                 late.push(w.id);
             } else {
+                ahead += 1;
                 work += self.expected_run_ms(w.job.class);
             }
         }
@@ -243,6 +291,12 @@
         self.waiting.retain(|w| w.id != id);
     }
 
+    /// Removes a job that the backend server did not get, or did not count.
+    pub fn take_back(&mut self, id: JobId) {
+        self.cancel(id);
+        self.cold_start.take_back(id);
+    }
+
     /// Returns the index of the first job that can still meet its target deadline, or else of the
     /// first job: one that misses its target deadline anyway can wait longer.
     fn next_to_start(&self, now: Millis) -> usize {
--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -1,6 +1,9 @@
 //! End-to-end tests of sidecars as separate processes, with a stand-in store, backend servers that
 //! send heartbeats, and callers.
 
+#[path = "sidecar/cold_start.rs"]
+mod cold_start;
+
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -144,7 +147,7 @@
     json!({"version": version, "routes": routes, "limits": {}, "services": [
         {"name": SHARDED_SERVICE, "sharded": true, "max_conns": 20},
         {"name": CALLED_SERVICE, "sharded": true, "grants": "call", "max_conns": 60},
-        {"name": UNSHARDED_SERVICE, "max_conns": 20}]})
+        {"name": UNSHARDED_SERVICE, "max_conns": 20, "cold_s": 3, "cold_per_s": 7.8}]})
 }
 
 fn caller_request(path: &str, id: &str, key: Option<u16>) -> CallerRequest {
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -43,6 +43,14 @@
 }
 
 impl QueueGuard<'_> {
+    /// Releases the place of a request that the backend server did not get, or did not count.
+    fn take_back(mut self) {
+        if let Some(job_id) = self.job_id.take() {
+            self.cx.state.borrow_mut().queue.take_back(job_id);
+            self.cx.start_queued();
+        }
+    }
+
     fn finished(mut self) {
         if let Some(job_id) = self.job_id.take() {
             self.cx.state.borrow_mut().queue.finish(job_id, self.cx.now());
@@ -103,6 +111,8 @@
     let now = cx.now();
     let mut state = cx.state.borrow_mut();
     let Some(incarnation) = state.ownership.backend_incarnation().cloned() else { return };
+    // It starts anew, and may accept connections before its first heartbeat.
+    state.queue.cold_start_mut().backend_started(now);
     let Some(update) = state.suspects.record_crash(&incarnation, now) else { return };
     drop(state);
     warn!(
@@ -175,7 +185,11 @@
         target_deadline: received_at + Millis(u64::from(forward.target_ms)),
         deadline,
     };
+    let held_back = cx.state.borrow().queue.held_back_while_cold(received_at);
     let admission = cx.state.borrow_mut().queue.submit(job, received_at);
+    if held_back {
+        count_held_back(admission);
+    }
     let guard = match admission {
         Admission::Refused(after) => return not_run_retry_after(NotRun::NoRoom, after),
         Admission::Start(job_id) => QueueGuard { cx, job_id: Some(job_id) },
@@ -189,7 +203,9 @@
             }
             // Ownership and the state of the backend server may have changed while the request
             // waited.
-            if let Err(why) = check_runnable(&cx.state.borrow(), cx, forward.key) {
+            let runnable = check_runnable(&cx.state.borrow(), cx, forward.key);
+            if let Err(why) = runnable {
+                guard.take_back();
                 return not_run(why);
             }
             guard
@@ -198,6 +214,19 @@
     send(cx, forward, body, received_at, deadline, guard).await
 }
 
+/// Counts a request that would have started if the backend server were not cold.
+fn count_held_back(admission: Admission) {
+    match admission {
+        Admission::Queued(_) => {
+            metrics::counter!("papayarill_held_requests", "why" => "cold").increment(1);
+        }
+        Admission::Refused(_) => {
+            metrics::counter!("papayarill_refused_requests", "why" => "cold").increment(1);
+        }
+        Admission::Start(_) => {}
+    }
+}
+
 async fn wait_until_runnable(
     cx: &Cx,
     forward: &Forward,
@@ -271,11 +300,13 @@
     let caller_left = Millis(u64::from(forward.caller_ms)).since(now.since(received_at));
     let left = deadline.since(now);
     if left == Millis::ZERO {
+        guard.take_back();
         return not_run(NotRun::Late);
     }
     let headers = headers_of(forward);
     let method = Method::from_bytes(forward.method.as_bytes());
     let (Ok(method), Ok(from)) = (method, ServiceName::new(&forward.from)) else {
+        guard.take_back();
         return not_run(NotRun::Malformed);
     };
     let time_left = caller_left.min(left);
@@ -285,6 +316,7 @@
         Ok(req) => req,
         Err(e) => {
             warn!("event=request-rejected id={} error={e:?}", forward.id);
+            guard.take_back();
             return not_run(NotRun::Malformed);
         }
     };
@@ -293,7 +325,12 @@
         Err(_) => return (Outcome::Unknown { why: "timeout".into() }, true, Bytes::new()),
         Ok(Err(SendError::NotSent { reason })) => {
             warn!("event=backend-unreachable id={} why={reason:?}", forward.id);
-            cx.state.borrow_mut().connect_failed_at = Some(cx.now());
+            let mut state = cx.state.borrow_mut();
+            state.connect_failed_at = Some(cx.now());
+            // It may be about to start anew, and accept connections before its first heartbeat.
+            state.queue.cold_start_mut().backend_started(cx.now());
+            drop(state);
+            guard.take_back();
             return not_run(NotRun::NoBackend);
         }
         Ok(Err(SendError::Unknown { reason })) => {
@@ -319,6 +356,7 @@
             (Outcome::NotRun { why: NotRun::TurnedAway, after_ms }, true, Bytes::new())
         }
         ResponseKind::Misdirected => {
+            guard.take_back();
             (Outcome::NotRun { why: NotRun::NotGranted, after_ms: 0 }, true, Bytes::new())
         }
         ResponseKind::Invalid => {
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -13,7 +13,10 @@
 
 use crate::settings::{Settings, SettingsError};
 use crate::state::Cx;
-use crate::{departures, grant_calls, key_ownership, listeners, relay, renewals, rpc, store_watch};
+use crate::{
+    cold_start, departures, grant_calls, key_ownership, listeners, relay, renewals, rpc,
+    store_watch,
+};
 
 /// The platform checks readiness every second and assigns a process no new work after two failed
 /// checks; requests that arrive until then are still served.
@@ -116,6 +119,7 @@
     actix_rt::spawn(key_ownership::ask_witnesses(cx.clone()));
     actix_rt::spawn(renewals::write_batches(cx.clone()));
     actix_rt::spawn(grant_calls::deliver_grants(cx.clone()));
+    actix_rt::spawn(cold_start::start_held_back(cx.clone()));
     loop {
         tokio::select! {
             _ = term.recv() => break,
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -21,7 +21,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::state::{Cx, WritingGuard};
-use crate::{departures, ingress};
+use crate::{cold_start, departures, ingress};
 
 /// The largest heartbeat, in bytes: all keys of a service in short ranges.
 const MAX_HEARTBEAT_BYTES: usize = 1 << 20;
@@ -212,6 +212,9 @@
         state.queue.set_slots(heartbeat.slots.min(connections));
         state.connect_failed_at = None;
     }
+    if action != HeartbeatAction::Stale {
+        cold_start::record_heartbeat(&mut state, heartbeat, before.0 != after.0, received_at);
+    }
     if before.0 != after.0 {
         state.deregistered_at = None;
         cx.grant_client.close_idle();
@@ -278,8 +281,10 @@
     handle: PrometheusHandle,
 ) -> impl Fn(Rc<Cx>, Request<Incoming>) -> std::future::Ready<HandlerResult> + Clone + 'static {
     move |cx, _| {
-        // Set on read, because quarantines expire without an event that could update the gauge.
+        // Set on read, because quarantines and cold periods expire without an event that could update the gauge.
         metrics::gauge!("papayarill_crashing_requests").set(cx.quarantined_count() as f64);
+        let cold = cx.state.borrow().queue.cold_start().cold_until(cx.now());
+        metrics::gauge!("papayarill_backend_cold").set(f64::from(u8::from(cold.is_some())));
         let text = Bytes::from(handle.render());
         std::future::ready(Ok(text_response(StatusCode::OK, text)))
     }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use mesh::{BodyLimits, Distance, RetryBudgetLimits};
+use mesh::{BodyLimits, ColdLimits, Distance, RetryBudgetLimits, Service};
 use model::{Millis, RegionName, ServiceName, ZoneName};
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
@@ -117,6 +117,17 @@
     }
 }
 
+/// How far the requests to a cold backend server may exceed what its service tolerates. Nothing is
+/// limited unless both are set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ColdBounds {
+    /// What the tolerated requests per second are multiplied by.
+    pub overage: Option<f64>,
+    /// The requests that are allowed in addition in any second.
+    pub slack: Option<f64>,
+}
+
 /// The settings of one sidecar process.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -146,6 +157,9 @@
     /// What the host can hold and carry.
     #[serde(default)]
     pub limits: Limits,
+    /// How many requests a cold backend server may receive.
+    #[serde(default)]
+    pub cold: ColdBounds,
 }
 
 impl Settings {
@@ -164,6 +178,10 @@
         let Limits { memory_mb, link_mbps } = settings.limits;
         ensure!(memory_mb >= 16.0, range("limits.memory_mb", memory_mb, "16 or more"));
         ensure!(link_mbps >= 0.1, range("limits.link_mbps", link_mbps, "0.1 or more"));
+        let ColdBounds { overage, slack } = settings.cold;
+        let (overage, slack) = (overage.unwrap_or(0.0), slack.unwrap_or(0.0));
+        ensure!(overage >= 0.0, range("cold.overage", overage, "0 or more"));
+        ensure!(slack >= 0.0, range("cold.slack", slack, "0 or more"));
         Ok(settings)
     }
 
@@ -173,6 +191,15 @@
         RetryBudgetLimits { ratio: self.retry.ratio, slack: self.retry.slack, window }
     }
 
+    /// Returns the limits on requests to a cold backend server of `service`, if there are any.
+    pub fn cold_limits(&self, service: &Service) -> Option<ColdLimits> {
+        let ColdBounds { overage: Some(overage), slack: Some(slack) } = self.cold else {
+            return None;
+        };
+        let (cold_for, per_second) = (service.cold_for, service.cold_per_second?);
+        Some(ColdLimits { cold_for, per_second, overage, slack })
+    }
+
     /// Returns the distance to `zone`. An unknown zone counts as far.
     pub fn distance(&self, zone: &ZoneName) -> Distance {
         if *zone == self.zone {
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use log::info;
 use mesh::{
-    BodyAdmission, Config, CrashSuspects, DepartureLog, Distance, GrantDelivery, HostDirectory,
-    KeyMap, KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport, OwnershipTiming, PeerHost,
-    QueueLimits, RenewalWriterSelector, RequestQueue, RetryBudget, Service, SuspectUpdate,
-    TransferId, UpdateSourceCandidates, UpdateSourceSelector, Witness,
+    BodyAdmission, ColdStart, Config, CrashSuspects, DepartureLog, Distance, GrantDelivery,
+    HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport,
+    OwnershipTiming, PeerHost, QueueLimits, RenewalWriterSelector, RequestQueue, RetryBudget,
+    Service, SuspectUpdate, TransferId, UpdateSourceCandidates, UpdateSourceSelector, Witness,
 };
 use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
@@ -211,6 +211,8 @@
         let process: u64 = rand::random();
         let timing = OwnershipTiming::default();
         let timing = timing.grant_duration(timing.grant_duration.min(Millis(settings.hold_max_ms)));
+        let mut queue = RequestQueue::new(QueueLimits::default());
+        queue.set_cold_start(ColdStart::new(now));
         let state = State {
             config: None,
             hosts: HostDirectory::default(),
@@ -220,7 +222,7 @@
             load_balancers: Vec::new(),
             maps: Vec::new(),
             retry_budgets: Vec::new(),
-            queue: RequestQueue::new(QueueLimits::default()),
+            queue,
             waiters: Vec::new(),
             bodies: BodyAdmission::new(settings.limits.bodies()),
             body_waiters: Vec::new(),
@@ -380,7 +382,7 @@
         LoadReport {
             running: saturating_u16(queue.running()),
             waiting: saturating_u16(queue.waiting()),
-            slots: saturating_u16(queue.slots()),
+            slots: saturating_u16(queue.usable_slots(self.now())),
             mean_run_ms: u32::try_from(queue.mean_run_time().0).unwrap_or(u32::MAX),
             accepting: state.deregistered_at.is_none()
                 && state.ownership.backend_serving()
--- a/crates/sidecar/src/store_watch.rs
+++ b/crates/sidecar/src/store_watch.rs
@@ -314,6 +314,9 @@
         config.route_count()
     );
     log_config_issues(config.version, &issues);
+    let service = config.service(&cx.settings.service);
+    let cold_limits = service.and_then(|s| cx.settings.cold_limits(s));
+    state.queue.cold_start_mut().set_limits(cold_limits);
     state.config = Some(ActiveConfig::new(row, config, document));
 }
 
