--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use model::{ConfigVersion, Millis, ServiceName};
+use model::{ConfigVersion, Millis, RegionName, ServiceName};
 
 /// Whether a request may be executed more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,9 +43,17 @@
     pub max_attempts: u32,
     /// The services that the requests are split across; never empty.
     pub services: Vec<WeightedService>,
+    /// The regions in which requests may be run and their bodies held, sorted; empty if all are
+    /// allowed.
+    pub allowed_regions: Vec<RegionName>,
 }
 
 impl Route {
+    /// Returns whether requests of the route may be sent to hosts in `region`.
+    pub fn allows_region(&self, region: &RegionName) -> bool {
+        self.allowed_regions.is_empty() || self.allowed_regions.binary_search(region).is_ok()
+    }
+
     /// Picks the service for a request by weight. `random` is drawn uniformly from all `u32`
     /// values.
     pub fn pick_service(&self, random: u32) -> &ServiceName {
@@ -149,6 +157,13 @@
         Some(&self.services[at])
     }
 
+    /// Returns whether hosts in `region` may own keys of `service`: if all routes that lead to it
+    /// allow the region. Requests of a route that doesn't would have no backend server to go to.
+    pub fn allows_keys_in(&self, service: &ServiceName, region: &RegionName) -> bool {
+        let leads_there = |r: &&Route| r.services.iter().any(|s| s.service == *service);
+        self.routes.iter().filter(leads_there).all(|r| r.allows_region(region))
+    }
+
     /// Returns the names of the services whose backend servers own keys.
     pub fn keyed_services(&self) -> Vec<ServiceName> {
         self.services.iter().filter(|s| s.keyed).map(|s| s.name.clone()).collect()
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod queue;
 mod renewal_batch;
+mod response_link;
 mod retry_budget;
 mod suspects;
 mod update_source;
@@ -35,7 +36,9 @@
 pub use key_map::{KeyMap, KeyMapError, KeyRange, MAX_KEY};
 pub use key_request_counts::KeyRequestCounts;
 pub use leases::{Incarnation, LeaseObserver, LeaseRow, LeaseRowError};
-pub use load_balancer::{AttemptResult, Distance, LoadBalancer, LoadReport, Peer};
+pub use load_balancer::{
+    AttemptResult, ClassLoad, Distance, LoadBalancer, LoadReport, Peer, Pick, PickRequest,
+};
 pub use ownership::{
     BackendHeartbeat, ConditionalWrite, Grant, GrantCall, GrantCallId, GrantCallOutcome,
     HeartbeatAction, HeartbeatReply, HeldRange, KeyOwnership, KeyRejection, LeaseReader,
@@ -44,6 +47,7 @@
 pub use placement::{KeyMove, Member, evict, initial_map, rebalance, shed};
 pub use queue::{Admission, Job, JobId, QueueLimits, RequestQueue};
 pub use renewal_batch::{Renewal, RenewalBatch, RenewalWriterSelector};
+pub use response_link::ResponseLink;
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use suspects::{CrashSuspects, RunId, SuspectUpdate};
 pub use update_source::{UpdateSource, UpdateSourceCandidates, UpdateSourceSelector};
--- a/crates/mesh/src/load_balancer.rs
+++ b/crates/mesh/src/load_balancer.rs
@@ -4,8 +4,20 @@
 //! Handles load that shifts between zones, slow backend servers, backend servers that fail fast and
 //! therefore look idle, and new backend servers. A host's load report is corrected by the requests
 //! sent to it since, and its observed failures outweigh what it reports.
+//!
+//! Handles many processes that choose among few backend servers of different speed by reports that
+//! are seconds old. Hosts with nearly the same expected completion are chosen at random, so that
+//! not all processes send to the same one. Each pick comes with the longest wait after which
+//! another host is expected to be faster; a host with a longer queue refuses the request at once
+//! and reports its load with the refusal, and the request goes elsewhere.
+
+mod peer;
+
+use model::{HostAddr, Millis, RegionName, derive_common};
 
-use model::{HostAddr, Millis, derive_common};
+pub use self::peer::Peer;
+
+use self::peer::Estimate;
 
 /// How far away a host is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -23,15 +35,30 @@
 /// The acceptable extra wait to avoid sending 1 KB to another region, in milliseconds.
 const REGION_COST_MS_PER_KB: f64 = 4.0;
 
+/// The extra wait that is acceptable to stay in this zone or region, as a fraction of the time left
+/// to the latency target. Callers notice a wait only if the target is missed, so what they can
+/// spare decides how far it pays to go.
+const ZONE_COST: f64 = 0.03;
+const REGION_COST: f64 = 0.3;
+
+/// The bounds on that wait, in milliseconds: not below the round trip, and for requests with ample
+/// time not above what a queue of one run takes.
+const ZONE_COST_MS: (f64, f64) = (5.0, 50.0);
+const REGION_COST_MS: (f64, f64) = (80.0, 500.0);
+
 impl Distance {
-    /// The extra wait at a closer host that is acceptable to avoid sending a request with a body of
-    /// `body_bytes` this far, in milliseconds: the round trip, plus the cost of the traffic between
-    /// regions, which is a fraction of what a request is worth.
-    fn cost_ms(self, body_bytes: u64) -> f64 {
+    /// The extra wait at a closer host that is acceptable to avoid sending a request this far, in
+    /// milliseconds.
+    fn cost_ms(self, req: &PickRequest<'_>) -> f64 {
+        let spare = req.target_left.0 as f64;
         match self {
             Self::SameHost | Self::SameZone => 0.0,
-            Self::SameRegion => 25.0,
-            Self::OtherRegion => 250.0 + body_bytes as f64 / 1_024.0 * REGION_COST_MS_PER_KB,
+            Self::SameRegion => (spare * ZONE_COST).clamp(ZONE_COST_MS.0, ZONE_COST_MS.1),
+            Self::OtherRegion => {
+                let bytes = req.body_bytes + req.response_bytes;
+                (spare * REGION_COST).clamp(REGION_COST_MS.0, REGION_COST_MS.1)
+                    + bytes as f64 / 1_024.0 * REGION_COST_MS_PER_KB
+            }
         }
     }
 }
@@ -73,19 +100,46 @@
     Abandoned,
 }
 
-/// The weight of one result in the moving average of the failure rate.
-const FAILURE_WEIGHT: f64 = 0.2;
-
-/// The half-life of the failure rate without new results, in milliseconds, so that a recovered
-/// backend server is tried again.
-const FAILURE_HALF_LIFE_MS: f64 = 4_000.0;
+derive_common! {
+    value
+    /// What a host tells about requests of one class.
+    #[derive(Default, bincode::Encode, bincode::Decode)]
+    pub struct ClassLoad {
+        /// The mean run time there, in milliseconds; 0 if none has run.
+        pub run_ms: u32,
+        /// How long a response waits for the link of the host, in milliseconds.
+        pub delivery_ms: u32,
+    }
+}
 
-/// The waiting time that a failure rate of 1 is equivalent to, in milliseconds.
-const FAILURE_COST_MS: f64 = 3_000.0;
+/// A request for which a host is picked.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PickRequest<'a> {
+    /// Requests of one class have similar run times.
+    pub class: u64,
+    /// The hosts that the request was already sent to.
+    pub tried: &'a [HostAddr],
+    /// The regions that the request may be sent to, sorted; empty if all are allowed.
+    pub regions: &'a [RegionName],
+    /// The size of the body if it is large, or else 0.
+    pub body_bytes: u64,
+    /// The expected size of the response if it is large, or else 0.
+    pub response_bytes: u64,
+    /// The time left to the latency target.
+    pub target_left: Millis,
+    /// Breaks ties.
+    pub random: u32,
+}
 
-/// The first and the longest backoff after a host could not be reached, in milliseconds. It doubles
-/// each time.
-const BACKOFF_MS: (u64, u64) = (500, 4_000);
+/// The host that a request is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The host.
+    pub host: HostAddr,
+    /// If the request has to wait longer there, another host is expected to be faster. `None` if
+    /// there is no other host.
+    pub max_wait: Option<Millis>,
+}
 
 /// A host that reported not to accept requests is tried again after this.
 const CLOSED_RETRY: Millis = Millis(4_000);
@@ -94,131 +148,83 @@
 /// servers report within a second that they have started.
 const ALL_CLOSED_RETRY: Millis = Millis(300);
 
-/// The weight of a load report falls linearly to zero in this time, in milliseconds.
-const REPORT_LIFETIME_MS: f64 = 2_000.0;
+/// Hosts whose expected completion exceeds the earliest one by less than this fraction are chosen
+/// at random: the estimates are no more accurate than that.
+const TIE_FRACTION: f64 = 0.15;
 
-/// A host that has not reported for this long, or never, is probed before other hosts of its zone.
-const PROBE_AFTER: Millis = Millis(4_000);
+/// The time that a refusal and another try take, in milliseconds: a round trip within the region
+/// and the work of both hosts.
+const REDIRECT_COST_MS: f64 = 10.0;
 
-/// The run time assumed of such a host, in milliseconds: less than that of any backend server.
-const PROBE_RUN_MS: f64 = 20.0;
+/// Smaller responses cost next to nothing to send, in bytes.
+const LARGE_RESPONSE_BYTES: f64 = 16_384.0;
 
-/// The run time assumed before the first report, in milliseconds.
-const INITIAL_RUN_MS: u32 = 150;
-
-/// A host of a service and its statistics.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// The address.
-    pub host: HostAddr,
-    /// How far away the host is.
-    pub distance: Distance,
-    report: LoadReport,
-    reported_at: Millis,
-    /// The number of requests sent there that have not ended.
-    in_flight: u32,
-    /// The size of their large bodies.
-    in_flight_bytes: u64,
-    /// The failure rate as of `failures_updated_at`.
-    failures: f64,
-    failures_updated_at: Millis,
-    backoff_until: Millis,
-    /// The number of failed connection attempts in a row.
-    connect_failures: u32,
-}
-
-impl Peer {
-    fn failure_rate(&self, now: Millis) -> f64 {
-        let age = now.since(self.failures_updated_at).0 as f64;
-        self.failures * (-age / FAILURE_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
-    }
-
-    /// Returns the expected time to completion of a request with a large body of `body_bytes`, or
-    /// without one, plus penalties, in milliseconds.
-    fn cost_ms(&self, body_bytes: u64, now: Millis) -> f64 {
-        let r = &self.report;
-        let slots = f64::from(r.slots.max(1));
-        let stale = self.reported_at == Millis::ZERO || now.since(self.reported_at) > PROBE_AFTER;
-        // Only one request at a time is sent as a probe.
-        let probe = stale && self.in_flight == 0;
-        let run = if probe { PROBE_RUN_MS } else { f64::from(r.mean_run_ms.max(1)) };
-        let age = now.since(self.reported_at).0 as f64;
-        let freshness = (1.0 - age / REPORT_LIFETIME_MS).max(0.0);
-        let reported = f64::from(r.running + r.waiting) * freshness;
-        let demand = reported.max(f64::from(self.in_flight)) + 1.0;
-        let queued = (demand - slots).max(0.0) / slots * run;
-        // Backend servers slow down when nearly full, so utilization counts before all slots are
-        // taken.
-        let congestion = (demand / slots).min(1.0).powi(3) * run * 0.5;
-        run + queued
-            + congestion
-            + self.transfer_ms(body_bytes, freshness)
-            + self.distance.cost_ms(body_bytes)
-            + self.failure_rate(now) * FAILURE_COST_MS
-    }
-}
-
-impl Peer {
-    /// Returns how long a large body takes to arrive, in milliseconds. The bodies that were sent
-    /// there and did not end outweigh a report that is older.
-    fn transfer_ms(&self, body_bytes: u64, freshness: f64) -> f64 {
-        let rate = f64::from(self.report.link_bytes_per_ms);
-        if body_bytes == 0 || rate == 0.0 {
-            return 0.0;
-        }
-        let reported = f64::from(self.report.body_wait_ms) * freshness;
-        reported.max(self.in_flight_bytes as f64 / rate) + body_bytes as f64 / rate
-    }
-}
+/// The weight of one response in the moving average of the sizes of a class.
+const RESPONSE_SIZE_WEIGHT: f64 = 0.1;
 
 /// Picks among the hosts of one service.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBalancer {
     peers: Vec<Peer>, // Sorted by host.
+    /// The mean size of the responses of each class, sorted by class.
+    response_sizes: Vec<(u64, f64)>,
 }
 
 /// Queries.
 impl LoadBalancer {
-    /// Picks a host for a request, other than the hosts in `tried` that it was already sent to.
-    /// `body_bytes` is the size of its body if that is large, or else 0, and `random` breaks ties. If
-    /// no host accepts requests, one whose report of this is old enough is tried again.
-    pub fn pick(
-        &self,
-        tried: &[HostAddr],
-        body_bytes: u64,
-        random: u32,
-        now: Millis,
-    ) -> Option<HostAddr> {
-        let pick =
-            |retry_after| self.pick_with_closed_retry(retry_after, tried, body_bytes, random, now);
+    /// Picks a host for a request, other than those that it was already sent to. If no host accepts
+    /// requests, one whose report of this is old enough is tried again.
+    pub fn pick(&self, req: &PickRequest<'_>, now: Millis) -> Option<Pick> {
+        let pick = |closed_retry| self.pick_usable(req, closed_retry, now);
         pick(CLOSED_RETRY).or_else(|| pick(ALL_CLOSED_RETRY))
     }
 
-    /// Picks among hosts that accept requests and those whose last report is older than
-    /// `retry_after`.
-    fn pick_with_closed_retry(
+    fn pick_usable(
         &self,
-        retry_after: Millis,
-        tried: &[HostAddr],
-        body_bytes: u64,
-        random: u32,
+        req: &PickRequest<'_>,
+        closed_retry: Millis,
         now: Millis,
-    ) -> Option<HostAddr> {
+    ) -> Option<Pick> {
         let usable = |p: &&Peer| {
-            let closed = !p.report.accepting && p.reported_at > Millis::ZERO;
-            let retry = now.since(p.reported_at) > retry_after;
-            !tried.contains(&p.host) && p.backoff_until <= now && (!closed || retry)
+            let allowed = req.regions.is_empty() || req.regions.binary_search(&p.region).is_ok();
+            allowed && !req.tried.contains(&p.host) && p.usable(closed_retry, now)
         };
-        let count = u32::try_from(self.peers.len().max(1)).unwrap_or(u32::MAX);
-        let tie_break = |i: usize| (u32::try_from(i).unwrap_or(0) + random % count) % count;
-        let cost = |(i, p): &(usize, &Peer)| (p.cost_ms(body_bytes, now) as u64, tie_break(*i));
-        let usable = self.peers.iter().enumerate().filter(|(_, p)| usable(p));
-        usable.min_by_key(cost).map(|(_, p)| p.host)
+        let utilization = self.utilization(now);
+        let usable = self.peers.iter().filter(usable);
+        let mut candidates: Vec<(HostAddr, Estimate)> =
+            usable.map(|p| (p.host, p.estimate(req, utilization, now))).collect();
+        candidates.sort_by(|(_, a), (_, b)| a.total.total_cmp(&b.total));
+        let (_, earliest) = candidates.first()?;
+        let limit = earliest.total * (1.0 + TIE_FRACTION);
+        let tied = candidates.partition_point(|(_, e)| e.total <= limit).max(1);
+        let chosen = req.random as usize % tied;
+        let (host, estimate) = candidates.swap_remove(chosen);
+        let next = candidates.iter().map(|(_, e)| e.total).reduce(f64::min);
+        let max_wait = next.map(|next| {
+            let without_wait = estimate.total - estimate.wait;
+            Millis((next + REDIRECT_COST_MS - without_wait).max(estimate.wait) as u64)
+        });
+        Some(Pick { host, max_wait })
+    }
+
+    /// Returns the mean number of jobs per slot over the hosts that reported lately.
+    fn utilization(&self, now: Millis) -> f64 {
+        let sum = |(jobs, slots): (f64, f64), (j, s): (f64, f64)| (jobs + j, slots + s);
+        let loads = self.peers.iter().map(|p| p.weighted_load(now));
+        let (jobs, slots) = loads.fold((0.0, 0.0), sum);
+        if slots > 0.0 { jobs / slots } else { 0.0 }
     }
 
     /// Returns whether a host is currently in backoff after it could not be reached.
     pub fn in_backoff(&self, host: HostAddr, now: Millis) -> bool {
-        self.find(host).is_ok_and(|i| self.peers[i].backoff_until > now)
+        self.find(host).is_ok_and(|i| self.peers[i].in_backoff(now))
+    }
+
+    /// Returns the mean size of the responses of a class, or 0 if they are small or unknown.
+    pub fn mean_response_bytes(&self, class: u64) -> u64 {
+        let at = self.response_sizes.binary_search_by_key(&class, |(c, _)| *c);
+        let mean = at.map_or(0.0, |i| self.response_sizes[i].1);
+        if mean < LARGE_RESPONSE_BYTES { 0 } else { mean as u64 }
     }
 
     fn find(&self, host: HostAddr) -> Result<usize, usize> {
@@ -229,25 +235,9 @@
 /// Commands.
 impl LoadBalancer {
     /// Adds a host, unless it is known already.
-    pub fn add(&mut self, host: HostAddr, distance: Distance) {
+    pub fn add(&mut self, host: HostAddr, distance: Distance, region: RegionName) {
         let Err(i) = self.find(host) else { return };
-        let peer = Peer {
-            host,
-            distance,
-            report: LoadReport {
-                mean_run_ms: INITIAL_RUN_MS,
-                accepting: true,
-                ..LoadReport::default()
-            },
-            reported_at: Millis::ZERO,
-            in_flight: 0,
-            in_flight_bytes: 0,
-            failures: 0.0,
-            failures_updated_at: Millis::ZERO,
-            backoff_until: Millis::ZERO,
-            connect_failures: 0,
-        };
-        self.peers.insert(i, peer);
+        self.peers.insert(i, Peer::new(host, distance, region));
     }
 
     /// Removes a host and its statistics.
@@ -261,8 +251,7 @@
     /// `host`.
     pub fn attempt_started(&mut self, host: HostAddr, body_bytes: u64) {
         if let Ok(i) = self.find(host) {
-            self.peers[i].in_flight += 1;
-            self.peers[i].in_flight_bytes += body_bytes;
+            self.peers[i].attempt_started(body_bytes);
         }
     }
 
@@ -277,28 +266,27 @@
         now: Millis,
     ) {
         let Ok(i) = self.find(host) else { return };
-        let p = &mut self.peers[i];
-        p.in_flight = p.in_flight.saturating_sub(1);
-        p.in_flight_bytes = p.in_flight_bytes.saturating_sub(body_bytes);
+        self.peers[i].attempt_ended(body_bytes, result, now);
         if let Some(report) = report {
-            p.report = report;
-            p.reported_at = now;
+            self.peers[i].reported(report, now);
         }
-        match result {
-            AttemptResult::Success | AttemptResult::Failed => {
-                let value = if result == AttemptResult::Failed { 1.0 } else { 0.0 };
-                let rate = p.failure_rate(now);
-                p.failures = rate + (value - rate) * FAILURE_WEIGHT;
-                p.failures_updated_at = now;
-                p.connect_failures = 0;
-            }
-            AttemptResult::Unreachable => {
-                let backoff = BACKOFF_MS.0 << p.connect_failures.min(8);
-                p.connect_failures += 1;
-                p.backoff_until = now + Millis(backoff.min(BACKOFF_MS.1));
+    }
+
+    /// Records the size of a response to a request of a class.
+    pub fn response_received(&mut self, class: u64, bytes: usize) {
+        match self.response_sizes.binary_search_by_key(&class, |(c, _)| *c) {
+            Ok(i) => {
+                let mean = &mut self.response_sizes[i].1;
+                *mean += (bytes as f64 - *mean) * RESPONSE_SIZE_WEIGHT;
             }
-            AttemptResult::Refused => p.connect_failures = 0,
-            AttemptResult::Abandoned => {}
+            Err(i) => self.response_sizes.insert(i, (class, bytes as f64)),
+        }
+    }
+
+    /// Records what a host told about requests of a class.
+    pub fn class_reported(&mut self, host: HostAddr, class: u64, load: ClassLoad) {
+        if let Ok(i) = self.find(host) {
+            self.peers[i].class_reported(class, load);
         }
     }
 }
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -6,7 +6,11 @@
 //! have been sent. A job that is expected to miss its deadline is refused on arrival rather than
 //! after waiting. Waiting jobs start by priority, then by earliest target deadline. A job that can
 //! no longer meet its target deadline gives way to jobs that can, and is refused as soon as this
-//! leaves it too little time before its deadline. While the backend server is cold, [`ColdStart`]
+//! leaves it too little time before its deadline. If the queue has not been empty for as long as a
+//! job's latency target, load is above capacity rather than in a short burst, and only jobs that
+//! can meet their target are admitted: each of them takes a run from another one, and a response
+//! within the target is worth more to its caller than a late one. Refused callers are told to
+//! return one after the other, as fast as a part of the slots can serve them. While the backend server is cold, [`ColdStart`]
 //! holds back the start of jobs, which wait like those without a free slot.
 
 use model::{Millis, derive_common};
@@ -30,6 +34,9 @@
     pub target_deadline: Millis,
     /// A response after this time is useless.
     pub deadline: Millis,
+    /// If it has to wait longer, another backend server is expected to be faster. `None` if there
+    /// is no other.
+    pub max_wait: Option<Millis>,
 }
 
 /// The decision on a submitted job.
@@ -68,6 +75,10 @@
 /// The bounds on the time after which a refused caller is told to retry, in milliseconds.
 const RETRY_AFTER_MS: (u64, u64) = (100, 2_000);
 
+/// The fraction of the slots that refused callers may use when they return; the others are for new
+/// callers.
+const RETURN_SHARE: f64 = 0.5;
+
 #[derive(Debug)]
 struct Waiting {
     rank: (u8, Millis),
@@ -93,6 +104,10 @@
     class_means: Vec<(u64, f64)>, // Sorted by class.
     overall_mean: f64,
     cold_start: ColdStart,
+    /// Since when jobs have been waiting without interruption.
+    congested_since: Option<Millis>,
+    /// The callers refused so far are expected to have returned and been served by this time.
+    returns_until: Millis,
 }
 
 /// Queries.
@@ -134,6 +149,12 @@
         Millis(self.overall_mean as u64)
     }
 
+    /// Returns the mean run time of the jobs of a class, if any has ended.
+    pub fn class_run_time(&self, class: u64) -> Option<Millis> {
+        let at = self.class_means.binary_search_by_key(&class, |(c, _)| *c).ok()?;
+        Some(Millis(self.class_means[at].1 as u64))
+    }
+
     /// Returns how long a new job of the lowest priority is expected to wait.
     pub fn expected_wait(&self, now: Millis) -> Millis {
         self.wait_behind(self.waiting.len(), now)
@@ -153,6 +174,22 @@
         Millis(((self.remaining_work(now) + queued).max(0.0) / self.slots.max(1) as f64) as u64)
     }
 
+    /// Returns the expected wait of a job behind those of the first `ahead` waiting jobs that can
+    /// still meet their target. The others give way to it if it can.
+    fn wait_behind_on_target(&self, ahead: usize, now: Millis) -> Millis {
+        let on_target = self.waiting[..ahead].iter().filter(|w| self.meets_target(w, now));
+        let queued: f64 = on_target.map(|w| self.expected_run_ms(w.job.class)).sum();
+        let work = (self.remaining_work(now) + queued).max(0.0);
+        Millis((work / self.slots.max(1) as f64) as u64)
+    }
+
+    /// Returns whether jobs have been waiting without interruption for longer than the latency
+    /// target of `job`.
+    fn is_congested(&self, job: &Job, now: Millis) -> bool {
+        let target = job.target_deadline.since(now);
+        self.congested_since.is_some_and(|since| now.since(since) > target)
+    }
+
     /// Returns the remaining run time of the running jobs, less what the free slots can do
     /// meanwhile.
     fn remaining_work(&self, now: Millis) -> f64 {
@@ -186,6 +223,8 @@
             class_means: Vec::new(),
             overall_mean: limits.initial_run_time.0 as f64,
             cold_start: ColdStart::new(Millis::ZERO),
+            congested_since: None,
+            returns_until: Millis::ZERO,
         }
     }
 
@@ -211,8 +250,13 @@
         let wait = self.wait_behind(ahead, now);
         let run = Millis(self.expected_run_ms(job.class) as u64);
         let full = self.waiting.len() >= self.limits.max_waiting_per_slot * self.slots;
-        if now + wait + run > job.deadline || full {
-            return Admission::Refused(self.retry_after(now));
+        if job.max_wait.is_some_and(|max| wait > max) {
+            return Admission::Refused(self.retry_after(wait));
+        }
+        let late = self.is_congested(&job, now)
+            && now + self.wait_behind_on_target(ahead, now) + run > job.target_deadline;
+        if now + wait + run > job.deadline || full || late {
+            return Admission::Refused(self.schedule_return(now));
         }
         self.last_id += 1;
         let id = JobId(self.last_id);
@@ -221,6 +265,7 @@
             self.start(id, job.class, now);
             return Admission::Start(id);
         }
+        self.congested_since.get_or_insert(now);
         self.waiting.insert(ahead, Waiting { rank, id, job });
         Admission::Queued(id)
     }
@@ -242,6 +287,9 @@
             self.start(w.id, w.job.class, now);
             started.push(w.id);
         }
+        if self.waiting.is_empty() {
+            self.congested_since = None;
+        }
         (started, late)
     }
 
@@ -289,6 +337,9 @@
     pub fn cancel(&mut self, id: JobId) {
         self.running.retain(|r| r.id != id);
         self.waiting.retain(|w| w.id != id);
+        if self.waiting.is_empty() {
+            self.congested_since = None;
+        }
     }
 
     /// Removes a job that the backend server did not get, or did not count.
@@ -314,7 +365,17 @@
         now + wait + Millis((self.expected_run_ms(w.job.class) * 0.5) as u64) > w.job.deadline
     }
 
-    fn retry_after(&self, now: Millis) -> Millis {
-        Millis(self.expected_wait(now).0.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1))
+    fn retry_after(&self, wait: Millis) -> Millis {
+        Millis(wait.0.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1))
+    }
+
+    /// Returns when a refused caller should return: after the waiting jobs and the callers that were
+    /// refused before it, so that they don't all meet the same full queue again.
+    fn schedule_return(&mut self, now: Millis) -> Millis {
+        let at = self.returns_until.max(now + self.expected_wait(now));
+        let run = self.overall_mean / (self.slots.max(1) as f64 * RETURN_SHARE);
+        let latest = now + Millis(RETRY_AFTER_MS.1);
+        self.returns_until = (at + Millis(run as u64)).min(latest);
+        self.retry_after(at.since(now))
     }
 }
--- a/crates/mesh/tests/load.rs
+++ b/crates/mesh/tests/load.rs
@@ -3,10 +3,10 @@
 
 use mesh::{
     Admission, AttemptResult, Distance, Job, JobId, KeyRange, KeyRequestCounts, LoadBalancer,
-    LoadReport, Member, QueueLimits, RequestQueue, RetryBudget, RetryBudgetLimits, evict,
-    initial_map, rebalance, shed,
+    LoadReport, Member, PickRequest, QueueLimits, RequestQueue, RetryBudget, RetryBudgetLimits,
+    evict, initial_map, rebalance, shed,
 };
-use model::{HostAddr, Millis};
+use model::{HostAddr, Millis, RegionName};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -15,7 +15,13 @@
 }
 
 fn job(class: u64, priority: u8, now: u64, target: u64, limit: u64) -> Job {
-    Job { class, priority, target_deadline: Millis(now + target), deadline: Millis(now + limit) }
+    Job {
+        class,
+        priority,
+        target_deadline: Millis(now + target),
+        deadline: Millis(now + limit),
+        max_wait: None,
+    }
 }
 
 /// The run time of every job, in milliseconds.
@@ -186,6 +192,27 @@
     assert_eq!(order, [urgent, on_target, off_target]);
 }
 
+fn region(name: &str) -> RegionName {
+    RegionName::new(name).unwrap()
+}
+
+fn add(balancer: &mut LoadBalancer, i: usize, distance: Distance) {
+    balancer.add(host(i), distance, region("here"));
+}
+
+/// Picks a host for a request with a large body of `body_bytes`, or without one.
+fn pick(
+    balancer: &LoadBalancer,
+    tried: &[HostAddr],
+    body_bytes: u64,
+    random: u32,
+    now: Millis,
+) -> Option<HostAddr> {
+    let target_left = Millis(800);
+    let req = PickRequest { tried, body_bytes, random, target_left, ..PickRequest::default() };
+    balancer.pick(&req, now).map(|p| p.host)
+}
+
 fn report(running: u16, slots: u16, run_ms: u32) -> Option<LoadReport> {
     let accepting = true;
     Some(LoadReport { running, slots, mean_run_ms: run_ms, accepting, ..LoadReport::default() })
@@ -196,7 +223,7 @@
 fn replay_gray_failure(choose: impl Fn(&LoadBalancer, &mut StdRng, Millis) -> HostAddr) -> usize {
     let mut rng = StdRng::seed_from_u64(7);
     let mut balancer = LoadBalancer::default();
-    (0..4).for_each(|i| balancer.add(host(i), Distance::SameZone));
+    (0..4).for_each(|i| add(&mut balancer, i, Distance::SameZone));
     let mut failed = 0;
     for i in 0..3_000 {
         let now = Millis(1_000 + i * 10);
@@ -214,8 +241,9 @@
 
 #[test]
 fn a_backend_server_that_fails_fast_and_looks_idle_gets_fewer_requests_than_at_random() {
-    let picked =
-        replay_gray_failure(|balancer, rng, now| balancer.pick(&[], 0, rng.random(), now).unwrap());
+    let picked = replay_gray_failure(|balancer, rng, now| {
+        pick(balancer, &[], 0, rng.random(), now).unwrap()
+    });
     let at_random = replay_gray_failure(|_, rng, _| host(rng.random_range(0..4)));
     assert!(picked * 4 < at_random, "{picked} failures, {at_random} with random selection");
 }
@@ -224,13 +252,13 @@
 fn requests_stay_close_until_waiting_there_costs_more() {
     let check = |near: Option<LoadReport>, expected: usize| {
         let mut balancer = LoadBalancer::default();
-        balancer.add(host(0), Distance::SameZone);
-        balancer.add(host(1), Distance::OtherRegion);
+        add(&mut balancer, 0, Distance::SameZone);
+        add(&mut balancer, 1, Distance::OtherRegion);
         for (i, load) in [(0, near), (1, report(1, 6, 200))] {
             balancer.attempt_started(host(i), 0);
             balancer.attempt_ended(host(i), 0, AttemptResult::Success, load, Millis(1_000));
         }
-        assert_eq!(balancer.pick(&[], 0, 0, Millis(1_000)), Some(host(expected)), "{near:?}");
+        assert_eq!(pick(&balancer, &[], 0, 0, Millis(1_000)), Some(host(expected)), "{near:?}");
     };
     check(report(1, 6, 200), 0);
     check(report(6, 6, 200), 0);
@@ -247,14 +275,14 @@
     let check =
         |near: Option<LoadReport>, in_flight_near: u64, body_bytes: u64, expected: usize| {
             let mut balancer = LoadBalancer::default();
-            balancer.add(host(0), Distance::SameRegion);
-            balancer.add(host(1), Distance::OtherRegion);
+            add(&mut balancer, 0, Distance::SameRegion);
+            add(&mut balancer, 1, Distance::OtherRegion);
             for (i, report) in [near, link(200, 0)].into_iter().enumerate() {
                 balancer.attempt_started(host(i), 0);
                 balancer.attempt_ended(host(i), 0, AttemptResult::Success, report, Millis(1_000));
             }
             balancer.attempt_started(host(0), in_flight_near);
-            let picked = balancer.pick(&[], body_bytes, 0, Millis(1_000));
+            let picked = pick(&balancer, &[], body_bytes, 0, Millis(1_000));
             assert_eq!(picked, Some(host(expected)), "{near:?} {in_flight_near} {body_bytes}");
         };
     check(link(100, 0), 0, 60_000, 0);
@@ -268,24 +296,24 @@
 #[test]
 fn a_new_host_is_probed_even_if_another_one_is_fast() {
     let mut balancer = LoadBalancer::default();
-    balancer.add(host(0), Distance::SameZone);
+    add(&mut balancer, 0, Distance::SameZone);
     balancer.attempt_started(host(0), 0);
     balancer.attempt_ended(host(0), 0, AttemptResult::Success, report(0, 6, 50), Millis(1_000));
-    balancer.add(host(1), Distance::SameZone);
-    assert_eq!(balancer.pick(&[], 0, 0, Millis(1_100)), Some(host(1)));
+    add(&mut balancer, 1, Distance::SameZone);
+    assert_eq!(pick(&balancer, &[], 0, 0, Millis(1_100)), Some(host(1)));
     balancer.attempt_started(host(1), 0);
-    assert_eq!(balancer.pick(&[], 0, 0, Millis(1_100)), Some(host(0)), "one request is enough");
+    assert_eq!(pick(&balancer, &[], 0, 0, Millis(1_100)), Some(host(0)), "one request is enough");
 }
 
 #[test]
 fn an_unreachable_host_is_tried_again_after_a_backoff() {
     let mut balancer = LoadBalancer::default();
-    (0..2).for_each(|i| balancer.add(host(i), Distance::SameZone));
+    (0..2).for_each(|i| add(&mut balancer, i, Distance::SameZone));
     balancer.attempt_started(host(0), 0);
     balancer.attempt_ended(host(0), 0, AttemptResult::Unreachable, None, Millis(1_000));
     assert!(balancer.in_backoff(host(0), Millis(1_100)));
-    assert_eq!(balancer.pick(&[host(1)], 0, 0, Millis(1_100)), None);
-    assert_eq!(balancer.pick(&[host(1)], 0, 0, Millis(1_600)), Some(host(0)));
+    assert_eq!(pick(&balancer, &[host(1)], 0, 0, Millis(1_100)), None);
+    assert_eq!(pick(&balancer, &[host(1)], 0, 0, Millis(1_600)), Some(host(0)));
 }
 
 #[test]
@@ -293,13 +321,13 @@
     let closed = Some(LoadReport { slots: 4, mean_run_ms: 100, ..LoadReport::default() });
     let check = |others: Option<LoadReport>, retry_at: u64, expected: bool| {
         let mut balancer = LoadBalancer::default();
-        (0..3).for_each(|i| balancer.add(host(i), Distance::SameZone));
+        (0..3).for_each(|i| add(&mut balancer, i, Distance::SameZone));
         balancer.attempt_ended(host(0), 0, AttemptResult::Refused, closed, Millis(1_000));
         (1..3).for_each(|i| {
             balancer.attempt_ended(host(i), 0, AttemptResult::Refused, others, Millis(1_000));
         });
         let tried: Vec<HostAddr> = if others == closed { vec![] } else { vec![host(1), host(2)] };
-        let picked = balancer.pick(&tried, 0, 0, Millis(retry_at));
+        let picked = pick(&balancer, &tried, 0, 0, Millis(retry_at));
         assert_eq!(picked.is_some(), expected, "{retry_at}");
     };
 
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -6,21 +6,26 @@
 
 use bytes::Bytes;
 use log::info;
-use mesh::{AttemptResult, LoadReport, RetrySafety};
+use mesh::{AttemptResult, LoadReport, Pick, PickRequest, RetrySafety};
 use model::{HostAddr, Millis, ServiceName};
 use tokio::time::timeout;
 
+use crate::backend::Origin;
 use crate::bodies::LARGE_BODY_BYTES;
 use crate::ingress::{Call, Failure};
 use crate::response::DEFAULT_RETRY_AFTER_MS;
 use crate::state::Cx;
-use crate::wire::{ForwardReply, NotRun, Outcome};
+use crate::wire::{ForwardExtension, ForwardReply, NotRun, Outcome};
 use crate::{backend, rpc};
 
 /// The maximum number of hosts that may reject a request before the caller gets an error. Nothing
 /// ran at any of them, so this only bounds the time that is spent.
 const MAX_REJECTIONS: usize = 4;
 
+/// How many hosts may pass a request on because another one is expected to be faster. After that it
+/// waits where the reports that came with the refusals promise the earliest end.
+const MAX_REDIRECTS: usize = 2;
+
 /// How long a request waits for its key to be served, as a fraction of the target latency. A key
 /// that moves is served again within about a second, and the run needs the rest.
 const MOVE_WAIT_FRACTION: f64 = 0.65;
@@ -75,6 +80,7 @@
 struct AttemptState {
     hosts: Vec<HostAddr>,
     rejections: usize,
+    redirects: usize,
     /// How often the request reached a backend server.
     arrivals: u32,
     last_failure: Failure,
@@ -91,7 +97,14 @@
         .record_first_attempt(call.received_at);
     let last_failure =
         Failure::NotRun { why: NotRun::Unreachable, after_ms: DEFAULT_RETRY_AFTER_MS };
-    let mut progress = AttemptState { hosts: Vec::new(), rejections: 0, arrivals: 0, last_failure };
+    let mut progress =
+        AttemptState { hosts: Vec::new(), rejections: 0, redirects: 0, arrivals: 0, last_failure };
+    if owner_outside_regions(cx, call) {
+        return Err(Failure::NotRun {
+            why: NotRun::OutsideRegions,
+            after_ms: DEFAULT_RETRY_AFTER_MS,
+        });
+    }
     loop {
         let now = cx.now();
         if now >= call.deadline {
@@ -101,7 +114,7 @@
                 progress.last_failure
             });
         }
-        let Some(host) = pick_host(cx, call, &progress.hosts, now) else {
+        let Some(Pick { host, max_wait }) = pick_host(cx, call, &progress.hosts, now) else {
             if call.key.is_some() && wait_for_key(cx, call, UNREACHABLE_WAIT_FRACTION).await {
                 continue;
             }
@@ -113,7 +126,8 @@
         if progress.arrivals > 0 && !take_retry_budget(cx, call, progress.arrivals, now) {
             return Err(progress.last_failure);
         }
-        let Ok((reply, body)) = send(cx, call, host, now).await else {
+        let max_wait = max_wait.filter(|_| progress.redirects < MAX_REDIRECTS);
+        let Ok((reply, body)) = send(cx, call, host, max_wait, now).await else {
             return Err(Failure::TimedOut);
         };
         progress.arrivals += u32::from(reply.arrived);
@@ -142,6 +156,10 @@
                 if progress.arrivals == 0 || !matches!(progress.last_failure, Failure::Unknown(_)) {
                     progress.last_failure = Failure::NotRun { why: *why, after_ms };
                 }
+                if *why == NotRun::NoRoom && max_wait.is_some() {
+                    redirect(&mut progress, host);
+                    continue;
+                }
                 progress.rejections += 1;
                 if !may_try_next(cx, call, &mut progress, host, *why).await {
                     return Err(progress.last_failure);
@@ -151,6 +169,17 @@
     }
 }
 
+/// Records that a host has a longer queue than another one is expected to have.
+fn redirect(progress: &mut AttemptState, host: HostAddr) {
+    metrics::counter!("papayarill_redirects").increment(1);
+    progress.redirects += 1;
+    progress.hosts.push(host);
+    if progress.redirects == MAX_REDIRECTS && progress.arrivals == 0 {
+        // One of them may still be the best.
+        progress.hosts.clear();
+    }
+}
+
 /// Returns whether a request that may have run may run once more, starting at `start`.
 fn may_run_again(call: &Call, progress: &AttemptState, start: Millis) -> bool {
     call.retry_safety == RetrySafety::Idempotent
@@ -172,7 +201,11 @@
         return progress.rejections < MAX_REJECTIONS;
     }
     let fraction = match why {
-        NotRun::NoRoom | NotRun::Late | NotRun::Crashes | NotRun::Malformed => return false,
+        NotRun::NoRoom
+        | NotRun::Late
+        | NotRun::Crashes
+        | NotRun::Malformed
+        | NotRun::OutsideRegions => return false,
         NotRun::Moving | NotRun::NotGranted | NotRun::NotOwner => MOVE_WAIT_FRACTION,
         NotRun::Unreachable | NotRun::NoBackend | NotRun::Leaving | NotRun::TurnedAway => {
             UNREACHABLE_WAIT_FRACTION
@@ -206,17 +239,34 @@
     if call.body.len() < LARGE_BODY_BYTES { 0 } else { call.body.len() as u64 }
 }
 
-fn pick_host(cx: &Cx, call: &Call, tried: &[HostAddr], now: Millis) -> Option<HostAddr> {
+fn pick_host(cx: &Cx, call: &Call, tried: &[HostAddr], now: Millis) -> Option<Pick> {
     let mut state = cx.state.borrow_mut();
-    match call.key {
-        Some(key) => state.map(&call.service).map(|m| m.range_of(key).owner),
-        None => state.load_balancer(&call.service).pick(
-            tried,
-            large_body_bytes(call),
-            rand::random(),
-            now,
-        ),
+    if let Some(key) = call.key {
+        let host = state.map(&call.service)?.range_of(key).owner;
+        return Some(Pick { host, max_wait: None });
     }
+    let balancer = state.load_balancer(&call.service);
+    let class = call.forward.class;
+    let req = PickRequest {
+        class,
+        tried,
+        regions: &call.allowed_regions,
+        body_bytes: large_body_bytes(call),
+        response_bytes: balancer.mean_response_bytes(class),
+        target_left: call.target_deadline.since(now),
+        random: rand::random(),
+    };
+    balancer.pick(&req, now)
+}
+
+/// Returns whether the key of a request is owned in a region to which the request may not be sent.
+fn owner_outside_regions(cx: &Cx, call: &Call) -> bool {
+    let Some(key) = call.key.filter(|_| !call.allowed_regions.is_empty()) else { return false };
+    let state = cx.state.borrow();
+    let owner = state.map(&call.service).map(|m| m.range_of(key).owner);
+    let zone = owner.and_then(|host| state.hosts.get(host)).map(|row| &row.zone);
+    let region = zone.and_then(|zone| cx.settings.regions.get(zone));
+    region.is_some_and(|region| call.allowed_regions.binary_search(region).is_err())
 }
 
 /// Waits until the key may be served. Returns false if that is not expected in time.
@@ -262,6 +312,7 @@
     cx: &Rc<Cx>,
     call: &Call,
     host: HostAddr,
+    max_wait: Option<Millis>,
     now: Millis,
 ) -> Result<(ForwardReply, Bytes), tokio::time::error::Elapsed> {
     let service = &call.service;
@@ -279,9 +330,13 @@
     forward.suspects = cx.suspect_update();
     let exchange = async {
         if host == cx.me {
-            return backend::run(cx, &forward, call.body.clone()).await;
+            let origin = Origin::ThisHost { max_wait };
+            let (reply, body) = backend::run(cx, &forward, origin, call.body.clone()).await;
+            cx.record_class_load(host, &forward, cx.class_load(forward.class));
+            return (reply, body);
         }
-        rpc::forward(cx, host, &forward, &call.body).await
+        let extension = ForwardExtension { max_wait_ms: max_wait.map(saturating_ms) };
+        rpc::forward(cx, host, &forward, extension, &call.body).await
     };
     let result = timeout(Duration::from(left), exchange).await;
     let Ok((reply, body)) = result else {
@@ -296,6 +351,10 @@
         Outcome::Ran { .. } | Outcome::Unknown { .. } => AttemptResult::Failed,
     };
     let unreachable = guard.end == AttemptResult::Unreachable;
+    if matches!(reply.outcome, Outcome::Ran { .. }) {
+        let mut state = cx.state.borrow_mut();
+        state.load_balancer(service).response_received(forward.class, body.len());
+    }
     let no_report = reply.report == LoadReport::default();
     guard.report = (!no_report).then_some(reply.report);
     drop(guard);
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::state::{Cx, State, WaitOutcome};
-use crate::wire::{Forward, ForwardReply, NotRun, Outcome};
+use crate::wire::{Forward, ForwardExtension, ForwardReply, NotRun, Outcome};
 
 /// How long a request waits for a key that this host owns but has not been granted yet, as a
 /// fraction of the target latency. The next heartbeat, which carries the grant, arrives within a
@@ -121,10 +121,55 @@
     );
 }
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug)]
+pub enum Origin {
+    /// A caller on this host.
+    ThisHost {
+        /// The longest wait for a slot.
+        max_wait: Option<Millis>,
+    },
+    /// A caller on another host, to which the response crosses the link.
+    OtherHost(ForwardExtension),
+}
+
+impl Origin {
+    fn max_wait(self) -> Option<Millis> {
+        match self {
+            Self::ThisHost { max_wait } => max_wait,
+            Self::OtherHost(extension) => extension.max_wait_ms.map(|ms| Millis(u64::from(ms))),
+        }
+    }
+}
+
+/// Counts a request whose response will cross the link, until it is dropped.
+struct LinkGuard<'a> {
+    cx: &'a Cx,
+    class: u64,
+}
+
+impl<'a> LinkGuard<'a> {
+    fn new(cx: &'a Cx, class: u64) -> Self {
+        cx.state.borrow_mut().response_link.request_started(class);
+        Self { cx, class }
+    }
+}
+
+impl Drop for LinkGuard<'_> {
+    fn drop(&mut self) {
+        self.cx.state.borrow_mut().response_link.request_ended(self.class);
+    }
+}
+
 /// Runs a request on the backend server of this host, or returns why it did not run.
-pub async fn run(cx: &Rc<Cx>, forward: &Forward, body: Bytes) -> (ForwardReply, Bytes) {
+pub async fn run(
+    cx: &Rc<Cx>,
+    forward: &Forward,
+    origin: Origin,
+    body: Bytes,
+) -> (ForwardReply, Bytes) {
     let received_at = cx.now();
-    let (outcome, arrived, body) = attempt(cx, forward, body, received_at).await;
+    let (outcome, arrived, body) = attempt(cx, forward, origin, body, received_at).await;
     let version = cx.version();
     let suspects = cx.suspect_update();
     let reply = ForwardReply { version, outcome, report: cx.load_report(), arrived, suspects };
@@ -163,6 +208,7 @@
 async fn attempt(
     cx: &Rc<Cx>,
     forward: &Forward,
+    origin: Origin,
     body: Bytes,
     received_at: Millis,
 ) -> (Outcome, bool, Bytes) {
@@ -179,11 +225,21 @@
     if let Err(why) = wait_until_runnable(cx, forward, received_at).await {
         return not_run(why);
     }
+    // The run has to end early enough for its response to be delivered in time.
+    let delivery = match origin {
+        Origin::ThisHost { .. } => Millis::ZERO,
+        Origin::OtherHost(_) => {
+            cx.state.borrow().response_link.expected_delivery(forward.class, received_at)
+        }
+    };
+    let _link = matches!(origin, Origin::OtherHost(_)).then(|| LinkGuard::new(cx, forward.class));
+    let target_deadline = received_at + Millis(u64::from(forward.target_ms));
     let job = Job {
         class: forward.class,
         priority: forward.priority,
-        target_deadline: received_at + Millis(u64::from(forward.target_ms)),
-        deadline,
+        target_deadline: Millis::ZERO + target_deadline.since(delivery),
+        deadline: Millis::ZERO + deadline.since(delivery),
+        max_wait: origin.max_wait().map(|max| max.since(delivery)),
     };
     let held_back = cx.state.borrow().queue.held_back_while_cold(received_at);
     let admission = cx.state.borrow_mut().queue.submit(job, received_at);
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use log::info;
 use mesh::{Config, RetrySafety, SuspectUpdate};
-use model::{Millis, ServiceName};
+use model::{Millis, RegionName, ServiceName};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::attempts::execute;
@@ -35,6 +35,7 @@
     pub(crate) target_deadline: Millis,
     pub(crate) caller_deadline: Millis,
     pub(crate) key: Option<u16>,
+    pub(crate) allowed_regions: Vec<RegionName>,
     pub(crate) forward: Forward,
     pub(crate) body: Bytes,
 }
@@ -183,6 +184,7 @@
         target_deadline: received_at + route.target_latency,
         caller_deadline: received_at + caller_left,
         key,
+        allowed_regions: route.allowed_regions.clone(),
         forward,
         body,
     })
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -20,11 +20,15 @@
 use model::{HostAddr, Millis};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+use crate::backend::Origin;
 use crate::bodies::TransferGuard;
 use crate::state::{Cx, WritingGuard};
-use crate::wire::{Forward, ForwardReply, NotRun, Outcome, decode, encode};
+use crate::wire::{
+    Forward, ForwardExtension, ForwardReply, ForwardReplyExtension, NotRun, Outcome, decode,
+    decode_extended, encode, encode_extended,
+};
 use crate::{backend, bodies, key_ownership, listeners, relay, renewals};
 
 /// Connect timeout. The longest round trip between regions takes 60 ms; a longer wait would cost
@@ -138,6 +142,7 @@
     cx: &Cx,
     host: HostAddr,
     forward: &Forward,
+    extension: ForwardExtension,
     body: &Bytes,
 ) -> (ForwardReply, Bytes) {
     let mut path = RUN_PATH.to_owned();
@@ -147,7 +152,7 @@
             Err(reply) => return (reply, Bytes::new()),
         }
     }
-    let message = encode(forward, body);
+    let message = encode_extended(forward, &extension, body);
     // A connection that turns out to be closed before anything was written is replaced once.
     for _ in 0..2 {
         let Some(mut tx) = connect(cx, host).await else {
@@ -169,10 +174,11 @@
             Ok(body) => body,
             Err(e) => return (unknown(e.to_string()), Bytes::new()),
         };
-        return match decode::<ForwardReply>(body) {
-            Ok((reply, body)) => {
+        return match decode_extended::<ForwardReply, ForwardReplyExtension>(body) {
+            Ok((reply, extension, body)) => {
                 cx.observe_config_version(reply.version);
                 cx.merge_suspects(&reply.suspects);
+                cx.record_class_load(host, forward, extension.class);
                 (reply, body)
             }
             Err(e) => (unknown(e.to_string()), Bytes::new()),
@@ -328,8 +334,10 @@
             Ok((request, _)) => Ok(encode(&renewals::handle(&cx, request).await, &[])),
             Err(e) => Err(e),
         },
-        _ => match decode(message) {
-            Ok((forward, body)) => Ok(handle_forward(&cx, &forward, body).await),
+        _ => match decode_extended(message) {
+            Ok((forward, extension, body)) => {
+                Ok(handle_forward(&cx, &forward, extension, body).await)
+            }
             Err(e) => Err(e),
         },
     };
@@ -346,11 +354,22 @@
     Response::new(Full::new(encode(&not_run(NotRun::Malformed), &[])))
 }
 
-async fn handle_forward(cx: &Rc<Cx>, forward: &Forward, body: Bytes) -> Bytes {
+async fn handle_forward(
+    cx: &Rc<Cx>,
+    forward: &Forward,
+    extension: ForwardExtension,
+    body: Bytes,
+) -> Bytes {
     cx.observe_config_version(forward.version);
     cx.merge_suspects(&forward.suspects);
-    let (reply, body) = backend::run(cx, forward, body).await;
-    encode(&reply, &body)
+    let (reply, body) = backend::run(cx, forward, Origin::OtherHost(extension), body).await;
+    let wait =
+        cx.state.borrow_mut().response_link.response_ready(forward.class, body.len(), cx.now());
+    if wait > Millis::ZERO {
+        sleep(Duration::from(wait)).await;
+    }
+    let extension = ForwardReplyExtension { class: cx.class_load(forward.class) };
+    encode_extended(&reply, &extension, &body)
 }
 
 fn handle_witness(cx: &Cx, request: &WitnessRequest) -> WitnessReply {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -108,9 +108,14 @@
         usize::try_from(self.memory_bytes(RESPONSE_SHARE)).unwrap_or(usize::MAX)
     }
 
+    /// Returns what the link carries, in bytes per millisecond.
+    pub fn link_bytes_per_ms(&self) -> f64 {
+        self.link_mbps * 1_000_000.0 / 8.0 / 1_000.0
+    }
+
     /// Returns the limits on bodies that other hosts send.
     pub fn bodies(&self) -> BodyLimits {
-        let bytes_per_ms = self.link_mbps * 1_000_000.0 / 8.0 / 1_000.0;
+        let bytes_per_ms = self.link_bytes_per_ms();
         let max_body = self.memory_bytes(PEER_BODY_SHARE);
         let max_in_flight = ((bytes_per_ms * LINK_FILL_MS) as u64).min(max_body);
         BodyLimits { bytes_per_ms, max_in_flight, max_body }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use log::info;
 use mesh::{
-    BodyAdmission, ColdStart, Config, CrashSuspects, DepartureLog, Distance, GrantDelivery,
-    HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport,
-    OwnershipTiming, PeerHost, QueueLimits, RenewalWriterSelector, RequestQueue, RetryBudget,
-    Service, SuspectUpdate, TransferId, UpdateSourceCandidates, UpdateSourceSelector, Witness,
+    BodyAdmission, ClassLoad, ColdStart, Config, CrashSuspects, DepartureLog, Distance,
+    GrantDelivery, HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport,
+    OwnershipTiming, PeerHost, QueueLimits, RenewalWriterSelector, RequestQueue, ResponseLink,
+    RetryBudget, Service, SuspectUpdate, TransferId, UpdateSourceCandidates, UpdateSourceSelector,
+    Witness,
 };
-use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
+use model::{Clock, HostAddr, Millis, RegionName, RowVersion, ServiceName};
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -20,6 +21,7 @@
 use crate::renewals::Renewals;
 use crate::rpc::HostConnections;
 use crate::settings::Settings;
+use crate::wire::Forward;
 
 /// The mutable state of the process.
 pub struct State {
@@ -43,6 +45,8 @@
     pub queue: RequestQueue,
     /// Requests waiting in the queue.
     pub waiters: Vec<(mesh::JobId, oneshot::Sender<WaitOutcome>)>,
+    /// The link of this host as the responses to other hosts take it.
+    pub response_link: ResponseLink,
     /// The large bodies that other hosts send to this one.
     pub bodies: BodyAdmission,
     /// Other hosts that wait until they may send a body.
@@ -224,6 +228,7 @@
             retry_budgets: Vec::new(),
             queue,
             waiters: Vec::new(),
+            response_link: ResponseLink::new(settings.limits.link_bytes_per_ms()),
             bodies: BodyAdmission::new(settings.limits.bodies()),
             body_waiters: Vec::new(),
             key_requests: KeyRequestCounts::default(),
@@ -392,6 +397,23 @@
         }
     }
 
+    /// Returns what this host tells about requests of a class.
+    pub fn class_load(&self, class: u64) -> ClassLoad {
+        let state = self.state.borrow();
+        let saturating_u32 = |m: Millis| u32::try_from(m.0).unwrap_or(u32::MAX);
+        ClassLoad {
+            run_ms: state.queue.class_run_time(class).map_or(0, saturating_u32),
+            delivery_ms: saturating_u32(state.response_link.expected_delivery(class, self.now())),
+        }
+    }
+
+    /// Records what a host told about requests like `forward`.
+    pub fn record_class_load(&self, host: HostAddr, forward: &Forward, load: ClassLoad) {
+        let mut state = self.state.borrow_mut();
+        let Ok(service) = ServiceName::new(&forward.service) else { return };
+        state.load_balancer(&service).class_reported(host, forward.class, load);
+    }
+
     /// Starts queued requests while slots are free, and fails those that can no longer finish in
     /// time.
     pub fn start_queued(&self) {
@@ -424,13 +446,25 @@
     }
 
     /// Updates the load balancers of all services after a host row changed.
-    pub fn host_changed(&mut self, host: HostAddr, distance: impl Fn(&HostRow) -> Distance) {
+    pub fn host_changed(
+        &mut self,
+        host: HostAddr,
+        settings: &Settings,
+        distance: impl Fn(&HostRow) -> Distance,
+    ) {
         let row = self.hosts.get(host).cloned();
         let service = row.as_ref().map(|r| &r.service);
         let others = self.load_balancers.iter_mut().filter(|(s, _)| Some(s) != service);
         others.for_each(|(_, balancer)| balancer.remove(host));
         if let Some(row) = row {
-            load_balancer_mut(&mut self.load_balancers, &row.service).add(host, distance(&row));
+            // Settings from before a zone was added don't tell its region. It counts as one of its
+            // own, to which no restricted request is sent.
+            let known = settings.regions.get(&row.zone).cloned();
+            let Some(region) = known.or_else(|| RegionName::new(row.zone.as_str()).ok()) else {
+                return;
+            };
+            let balancer = load_balancer_mut(&mut self.load_balancers, &row.service);
+            balancer.add(host, distance(&row), region);
         }
     }
 
--- a/crates/sidecar/src/store_watch.rs
+++ b/crates/sidecar/src/store_watch.rs
@@ -262,7 +262,7 @@
 fn host_changed(cx: &Rc<Cx>, host: HostAddr) {
     let mut state = cx.state.borrow_mut();
     let row = state.hosts.get(host).cloned();
-    state.host_changed(host, |row| match host == cx.me {
+    state.host_changed(host, &cx.settings, |row| match host == cx.me {
         true => Distance::SameHost,
         false => cx.settings.distance(&row.zone),
     });
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -3,7 +3,9 @@
 use adapter::HostRow;
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use mesh::{HostUpdate, LoadReport, Member, Renewal, RowName, SuspectUpdate, WriteOutcome};
+use mesh::{
+    ClassLoad, HostUpdate, LoadReport, Member, Renewal, RowName, SuspectUpdate, WriteOutcome,
+};
 use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName};
 use snafu::{ResultExt, Snafu};
 
@@ -45,6 +47,14 @@
     pub suspects: SuspectUpdate,
 }
 
+/// Fields that follow a [`Forward`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ForwardExtension {
+    /// The request is refused if it has to wait longer for a slot, in milliseconds. `None` if it
+    /// may wait as long as its deadline allows.
+    pub max_wait_ms: Option<u32>,
+}
+
 /// A question whether a large body may be sent.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct AnnounceRequest {
@@ -125,6 +135,8 @@
     Crashes,
     /// The request can't be forwarded.
     Malformed,
+    /// The owner of the key is in a region to which the request may not be sent.
+    OutsideRegions,
 }
 
 /// The reply to a forwarded request.
@@ -142,6 +154,13 @@
     pub suspects: SuspectUpdate,
 }
 
+/// Fields that follow a [`ForwardReply`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ForwardReplyExtension {
+    /// What the host tells about requests of the same class.
+    pub class: ClassLoad,
+}
+
 /// A request for changes in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ChangesRequest {
