Evacuate a zone when the operator writes its row

Every row of the operator's table was taken for the configuration, so a zone could not be evacuated. The key now tells what a row is. The hosts that read the configuration learn of evacuated zones from the store, and pass them on as an extension of the questions for changes and their answers, which hosts of the previous release ignore. The version of the row, of its removal or of the read that lacks it decides, so stale and reordered updates change nothing.

A host of an evacuated zone sends nothing to its backend server, reports that it accepts no requests, and hands its keys over to hosts in other zones if the store answers and there is one; otherwise they stay, and their requests are refused as not run. Other hosts leave the zone out. When the row is gone, its backend servers count as cold until a heartbeat says otherwise. Other hosts are told the reason `Leaving`, since the previous release can't decode a new one. The feed is now polled from the version that was read even if another host sent a newer configuration: a row in between would be missed.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,6 +11,7 @@
 mod config;
 mod departure;
 mod directory;
+mod evacuation;
 mod key_map;
 mod key_request_counts;
 mod leases;
@@ -32,6 +33,7 @@
 };
 pub use departure::{Departure, DepartureError, DepartureLog};
 pub use directory::{HostChanges, HostDirectory, HostUpdate};
+pub use evacuation::{Evacuations, ZoneEvacuation};
 pub use key_map::{KeyMap, KeyMapError, KeyRange, MAX_KEY};
 pub use key_request_counts::KeyRequestCounts;
 pub use leases::{Incarnation, LeaseObserver, LeaseRow, LeaseRowError};
--- a/crates/mesh/src/ownership.rs
+++ b/crates/mesh/src/ownership.rs
@@ -15,6 +15,7 @@
 //! on the condition that the lease row is still the version that was seen to expire.
 
 mod assignment;
+mod evacuation;
 mod grant_calls;
 mod heartbeats;
 mod releases;
@@ -31,6 +32,7 @@
     HeartbeatAction, HeartbeatReply, HeldRange, KeyRejection, RowName, WriteOutcome,
 };
 
+use self::evacuation::EvacuationState;
 use self::grant_calls::GrantCalls;
 use self::releases::Release;
 use self::witnesses::{ConfirmRound, Denial};
@@ -170,6 +172,7 @@
     load: (u32, u32),
     rebalanced_at: Millis,
     shed_at: Millis,
+    evacuation: EvacuationState,
 }
 
 /// Queries.
@@ -269,6 +272,9 @@
         if !self.releases.is_empty() {
             return since_asked >= self.timing.retry_interval;
         }
+        if self.is_evacuated() && !self.owns_no_keys() {
+            return since_asked >= self.timing.lease_read_interval;
+        }
         let may_shed = now.since(self.shed_at) >= self.timing.shed_interval;
         self.is_loaded() && may_shed && since_asked >= self.timing.shed_interval
     }
@@ -342,6 +348,7 @@
             load: (0, 0),
             rebalanced_at: now,
             shed_at: now,
+            evacuation: EvacuationState::default(),
         }
     }
 
@@ -413,7 +420,7 @@
         if now < self.predecessor_grants_end() {
             return 0;
         }
-        if !settled || !self.store_reachable(now) || self.lease.is_none() {
+        if self.is_evacuated() || !settled || !self.store_reachable(now) || self.lease.is_none() {
             return 0;
         }
         let (load, capacity) = self.load;
--- a/crates/mesh/src/ownership/assignment.rs
+++ b/crates/mesh/src/ownership/assignment.rs
@@ -28,7 +28,12 @@
             let (reported_at, members) = &self.reported_members;
             let recent = now.since(*reported_at) <= MEMBERS_TTL;
             let members = members.iter().filter(|_| recent);
-            return members.map(|m| Member { ranges: ranges(m.host), ..*m }).collect();
+            let member = |m: &Member| Member {
+                accepts_keys: m.accepts_keys && !self.in_evacuated_zone(m.host),
+                ranges: ranges(m.host),
+                ..*m
+            };
+            return members.map(member).collect();
         }
         let late = self
             .observed_leases
@@ -36,7 +41,9 @@
         let hosts = self.observed_leases.hosts().into_iter();
         let member = |(host, row): (HostAddr, &LeaseRow)| Member {
             host,
-            accepts_keys: row.accepts_keys && !late.iter().any(|(h, _)| *h == host),
+            accepts_keys: row.accepts_keys
+                && !late.iter().any(|(h, _)| *h == host)
+                && !self.in_evacuated_zone(host),
             load: row.load,
             capacity: row.capacity,
             ranges: ranges(host),
@@ -113,8 +120,10 @@
         if !is_first && now.since(self.started_at) < Millis(3 * self.timing.bootstrap_wait.0) {
             return None;
         }
-        let recipients: Vec<HostAddr> =
-            hosts.iter().filter(|(_, row)| row.accepts_keys).map(|(h, _)| *h).collect();
+        let eligible = |(host, row): &&(HostAddr, &LeaseRow)| {
+            row.accepts_keys && !self.in_evacuated_zone(*host)
+        };
+        let recipients: Vec<HostAddr> = hosts.iter().filter(eligible).map(|(h, _)| *h).collect();
         let map = placement::initial_map(&recipients)?;
         Some(ConditionalWrite {
             expect: vec![(RowName::Map, RowVersion(0))],
--- a/crates/mesh/src/ownership/writes.rs
+++ b/crates/mesh/src/ownership/writes.rs
@@ -28,6 +28,7 @@
         if self.lease_expiry().is_some_and(|until| now >= until) {
             self.lease = None;
         }
+        self.start_evacuation_releases(now);
         let write = self
             .register_write()
             .or_else(|| self.incarnation_write())
@@ -164,7 +165,8 @@
 
     /// Returns this host's lease row for the next write.
     pub(super) fn new_lease_row(&self) -> LeaseRow {
-        let accepts_keys = self.backend.as_ref().is_some_and(|b| !b.draining);
+        let accepts_keys =
+            self.backend.as_ref().is_some_and(|b| !b.draining) && !self.is_evacuated();
         let witnesses = self.choose_witnesses();
         let changed = self.witness_refused || witnesses != self.own_row.witnesses;
         LeaseRow {
--- a/crates/mesh/tests/ownership/random_faults.rs
+++ b/crates/mesh/tests/ownership/random_faults.rs
@@ -126,10 +126,38 @@
         stale_reads: 20,
         store_partitions: 3,
         host_partitions: 3,
+        ..Faults::default()
     };
     (800..840).for_each(|seed| check_delivery(seed, GrantDelivery::Call, faults));
 }
 
+/// Guards against two holders of a key that is released because of an evacuation, and against keys
+/// that stay without a holder after one.
+#[test]
+fn keys_have_one_holder_while_hosts_are_evacuated_and_are_served_afterwards() {
+    let faults = Faults {
+        evacuations: 15,
+        restarts: 6,
+        crashes: 3,
+        outages: 2,
+        late_writes: 20,
+        late_calls: 20,
+        lost_messages: 10,
+        store_partitions: 3,
+        ..Faults::default()
+    };
+    for delivery in [GrantDelivery::HeartbeatReply, GrantDelivery::Call] {
+        for seed in 900..930 {
+            let mut sim = Simulation::new(seed, 4, delivery, faults);
+            sim.run(40_000);
+            sim.stop_faults();
+            sim.run(40_000);
+            let unheld = sim.count_unheld_keys();
+            assert_eq!(unheld, 0, "seed {seed}, {delivery:?}: keys without a holder");
+        }
+    }
+}
+
 #[test]
 fn every_key_is_served_again_after_the_faults() {
     let faults = Faults {
--- a/crates/mesh/tests/ownership/simulation.rs
+++ b/crates/mesh/tests/ownership/simulation.rs
@@ -43,6 +43,8 @@
     pub stale_reads: u32,
     pub store_partitions: u32,
     pub host_partitions: u32,
+    /// How often the evacuation of a host starts or ends.
+    pub evacuations: u32,
 }
 
 #[derive(Clone)]
@@ -120,6 +122,7 @@
     store_partition_until: u64,
     /// Partitioned from all other hosts until this time.
     host_partition_until: u64,
+    evacuated: bool,
 }
 
 /// A renewal on its way to the host that writes it, or its outcome on the way back.
@@ -264,6 +267,7 @@
                 witness: Witness::default(),
                 store_partition_until: 0,
                 host_partition_until: 0,
+                evacuated: false,
             });
         }
         sim
@@ -273,7 +277,11 @@
     pub fn stop_faults(&mut self) {
         self.faults = Faults::default();
         self.vary_load = false;
-        self.hosts.iter_mut().for_each(|h| h.ownership.update_load(100, 600));
+        for h in &mut self.hosts {
+            h.ownership.update_load(100, 600);
+            h.evacuated = false;
+            h.ownership.set_evacuation(false, Vec::new());
+        }
     }
 
     pub fn run(&mut self, span: u64) {
@@ -329,6 +337,7 @@
                 self.abandon_write(i);
                 let h = &mut self.hosts[i];
                 h.ownership = new_ownership(i, process, self.delivery, up_from);
+                h.ownership.set_evacuation(h.evacuated, Vec::new());
                 h.connected_to = None;
                 h.next_grants = up_from;
                 h.up_from = up_from;
@@ -352,6 +361,12 @@
             if self.occurs(f.host_partitions) {
                 self.hosts[i].host_partition_until = self.now + self.rng.random_range(100..20_000);
             }
+            // No number is drawn without this fault, which keeps the course of the other seeds.
+            if f.evacuations > 0 && self.occurs(f.evacuations) {
+                let h = &mut self.hosts[i];
+                h.evacuated = !h.evacuated;
+                h.ownership.set_evacuation(h.evacuated, Vec::new());
+            }
             if self.occurs(f.freezes) {
                 self.hosts[i].frozen_until = self.now + self.rng.random_range(100..20_000);
             }
--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -3,6 +3,8 @@
 
 #[path = "sidecar/cold_start.rs"]
 mod cold_start;
+#[path = "sidecar/evacuation.rs"]
+mod evacuation;
 
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
@@ -107,11 +109,15 @@
     start_host_with(store, service, name, "").await
 }
 
-/// Starts a host with additional settings.
 async fn start_host_with(store: &Store, service: &str, name: &str, more: &str) -> Host {
+    start_host_in(store, "a", service, name, more).await
+}
+
+/// Starts a host in a zone, with additional settings.
+async fn start_host_in(store: &Store, zone: &str, service: &str, name: &str, more: &str) -> Host {
     let [callers, hosts, ready, control, metrics, server] = free_ports();
     let text = format!(
-        "host: {name}\nzone: a\nregions: {{a: r}}\nservice: {service}\nbackend_server: '{server}'\n\
+        "host: {name}\nzone: {zone}\nregions: {{a: r, b: s}}\nservice: {service}\nbackend_server: '{server}'\n\
          store: '{}'\nlisten: {{callers: '{callers}', hosts: '{hosts}', ready: '{ready}', \
          backend: '{control}', metrics: '{metrics}'}}\ndrain_ms: 2500\nstop_ms: 6000\n\
          hold_max_ms: 10000\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\n{more}",
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -15,7 +15,7 @@
 use crate::response::DEFAULT_RETRY_AFTER_MS;
 use crate::state::Cx;
 use crate::wire::{ForwardReply, NotRun, Outcome};
-use crate::{backend, rpc};
+use crate::{backend, evacuation, rpc};
 
 /// The maximum number of hosts that may reject a request before the caller gets an error. Nothing
 /// ran at any of them, so this only bounds the time that is spent.
@@ -105,6 +105,11 @@
             if call.key.is_some() && wait_for_key(cx, call, UNREACHABLE_WAIT_FRACTION).await {
                 continue;
             }
+            if progress.arrivals == 0 && evacuation::removes_all_hosts(cx, call) {
+                metrics::counter!("papayarill_refused_requests", "why" => "evacuated").increment(1);
+                let (why, after_ms) = (NotRun::Evacuated, DEFAULT_RETRY_AFTER_MS);
+                progress.last_failure = Failure::NotRun { why, after_ms };
+            }
             return Err(progress.last_failure);
         };
         if let Some(refusal) = check_quarantine(cx, call, now) {
@@ -174,9 +179,11 @@
     let fraction = match why {
         NotRun::NoRoom | NotRun::Late | NotRun::Crashes | NotRun::Malformed => return false,
         NotRun::Moving | NotRun::NotGranted | NotRun::NotOwner => MOVE_WAIT_FRACTION,
-        NotRun::Unreachable | NotRun::NoBackend | NotRun::Leaving | NotRun::TurnedAway => {
-            UNREACHABLE_WAIT_FRACTION
-        }
+        NotRun::Unreachable
+        | NotRun::NoBackend
+        | NotRun::Leaving
+        | NotRun::TurnedAway
+        | NotRun::Evacuated => UNREACHABLE_WAIT_FRACTION,
     };
     wait_for_key(cx, call, fraction).await
 }
@@ -208,14 +215,17 @@
 
 fn pick_host(cx: &Cx, call: &Call, tried: &[HostAddr], now: Millis) -> Option<HostAddr> {
     let mut state = cx.state.borrow_mut();
+    let mut excluded = evacuation::evacuated_hosts(&state);
+    let evacuated = |host: &HostAddr| excluded.contains(host);
     match call.key {
-        Some(key) => state.map(&call.service).map(|m| m.range_of(key).owner),
-        None => state.load_balancer(&call.service).pick(
-            tried,
-            large_body_bytes(call),
-            rand::random(),
-            now,
-        ),
+        Some(key) => {
+            state.map(&call.service).map(|m| m.range_of(key).owner).filter(|h| !evacuated(h))
+        }
+        None => {
+            excluded.extend(tried);
+            let balancer = state.load_balancer(&call.service);
+            balancer.pick(&excluded, large_body_bytes(call), rand::random(), now)
+        }
     }
 }
 
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -154,6 +154,12 @@
     not_run_retry_after(why, Millis::ZERO)
 }
 
+/// Returns the outcome of a request that came to an evacuated zone, and counts it.
+fn refuse_evacuated() -> (Outcome, bool, Bytes) {
+    metrics::counter!("papayarill_refused_requests", "why" => "evacuated").increment(1);
+    not_run(NotRun::Evacuated)
+}
+
 /// Returns an outcome for a request that did not run and may be retried after `after`.
 fn not_run_retry_after(why: NotRun, after: Millis) -> (Outcome, bool, Bytes) {
     let after_ms = u32::try_from(after.0).unwrap_or(u32::MAX);
@@ -177,7 +183,7 @@
         cx.state.borrow_mut().key_requests.record(key);
     }
     if let Err(why) = wait_until_runnable(cx, forward, received_at).await {
-        return not_run(why);
+        return if why == NotRun::Evacuated { refuse_evacuated() } else { not_run(why) };
     }
     let job = Job {
         class: forward.class,
@@ -197,7 +203,12 @@
             let guard = QueueGuard { cx, job_id: Some(job_id) };
             let (tx, rx) = oneshot::channel();
             cx.state.borrow_mut().waiters.push((job_id, tx));
-            if rx.await != Ok(WaitOutcome::Start) {
+            let outcome = rx.await;
+            if outcome == Ok(WaitOutcome::Evacuated) {
+                guard.take_back();
+                return refuse_evacuated();
+            }
+            if outcome != Ok(WaitOutcome::Start) {
                 let wait = cx.state.borrow().queue.expected_wait(cx.now());
                 return not_run_retry_after(NotRun::NoRoom, wait);
             }
@@ -252,6 +263,9 @@
 /// Checks whether a request with `key` may be sent to the backend server now.
 pub(crate) fn check_runnable(state: &State, cx: &Cx, key: Option<u16>) -> Result<(), NotRun> {
     let now = cx.now();
+    if state.evacuations.is_evacuated(&cx.settings.zone) {
+        return Err(NotRun::Evacuated);
+    }
     if cx.rejecting.get() {
         return Err(NotRun::Leaving);
     }
--- a/crates/sidecar/src/bodies.rs
+++ b/crates/sidecar/src/bodies.rs
@@ -252,7 +252,7 @@
     let now = cx.now();
     let waiting = {
         let mut state = cx.state.borrow_mut();
-        check_runnable(&state, cx, request.key).map_err(|why| (why, 0))?;
+        check_runnable(&state, cx, request.key).map_err(|why| (why.for_other_hosts(), 0))?;
         let deadline = now + Millis(u64::from(request.limit_ms));
         let run = state.queue.mean_run_time();
         let latest_end = deadline.since(Millis(run.0 / 2));
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 mod cold_start;
 mod departures;
 mod dependency;
+mod evacuation;
 mod grant_calls;
 mod ingress;
 mod key_ownership;
@@ -27,4 +28,4 @@
 
 pub use lifecycle::{StartError, maintain_metrics, run};
 pub use log_writer::LogWriter;
-pub use settings::{Limits, Listen, Retry, Settings, SettingsError};
+pub use settings::{ColdBounds, Limits, Listen, Retry, Settings, SettingsError};
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -285,6 +285,8 @@
         metrics::gauge!("papayarill_crashing_requests").set(cx.quarantined_count() as f64);
         let cold = cx.state.borrow().queue.cold_start().cold_until(cx.now());
         metrics::gauge!("papayarill_backend_cold").set(f64::from(u8::from(cold.is_some())));
+        let evacuated = cx.state.borrow().evacuations.active().count();
+        metrics::gauge!("papayarill_evacuated_zones").set(evacuated as f64);
         let text = Bytes::from(handle.render());
         std::future::ready(Ok(text_response(StatusCode::OK, text)))
     }
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -9,10 +9,11 @@
 use model::{HostAddr, Millis, RowVersion, ServiceName};
 use tokio::time::{sleep, timeout};
 
+use crate::evacuation;
 use crate::rpc;
 use crate::state::Cx;
 use crate::store_watch::{apply_config, apply_host_changes, apply_key_map};
-use crate::wire::{ChangesReply, ChangesRequest, HostUpdateWire};
+use crate::wire::{ChangesReply, ChangesRequest, EvacuationsWire, HostUpdateWire};
 
 /// The longest time that a request for changes is held back, whatever it asks for.
 const MAX_HOLD: Millis = Millis(2_000);
@@ -61,24 +62,28 @@
 
 async fn pull_from(cx: &Rc<Cx>, host: HostAddr) {
     let sent_at = cx.now();
-    let request = {
+    let (request, known) = {
         let state = cx.state.borrow();
-        ChangesRequest {
+        let request = ChangesRequest {
             config_row: state.config.as_ref().map_or(0, |c| c.row.0),
             position: state.hosts.position().0,
             age_ms: state.source_selector.contact_age(sent_at).map(|age| age.0),
             hold_ms: state.source_selector.poll_wait(sent_at).0,
             suspects: state.suspects.pending_update(sent_at),
-        }
+        };
+        (request, evacuation::to_wire(&state.evacuations))
     };
-    let reply: Option<ChangesReply> =
-        rpc::call(cx, host, rpc::CHANGES_PATH, &request, REPLY_TIMEOUT).await;
+    let path = rpc::CHANGES_PATH;
+    let reply: Option<(ChangesReply, EvacuationsWire)> =
+        rpc::call_extended(cx, host, path, &request, &known, REPLY_TIMEOUT).await;
     let now = cx.now();
-    let Some(reply) = reply else {
+    let Some((reply, evacuations)) = reply else {
         info!("event=update-source-failed host={host} age={:?}", request.age_ms);
         return cx.state.borrow_mut().source_selector.back_off(host, now);
     };
     cx.merge_suspects(&reply.suspects);
+    // Before a configuration, without which no request of a caller is accepted.
+    evacuation::merge(cx, evacuations);
     let has_data = reply.age_ms.is_some();
     if let Some(age) = reply.age_ms {
         // The transit time of the request is not counted, so the actual contact was no earlier
@@ -133,15 +138,22 @@
 }
 
 /// Replies to another host as soon as there are changes for it, or after the hold time.
-pub async fn handle_pull(cx: &Cx, request: &ChangesRequest) -> ChangesReply {
+pub async fn handle_pull(
+    cx: &Rc<Cx>,
+    request: &ChangesRequest,
+    known: EvacuationsWire,
+) -> (ChangesReply, EvacuationsWire) {
     let received_at = cx.now();
     cx.merge_suspects(&request.suspects);
+    evacuation::merge(cx, known.clone());
     let hold = Millis(request.hold_ms).min(MAX_HOLD);
     loop {
         let changed = cx.changed.notified();
         let held = cx.now().since(received_at);
-        if held >= hold || has_changes(cx, request, held) {
-            return build_reply(cx, request, held);
+        let news = evacuation::has_news_for(cx, &known);
+        if held >= hold || news || has_changes(cx, request, held) {
+            let evacuations = evacuation::to_wire(&cx.state.borrow().evacuations);
+            return (build_reply(cx, request, held), evacuations);
         }
         // A timeout and a notification lead to the same check at the top of the loop.
         let _ = timeout(Duration::from(hold.since(held)), changed).await;
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -24,7 +24,9 @@
 
 use crate::bodies::TransferGuard;
 use crate::state::{Cx, WritingGuard};
-use crate::wire::{Forward, ForwardReply, NotRun, Outcome, decode, encode};
+use crate::wire::{
+    Forward, ForwardReply, NotRun, Outcome, decode, decode_extended, encode, encode_extended,
+};
 use crate::{backend, bodies, key_ownership, listeners, relay, renewals};
 
 /// Connect timeout. The longest round trip between regions takes 60 ms; a longer wait would cost
@@ -253,12 +255,26 @@
     message: &impl Encode,
     limit: Duration,
 ) -> Option<R> {
+    let called = call_extended::<R, ()>(cx, host, path, message, &(), limit).await;
+    called.map(|(reply, ())| reply)
+}
+
+/// Makes a call whose message and reply have extensions.
+pub async fn call_extended<R: Decode<()>, E: Decode<()> + Encode + Default>(
+    cx: &Cx,
+    host: HostAddr,
+    path: &'static str,
+    message: &impl Encode,
+    extension: &E,
+    limit: Duration,
+) -> Option<(R, E)> {
     let exchange = async {
         let mut tx = connect(cx, host).await?;
-        let req = Request::post(uri(path)).body(Full::new(encode(message, &[]))).ok()?;
+        let message = encode_extended(message, extension, &[]);
+        let req = Request::post(uri(path)).body(Full::new(message)).ok()?;
         let response = tx.send_request(req).await.ok()?;
         let body = http1::read_body(response.into_body(), MAX_REPLY_BYTES).await.ok()?;
-        decode::<R>(body).ok().map(|(response, _)| response)
+        decode_extended::<R, E>(body).ok().map(|(reply, extension, _)| (reply, extension))
     };
     timeout(limit, exchange).await.ok().flatten()
 }
@@ -314,8 +330,11 @@
         WITNESS_PATH => {
             decode(message).map(|(request, _)| encode(&handle_witness(&cx, &request), &[]))
         }
-        CHANGES_PATH => match decode(message) {
-            Ok((request, _)) => Ok(encode(&relay::handle_pull(&cx, &request).await, &[])),
+        CHANGES_PATH => match decode_extended(message) {
+            Ok((request, evacuations, _)) => {
+                let (reply, known) = relay::handle_pull(&cx, &request, evacuations).await;
+                Ok(encode_extended(&reply, &known, &[]))
+            }
             Err(e) => Err(e),
         },
         ANNOUNCE_PATH => match decode(message) {
@@ -349,7 +368,8 @@
 async fn handle_forward(cx: &Rc<Cx>, forward: &Forward, body: Bytes) -> Bytes {
     cx.observe_config_version(forward.version);
     cx.merge_suspects(&forward.suspects);
-    let (reply, body) = backend::run(cx, forward, body).await;
+    let (mut reply, body) = backend::run(cx, forward, body).await;
+    reply.outcome = reply.outcome.for_other_hosts();
     encode(&reply, &body)
 }
 
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use log::info;
 use mesh::{
-    BodyAdmission, ColdStart, Config, CrashSuspects, DepartureLog, Distance, GrantDelivery,
-    HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport,
+    BodyAdmission, ColdStart, Config, CrashSuspects, DepartureLog, Distance, Evacuations,
+    GrantDelivery, HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport,
     OwnershipTiming, PeerHost, QueueLimits, RenewalWriterSelector, RequestQueue, RetryBudget,
     Service, SuspectUpdate, TransferId, UpdateSourceCandidates, UpdateSourceSelector, Witness,
 };
-use model::{Clock, HostAddr, Millis, RowVersion, ServiceName};
+use model::{Clock, HostAddr, Millis, RowVersion, ServiceName, ZoneName};
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -25,6 +25,8 @@
 pub struct State {
     /// The configuration in force.
     pub config: Option<ActiveConfig>,
+    /// The zones that the operator has evacuated.
+    pub evacuations: Evacuations,
     /// All known hosts.
     pub hosts: HostDirectory<HostRow>,
     /// Selects where this process reads changes in the store from: the store or another host.
@@ -133,6 +135,8 @@
     Start,
     /// It can no longer finish in time.
     Expired,
+    /// The zone of this host is evacuated.
+    Evacuated,
 }
 
 /// The context that all tasks share.
@@ -215,6 +219,7 @@
         queue.set_cold_start(ColdStart::new(now));
         let state = State {
             config: None,
+            evacuations: Evacuations::default(),
             hosts: HostDirectory::default(),
             source_selector: UpdateSourceSelector::new(me, now),
             hosts_read: false,
@@ -386,6 +391,7 @@
             mean_run_ms: u32::try_from(queue.mean_run_time().0).unwrap_or(u32::MAX),
             accepting: state.deregistered_at.is_none()
                 && state.ownership.backend_serving()
+                && !state.evacuations.is_evacuated(&self.settings.zone)
                 && !self.stopping.get(),
             body_wait_ms: u32::try_from(state.bodies.expected_wait().0).unwrap_or(u32::MAX),
             link_bytes_per_ms: self.settings.limits.bodies().bytes_per_ms as u32,
@@ -410,6 +416,11 @@
     }
 }
 
+/// Returns the id of the group of hosts that may be lost together with those of a zone.
+pub fn failure_domain(zone: &ZoneName) -> u64 {
+    xxh3_64(zone.as_str().as_bytes())
+}
+
 impl State {
     /// Updates the hosts from which witnesses of this host's lease are chosen.
     pub fn update_peers(&mut self, service: &ServiceName) {
@@ -417,7 +428,7 @@
         let peers = of_service.map(|(host, row)| PeerHost {
             host,
             process: row.process,
-            failure_domain: xxh3_64(row.zone.as_str().as_bytes()),
+            failure_domain: failure_domain(&row.zone),
         });
         let peers = peers.collect();
         self.ownership.set_peers(peers);
--- a/crates/sidecar/src/store_watch.rs
+++ b/crates/sidecar/src/store_watch.rs
@@ -1,4 +1,4 @@
-//! Watches the configuration, the hosts and the key maps in the store.
+//! Watches the configuration, the evacuated zones, the hosts and the key maps in the store.
 //!
 //! Only a few hosts read the store; `relay` passes the changes on to the others.
 
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::dependency::Dependency;
+use crate::evacuation;
 use crate::state::{ActiveConfig, Cx, StorePart};
 
 /// Delay before a call is repeated that failed or returned old data.
@@ -51,13 +52,13 @@
             }
             known = None;
         }
-        let in_force = cx.state.borrow().config.as_ref().map(|c| c.row);
         let call = async {
             match known {
-                None => cx.store.read_config().await,
+                None => read_config(&cx).await,
                 Some(version) => {
-                    let from = in_force.map_or(version, |row| row.max(version));
-                    cx.store.watch_config(from, dependency.long_poll_wait()).await
+                    // The row of the configuration in force may be newer, if another host sent it,
+                    // but other rows before it may be unknown.
+                    poll_config(&cx, version, dependency.long_poll_wait()).await
                 }
             }
         };
@@ -65,21 +66,19 @@
             Either::Left((result, _)) => (result, false),
             Either::Right(_) => {
                 // The long poll may hang on a dead connection; dropping it closes the connection.
-                (cx.store.read_config().await, true)
+                (read_config(&cx).await, true)
             }
         };
         match result {
-            Ok((updates, version)) => {
+            Ok(version) => {
                 dependency.succeeded();
-                updates.into_iter().for_each(|u| apply_update(&cx, u));
                 // The store may return an old version. Polling from it would miss nothing, but the
                 // known version must never go backwards.
                 known = Some(known.map_or(version, |k| k.max(version)));
-                if dependency.may_be_stale(cx.now()) {
-                    match cx.store.read_config().await {
-                        Ok((updates, _)) => updates.into_iter().for_each(|u| apply_update(&cx, u)),
-                        Err(e) => dependency.failed(&e),
-                    }
+                if dependency.may_be_stale(cx.now())
+                    && let Err(e) = read_config(&cx).await
+                {
+                    dependency.failed(&e);
                 }
                 cx.record_read(StorePart::Config);
                 if behind && cx.version() == before {
@@ -98,6 +97,35 @@
     }
 }
 
+/// Reads the configuration and the evacuated zones and applies them. Returns the version to poll
+/// from.
+async fn read_config(cx: &Rc<Cx>) -> Result<RowVersion, StoreError> {
+    let (updates, version) = cx.store.read_config().await?;
+    let (mut evacuations, mut others) = (Vec::new(), Vec::new());
+    for update in updates {
+        match update {
+            RowUpdate::Evacuation(row) => evacuations.push(row),
+            other => others.push(other),
+        }
+    }
+    // Before the configuration, without which no request of a caller is accepted.
+    evacuation::apply(cx, |known| known.apply_read(evacuations, version));
+    others.into_iter().for_each(|u| apply_update(cx, u));
+    Ok(version)
+}
+
+/// Polls for changes of the configuration and of evacuations after `version` and applies them.
+/// Returns the version to poll from next.
+async fn poll_config(
+    cx: &Rc<Cx>,
+    version: RowVersion,
+    wait: Millis,
+) -> Result<RowVersion, StoreError> {
+    let (updates, next) = cx.store.watch_config(version, wait).await?;
+    updates.into_iter().for_each(|u| apply_update(cx, u));
+    Ok(next)
+}
+
 /// Waits until another host has a newer configuration that the relay did not deliver in time.
 async fn wait_until_behind(cx: &Cx) {
     loop {
@@ -233,6 +261,9 @@
 fn apply_update(cx: &Rc<Cx>, update: RowUpdate) {
     match update {
         RowUpdate::Config(version, bytes) => apply_config(cx, version, Bytes::from(bytes)),
+        RowUpdate::Evacuation(row) => {
+            evacuation::apply(cx, |known| known.update(row).into_iter().collect());
+        }
         RowUpdate::Host(row) => {
             let position = cx.state.borrow().hosts.position();
             apply_host_changes(
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -3,7 +3,9 @@
 use adapter::HostRow;
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use mesh::{HostUpdate, LoadReport, Member, Renewal, RowName, SuspectUpdate, WriteOutcome};
+use mesh::{
+    HostUpdate, LoadReport, Member, Renewal, RowName, SuspectUpdate, WriteOutcome, ZoneEvacuation,
+};
 use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName};
 use snafu::{ResultExt, Snafu};
 
@@ -94,6 +96,16 @@
     },
 }
 
+impl Outcome {
+    /// Returns the outcome to tell another host.
+    pub fn for_other_hosts(self) -> Self {
+        match self {
+            Self::NotRun { why, after_ms } => Self::NotRun { why: why.for_other_hosts(), after_ms },
+            other => other,
+        }
+    }
+}
+
 impl Default for Outcome {
     fn default() -> Self {
         Self::Unknown { why: String::new() }
@@ -125,6 +137,19 @@
     Crashes,
     /// The request can't be forwarded.
     Malformed,
+    /// The zone of the host is evacuated.
+    Evacuated,
+}
+
+impl NotRun {
+    /// Returns the reason to tell another host. Hosts of the previous release can't decode the
+    /// reasons that it doesn't have.
+    pub fn for_other_hosts(self) -> Self {
+        match self {
+            Self::Evacuated => Self::Leaving,
+            other => other,
+        }
+    }
 }
 
 /// The reply to a forwarded request.
@@ -158,6 +183,37 @@
     pub suspects: SuspectUpdate,
 }
 
+/// What is known about an evacuated zone, or one whose evacuation has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct EvacuationWire {
+    /// The zone.
+    pub zone: String,
+    /// The version of the row, of its removal, or of the read that did not list it.
+    pub version: u64,
+    /// Whether the zone is evacuated.
+    pub active: bool,
+}
+
+impl From<&ZoneEvacuation> for EvacuationWire {
+    fn from(known: &ZoneEvacuation) -> Self {
+        let zone = known.zone.as_str().to_owned();
+        Self { zone, version: known.version.0, active: known.active }
+    }
+}
+
+impl TryFrom<EvacuationWire> for ZoneEvacuation {
+    type Error = NameError;
+
+    fn try_from(wire: EvacuationWire) -> Result<Self, NameError> {
+        let EvacuationWire { zone, version, active } = wire;
+        Ok(Self { zone: ZoneName::new(&zone)?, version: RowVersion(version), active })
+    }
+}
+
+/// The extension of [`ChangesRequest`] and [`ChangesReply`]: all that the sender knows about
+/// evacuated zones, or `None` if it is of a release that knows none.
+pub type EvacuationsWire = Option<Vec<EvacuationWire>>;
+
 /// The changes in the store since the position of a [`ChangesRequest`].
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct ChangesReply {
