--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -16,7 +16,7 @@
 use crate::response::DEFAULT_RETRY_AFTER_MS;
 use crate::state::Cx;
 use crate::wire::{ForwardExtension, ForwardReply, NotRun, Outcome};
-use crate::{backend, rpc};
+use crate::{backend, evacuation, rpc};
 
 /// The maximum number of hosts that may reject a request before the caller gets an error. Nothing
 /// ran at any of them, so this only bounds the time that is spent.
@@ -118,6 +118,11 @@
             if call.key.is_some() && wait_for_key(cx, call, UNREACHABLE_WAIT_FRACTION).await {
                 continue;
             }
+            if progress.arrivals == 0 && evacuation::removes_all_hosts(cx, call) {
+                metrics::counter!("papayarill_refused_requests", "why" => "evacuated").increment(1);
+                let (why, after_ms) = (NotRun::Evacuated, DEFAULT_RETRY_AFTER_MS);
+                progress.last_failure = Failure::NotRun { why, after_ms };
+            }
             return Err(progress.last_failure);
         };
         if let Some(refusal) = check_quarantine(cx, call, now) {
@@ -207,9 +212,11 @@
         | NotRun::Malformed
         | NotRun::OutsideRegions => return false,
         NotRun::Moving | NotRun::NotGranted | NotRun::NotOwner => MOVE_WAIT_FRACTION,
-        NotRun::Unreachable | NotRun::NoBackend | NotRun::Leaving | NotRun::TurnedAway => {
-            UNREACHABLE_WAIT_FRACTION
-        }
+        NotRun::Unreachable
+        | NotRun::NoBackend
+        | NotRun::Leaving
+        | NotRun::TurnedAway
+        | NotRun::Evacuated => UNREACHABLE_WAIT_FRACTION,
     };
     wait_for_key(cx, call, fraction).await
 }
@@ -241,15 +248,17 @@
 
 fn pick_host(cx: &Cx, call: &Call, tried: &[HostAddr], now: Millis) -> Option<Pick> {
     let mut state = cx.state.borrow_mut();
+    let mut excluded = evacuation::evacuated_hosts(&state);
     if let Some(key) = call.key {
         let host = state.map(&call.service)?.range_of(key).owner;
-        return Some(Pick { host, max_wait: None });
+        return (!excluded.contains(&host)).then_some(Pick { host, max_wait: None });
     }
+    excluded.extend(tried);
     let balancer = state.load_balancer(&call.service);
     let class = call.forward.class;
     let req = PickRequest {
         class,
-        tried,
+        tried: &excluded,
         regions: &call.allowed_regions,
         body_bytes: large_body_bytes(call),
         response_bytes: balancer.mean_response_bytes(class),
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -8,12 +8,12 @@
 use log::info;
 use mesh::{
     BodyAdmission, ClassLoad, ColdStart, Config, CrashSuspects, DepartureLog, Distance,
-    GrantDelivery, HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts, LoadBalancer, LoadReport,
-    OwnershipTiming, PeerHost, QueueLimits, RenewalWriterSelector, RequestQueue, ResponseLink,
-    RetryBudget, Service, SuspectUpdate, TransferId, UpdateSourceCandidates, UpdateSourceSelector,
-    Witness,
+    Evacuations, GrantDelivery, HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts,
+    LoadBalancer, LoadReport, OwnershipTiming, PeerHost, QueueLimits, RenewalWriterSelector,
+    RequestQueue, ResponseLink, RetryBudget, Service, SuspectUpdate, TransferId,
+    UpdateSourceCandidates, UpdateSourceSelector, Witness,
 };
-use model::{Clock, HostAddr, Millis, RegionName, RowVersion, ServiceName};
+use model::{Clock, HostAddr, Millis, RegionName, RowVersion, ServiceName, ZoneName};
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -27,6 +27,8 @@
 pub struct State {
     /// The configuration in force.
     pub config: Option<ActiveConfig>,
+    /// The zones that the operator has evacuated.
+    pub evacuations: Evacuations,
     /// All known hosts.
     pub hosts: HostDirectory<HostRow>,
     /// Selects where this process reads changes in the store from: the store or another host.
@@ -137,6 +139,8 @@
     Start,
     /// It can no longer finish in time.
     Expired,
+    /// The zone of this host is evacuated.
+    Evacuated,
 }
 
 /// The context that all tasks share.
@@ -219,6 +223,7 @@
         queue.set_cold_start(ColdStart::new(now));
         let state = State {
             config: None,
+            evacuations: Evacuations::default(),
             hosts: HostDirectory::default(),
             source_selector: UpdateSourceSelector::new(me, now),
             hosts_read: false,
@@ -391,6 +396,7 @@
             mean_run_ms: u32::try_from(queue.mean_run_time().0).unwrap_or(u32::MAX),
             accepting: state.deregistered_at.is_none()
                 && state.ownership.backend_serving()
+                && !state.evacuations.is_evacuated(&self.settings.zone)
                 && !self.stopping.get(),
             body_wait_ms: u32::try_from(state.bodies.expected_wait().0).unwrap_or(u32::MAX),
             link_bytes_per_ms: self.settings.limits.bodies().bytes_per_ms as u32,
@@ -432,6 +438,11 @@
     }
 }
 
+/// Returns the id of the group of hosts that may be lost together with those of a zone.
+pub fn failure_domain(zone: &ZoneName) -> u64 {
+    xxh3_64(zone.as_str().as_bytes())
+}
+
 impl State {
     /// Updates the hosts from which witnesses of this host's lease are chosen.
     pub fn update_peers(&mut self, service: &ServiceName) {
@@ -439,7 +450,7 @@
         let peers = of_service.map(|(host, row)| PeerHost {
             host,
             process: row.process,
-            failure_domain: xxh3_64(row.zone.as_str().as_bytes()),
+            failure_domain: failure_domain(&row.zone),
         });
         let peers = peers.collect();
         self.ownership.set_peers(peers);
