Reject responses of backend servers of `serve` whose status is not final

A backend server in trouble may send a status such as 000. awc accepts any status from 100 to 999 and takes an interim response for the final one, so that the final one became the response to the next request on the connection. The caller got these as responses with the outcome "ran".

The connection now checks status lines before awc parses them: 100 and 103 before a final response are removed, and anything else outside 200 to 599 or without three digits fails the request and closes the connection. The caller gets 502 with the outcome "unknown" and the reason `invalid-answer`. Hosts also reject such a status if another host passes it on or hands it over in a record. A host of an earlier release can't decode the new reason and reports the outcome as unknown with 504.

Already rejected as connection lost: 000 to 099, other lengths, signs, blanks and letters; these now give 502 instead of 504.

--- a/crates/host/src/backend.rs
+++ b/crates/host/src/backend.rs
@@ -318,6 +318,10 @@
             Outcome::NotRun(NotRunReason::NotConnected),
             ConnectionHealth::Refused,
         ),
+        Delivery::MaybeSent if http_client::is_invalid_response(error) => AttemptResult::new(
+            Outcome::Unknown(UnknownReason::InvalidResponse),
+            ConnectionHealth::Broken,
+        ),
         Delivery::MaybeSent => AttemptResult::new(
             Outcome::Unknown(UnknownReason::ConnectionLost),
             ConnectionHealth::Broken,
--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -14,7 +14,7 @@
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use model::{Clock, Millis, Outcome, RequestId};
+use model::{Clock, Millis, Outcome, RequestId, UnknownReason, is_final_status};
 use papayarill_config::{Config, RetrySafety, Service};
 use routing::response::{self, ErrorResponse, OUTCOME_HEADER, RETRY_AFTER_HEADER};
 use routing::rules::{self, RequestPolicy};
@@ -289,9 +289,16 @@
 }
 
 fn outcome_response(result: RequestResult) -> HttpResponse {
-    match response::for_outcome(&result.outcome, result.retry_after) {
+    // Records that a host of an earlier release handed over may hold a status of no response.
+    let outcome = match result.outcome {
+        Outcome::Ran((head, _)) if !is_final_status(head.status) => {
+            Outcome::Unknown(UnknownReason::InvalidResponse)
+        }
+        outcome => outcome,
+    };
+    match response::for_outcome(&outcome, result.retry_after) {
         Some(error) => error_response(&error),
-        None => match result.outcome {
+        None => match outcome {
             Outcome::Ran((head, body)) => backend_response(head, body),
             _ => HttpResponse::InternalServerError().finish(),
         },
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -1,17 +1,25 @@
 //! The HTTP client for backend servers: awc, configured to report failures accurately.
 //!
 //! By default, awc ends a truncated body without an error, follows redirects, and reports a lost
-//! response as a failure to connect. For a router this would be wrong: it would forward a truncated
+//! response as a failure to connect. It passes on any status from 100 to 999, and takes an interim
+//! response for the final one. For a router this would be wrong: it would forward a truncated
 //! response as complete, or report a request as not run that did run.
 
+mod status_line;
 mod strict_eof;
 
+use std::error::Error;
+use std::io;
+
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use awc::{Client, Connector};
 use model::Millis;
 
+/// The kind of the error of a connection whose server sent something that is not a response.
+const NOT_A_RESPONSE: io::ErrorKind = io::ErrorKind::InvalidData;
+
 /// How the head of a response delimits the body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -104,3 +112,19 @@
         _ => Delivery::MaybeSent,
     }
 }
+
+/// Returns whether a request failed because the server sent something that is not a response.
+pub fn is_invalid_response(error: &SendRequestError) -> bool {
+    let mut cause: Option<&(dyn Error + 'static)> = match error {
+        SendRequestError::Response(error) => Some(error),
+        SendRequestError::Send(error) => Some(error),
+        _ => None,
+    };
+    while let Some(error) = cause {
+        if error.downcast_ref::<io::Error>().is_some_and(|e| e.kind() == NOT_A_RESPONSE) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -17,6 +17,6 @@
     WriterTag, partition_of,
 };
 pub use names::{Name, NameError, RegionName, ServiceName, ZoneName};
-pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use outcome::{NotRunReason, Outcome, UnknownReason, is_final_status};
 pub use record::{HandoverRecord, KeptResponse, RecordOutcome};
 pub use request::{Priority, RequestId, RequestIdError};
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -76,6 +76,8 @@
         BackendDied,
         /// The owner lost its lease while the request was running.
         LeaseLost,
+        /// What the backend server sent is not a response.
+        InvalidResponse,
     }
 }
 
@@ -107,6 +109,13 @@
             Self::HistoryIncomplete => "not-vouched",
             Self::BackendDied => "backend-died",
             Self::LeaseLost => "lease-lost",
+            Self::InvalidResponse => "invalid-answer",
         })
     }
 }
+
+/// Returns whether `status` is one of a final response. A response with another one, such as 000
+/// from a backend server in trouble, is not a response.
+pub fn is_final_status(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
--- a/crates/routing/src/response.rs
+++ b/crates/routing/src/response.rs
@@ -124,6 +124,7 @@
 pub fn unknown(reason: UnknownReason) -> ErrorResponse {
     match reason {
         UnknownReason::HistoryIncomplete => records_incomplete(reason),
+        UnknownReason::InvalidResponse => ErrorResponse::new(502, OutcomeKind::Unknown, reason),
         _ => ErrorResponse::new(504, OutcomeKind::Unknown, reason),
     }
 }
--- a/crates/routing/tests/response.rs
+++ b/crates/routing/tests/response.rs
@@ -21,6 +21,8 @@
     check(Outcome::NotRun(NotRunReason::Overloaded), overloaded);
     check(Outcome::NotRun(NotRunReason::Quarantined), "422 outcome=not-run reason=quarantined");
     check(Outcome::Unknown(UnknownReason::Timeout), "504 outcome=unknown reason=timeout");
+    let invalid = Outcome::Unknown(UnknownReason::InvalidResponse);
+    check(invalid, "502 outcome=unknown reason=invalid-answer");
 }
 
 #[test]
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -13,7 +13,7 @@
 use h2::{Reason, RecvStream, SendStream};
 use http::{Method, Request, Response, StatusCode};
 use log::{debug, warn};
-use model::{HostAddr, Millis, NotRunReason, Outcome, UnknownReason};
+use model::{HostAddr, Millis, NotRunReason, Outcome, UnknownReason, is_final_status};
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time::{Instant, timeout_at};
 
@@ -326,6 +326,10 @@
         Err(_) => return Err(Outcome::Unknown(UnknownReason::ConnectionLost)),
     };
     match decode_outcome(&frame) {
+        Ok(Outcome::Ran(head)) if !is_final_status(head.status) => {
+            warn!("wire: a host passed on status {}, which is not one of a response", head.status);
+            Err(Outcome::Unknown(UnknownReason::InvalidResponse))
+        }
         Ok(outcome) => Ok((outcome, reader)),
         Err(e) => {
             warn!("wire: cannot decode the response to a forwarded request: {e}");
--- a/crates/wire/src/wire_types/call.rs
+++ b/crates/wire/src/wire_types/call.rs
@@ -96,6 +96,7 @@
     HistoryIncomplete,
     BackendDied,
     LeaseLost,
+    InvalidResponse,
 });
 wire_type!(enum WireOutcome = HeadOutcome {
     Ran(head: WireResponseHead),
--- a/crates/wire/tests/common/values.rs
+++ b/crates/wire/tests/common/values.rs
@@ -355,12 +355,14 @@
             NotRunReason::StaleConfig,
             NotRunReason::Abandoned,
         ];
-        const UNKNOWN: [UnknownReason; 5] = [
+        const UNKNOWN: [UnknownReason; 7] = [
             UnknownReason::ConnectionLost,
             UnknownReason::Timeout,
             UnknownReason::ResponseTruncated,
             UnknownReason::HistoryIncomplete,
             UnknownReason::BackendDied,
+            UnknownReason::LeaseLost,
+            UnknownReason::InvalidResponse,
         ];
         match self.below(3) {
             0 => Outcome::NotRun(NOT_RUN[self.below(NOT_RUN.len())]),
--- a/crates/wire/tests/outcomes.rs
+++ b/crates/wire/tests/outcomes.rs
@@ -51,7 +51,12 @@
     NoResponse,
     Status(StatusCode),
     Raw(&'static [u8]),
-    Head { announced: Option<u64>, sent: &'static [u8] },
+    Head {
+        announced: Option<u64>,
+        sent: &'static [u8],
+    },
+    /// Passes on a response with this status.
+    HeadStatus(u16),
     ReportNotRun,
     ReportUnknown,
 }
@@ -110,6 +115,10 @@
             let data = framed(Outcome::Ran(common::response_head(announced)), sent);
             drop(respond(&mut tx, data));
         }
+        PeerFault::HeadStatus(status) => {
+            let head = wire::ResponseHead { status, ..common::response_head(Some(0)) };
+            drop(respond(&mut tx, framed(Outcome::Ran(head), b"")));
+        }
         PeerFault::ReportNotRun => {
             drop(respond(&mut tx, framed(Outcome::NotRun(NotRunReason::NoLease), b"")));
         }
@@ -148,6 +157,24 @@
     check(PeerFault::ReportUnknown, Reported::Unknown(UnknownReason::BackendDied));
 }
 
+/// Guards against a status of no response that a host of an earlier release passes on.
+#[test]
+fn a_status_that_is_not_final_makes_the_outcome_unknown() {
+    let statuses = [(0, false), (99, false), (100, false), (101, false), (199, false), (200, true)];
+    for (status, is_response) in statuses.into_iter().chain([(599, true), (600, false)]) {
+        let reported = run(async {
+            let to = faulty_peer(PeerFault::HeadStatus(status)).await;
+            forward(&client(), to, LONG).await
+        });
+
+        let expected = match is_response {
+            true => Reported::Complete(Bytes::new()),
+            false => Reported::Unknown(UnknownReason::InvalidResponse),
+        };
+        assert_eq!(reported, expected, "{status}");
+    }
+}
+
 #[test]
 fn a_sent_request_is_not_run_only_if_the_peer_reports_it() {
     let check = |fault, expected| {
