Reject responses of backend servers of `sidecar` whose status is not final

A response with a status from 600 to 999, or 101, reached the caller as a response, or as a refusal if it had the header of one, which promises that the request did not run. A final response from 102 to 199 held the request until its time limit. A host took any status that another host passed on, and replaced one that HTTP can't express by 502 with the headers of the backend server.

The HTTP client now fails such a request as possibly run and closes its connection. Interim responses 100 and 103 are skipped as before, all others fail the request at once.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -9,19 +9,25 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
-use model::{Clock, Millis};
+use model::{Clock, Millis, is_final_status};
 use snafu::Snafu;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
+/// The interim responses that may precede a final one. Any other response below 200 is no response,
+/// and a server that sends one may not send a final response at all.
+const INTERIM: [StatusCode; 2] = [StatusCode::CONTINUE, StatusCode::EARLY_HINTS];
+
 /// Why a request got no response.
 #[derive(Debug, Snafu)]
 pub enum SendError {
@@ -150,7 +156,22 @@
                 }
                 None => (self.open().await?, false),
             };
-            match tx.try_send_request(req).await {
+            let unexpected = Arc::new(Notify::new());
+            let notify = unexpected.clone();
+            hyper::ext::on_informational(&mut req, move |response| {
+                if !INTERIM.contains(&response.status()) {
+                    notify.notify_one();
+                }
+            });
+            let result = tokio::select! {
+                biased;
+                () = unexpected.notified() => {
+                    let reason = "unexpected interim response".to_owned();
+                    return UnknownSnafu { reason }.fail();
+                }
+                result = tx.try_send_request(req) => result,
+            };
+            match result {
                 Ok(response) => return self.read(tx, response).await,
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if reused => req = unsent,
@@ -173,6 +194,10 @@
         response: Response<hyper::body::Incoming>,
     ) -> Result<Response<Bytes>, SendError> {
         let (head, body) = response.into_parts();
+        if !is_final_status(head.status.as_u16()) {
+            let reason = format!("status {} is not one of a response", head.status.as_u16());
+            return UnknownSnafu { reason }.fail();
+        }
         let body = read_body(body, self.settings.max_response_bytes).await;
         let body = body.map_err(|e| SendError::Unknown { reason: e.to_string() })?;
         self.keep_idle(tx, &head);
--- a/crates/sidecar/src/response.rs
+++ b/crates/sidecar/src/response.rs
@@ -41,7 +41,8 @@
     };
     match result {
         Ok((reply, body)) => {
-            let Outcome::Ran { status, headers } = reply.outcome else {
+            let Outcome::Ran { status, headers } = reply.outcome.with_final_status() else {
+                count("unknown");
                 return error_response(ErrorResponse::IncompleteResponse, Some(id));
             };
             count("answered");
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -170,7 +170,8 @@
             Err(e) => return (unknown(e.to_string()), Bytes::new()),
         };
         return match decode::<ForwardReply>(body) {
-            Ok((reply, body)) => {
+            Ok((mut reply, body)) => {
+                reply.outcome = reply.outcome.with_final_status();
                 cx.observe_config_version(reply.version);
                 cx.merge_suspects(&reply.suspects);
                 (reply, body)
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -4,7 +4,7 @@
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use mesh::{HostUpdate, LoadReport, Member, Renewal, RowName, SuspectUpdate, WriteOutcome};
-use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName};
+use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName, is_final_status};
 use snafu::{ResultExt, Snafu};
 
 /// The largest head. Request headers are limited to 16 KiB or the limit in the configuration.
@@ -94,6 +94,19 @@
     },
 }
 
+impl Outcome {
+    /// Returns the outcome, or that it is unknown if the status is not one of a final response: a
+    /// host of an earlier release passes such a response on.
+    pub fn with_final_status(self) -> Self {
+        match self {
+            Self::Ran { status, .. } if !is_final_status(status) => {
+                Self::Unknown { why: format!("status {status} is not one of a response") }
+            }
+            outcome => outcome,
+        }
+    }
+}
+
 impl Default for Outcome {
     fn default() -> Self {
         Self::Unknown { why: String::new() }
--- a/crates/sidecar/tests/wire.rs
+++ b/crates/sidecar/tests/wire.rs
@@ -1,6 +1,6 @@
 //! Messages between hosts of different releases.
 
-use sidecar::wire::{MembersRequest, decode, decode_extended, encode, encode_extended};
+use sidecar::wire::{MembersRequest, Outcome, decode, decode_extended, encode, encode_extended};
 
 type Extension = (u32, String);
 
@@ -26,3 +26,20 @@
         assert_eq!(extension, expected, "{name}");
     }
 }
+
+/// Guards against a status of no response that an earlier release passes on, and that becomes
+/// another one on its way to the caller.
+#[test]
+fn a_status_that_is_not_final_leaves_the_outcome_unknown() {
+    let headers = vec![("server-seal".to_owned(), b"s".to_vec())];
+    let ran = |status| Outcome::Ran { status, headers: headers.clone() };
+    let rows = [(0, false), (99, false), (100, false), (101, false), (199, false), (200, true)];
+    let rows = rows.into_iter().chain([(421, true), (599, true), (600, false), (65_535, false)]);
+
+    for (status, is_response) in rows {
+        let found = ran(status).with_final_status();
+
+        let unknown = matches!(found, Outcome::Unknown { .. });
+        assert_eq!((found == ran(status), unknown), (is_response, !is_response), "{status}");
+    }
+}
