Find rules without effect and notable differences in configurations

`papayarill check` reported only what `apply` rejects. Operators also need to see a rule that no request matches, limits that take each other's effect away, and which differences from another version callers notice.

`papayarill_config::review` returns findings with severity, path and line: the errors of `parse`; warnings for shadowed and impossible rules and for contradicting limits; and, given another version, one finding for each difference. Lists that are sorted after they are read keep the index of the document in paths.

--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -95,15 +95,23 @@
     lines.extend(added.map(|e| format!("{kind} {}: added", name(e))));
 }
 
-fn diff_region(old: &Region, new: &Region) -> Vec<String> {
+pub(crate) fn diff_region(old: &Region, new: &Region) -> Vec<String> {
     let zones = |r: &Region| {
         let names: Vec<&str> = r.zones.iter().map(|z| z.as_str()).collect();
         names.join(", ")
     };
-    diff_setting("zones", zones(old), zones(new)).into_iter().collect()
+    diff_setting("zones", zones(old), zones(new)).into_iter().map(|(_, change)| change).collect()
 }
 
 fn diff_service(old: &Service, new: &Service) -> Vec<String> {
+    let mut lines: Vec<String> =
+        diff_settings(old, new).into_iter().map(|(_, change)| change).collect();
+    diff_rules(&old.rules, &new.rules, &mut lines);
+    lines
+}
+
+/// Returns the changed settings of a service except its rules, each with its field.
+pub(crate) fn diff_settings(old: &Service, new: &Service) -> Vec<(&'static str, String)> {
     let settings = [
         diff_setting(
             "key",
@@ -121,13 +129,15 @@
         diff_setting("unfenced-grace-ms", old.unfenced_grace, new.unfenced_grace),
         diff_setting("retry-percent", old.retry_percent, new.retry_percent),
     ];
-    let mut lines: Vec<String> = settings.into_iter().flatten().collect();
-    diff_rules(&old.rules, &new.rules, &mut lines);
-    lines
+    settings.into_iter().flatten().collect()
 }
 
-fn diff_setting<T: PartialEq + Display>(field: &str, old: T, new: T) -> Option<String> {
-    (old != new).then(|| format!("{field} {old} -> {new}"))
+fn diff_setting<T: PartialEq + Display>(
+    field: &'static str,
+    old: T,
+    new: T,
+) -> Option<(&'static str, String)> {
+    (old != new).then(|| (field, format!("{field} {old} -> {new}")))
 }
 
 fn diff_rules(old: &[Rule], new: &[Rule], lines: &mut Vec<String>) {
@@ -152,13 +162,13 @@
 }
 
 /// Returns the methods and the path, which identify a rule within its service.
-fn rule_name(rule: &Rule) -> String {
+pub(crate) fn rule_name(rule: &Rule) -> String {
     let methods: Vec<&str> = rule.methods.iter().map(|m| m.name()).collect();
     let methods = if methods.is_empty() { "*".to_owned() } else { methods.join(",") };
     format!("{methods} {}", rule.path.0)
 }
 
-fn rule_settings(rule: &Rule) -> String {
+pub(crate) fn rule_settings(rule: &Rule) -> String {
     let retry_safety = match rule.retry_safety {
         RetrySafety::Idempotent => "repeatable",
         RetrySafety::AtMostOnce => "at most once",
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod lines;
 mod nesting;
+mod review;
 mod to_doc;
 mod tracker;
 mod yaml;
@@ -26,5 +27,6 @@
     MAX_RULES_PER_SERVICE, MAX_SERVICES, MAX_ZONES_PER_REGION,
 };
 pub use nesting::{MAX_OPEN_BRACKETS, line_of_excessive_nesting};
+pub use review::{Finding, Review, Severity, line_of_field, review};
 pub use tracker::{ConfigTracker, FreshnessLimits};
 pub use yaml::{parse, to_yaml};
--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -33,6 +33,10 @@
 /// The maximum number of errors that are reported for one document.
 pub(crate) const MAX_REPORTED_ERRORS: usize = 50;
 
+/// The maximum number of findings that are reported for one valid document. The line of each is
+/// found by reading the document again.
+pub(crate) const MAX_REPORTED_FINDINGS: usize = 200;
+
 /// The range of a number and, if the field is optional, its default.
 pub(crate) struct NumberSpec {
     pub(crate) range: RangeInclusive<u64>,
