Extend `papayarill check` to all findings, settings files and differences

The command printed what `apply` rejects. It now prints each finding in one line with its severity, line and path, or all as JSON, and ends with 1 only if there are errors. `--against` and `--platform` report the differences from a file and from the version in force, `--settings` checks the settings of a sidecar or host process, also against the document. A document of the platform is told by its content.

A file that is too long is reported as such; it was reported as not UTF-8 if the limit cut a character.

--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -109,6 +109,11 @@
 }
 
 impl ValidationErrors {
+    /// Returns the path of each invalid value with what was found and expected.
+    pub fn entries(&self) -> impl Iterator<Item = (&'static str, String)> {
+        self.0.iter().map(|e| (e.path, format!("found {}, expected {}", e.found, e.expected)))
+    }
+
     fn push(&mut self, path: &'static str, found: impl fmt::Display, expected: impl fmt::Display) {
         let error =
             ValidationError { path, found: found.to_string(), expected: expected.to_string() };
--- a/crates/papayarill/src/apply.rs
+++ b/crates/papayarill/src/apply.rs
@@ -128,6 +128,15 @@
     Err(format!("version {newest} is in force now, not {base}; nothing was changed\n{changes}"))
 }
 
+/// Reads the configuration in force, or `None` if there is none yet.
+pub async fn read_in_force(platform: PlatformAddr) -> Result<Option<Config>, CommandError> {
+    let platform = PlatformClient::new(platform.into(), PLATFORM_TIMEOUT);
+    match platform.read_head().await.map_err(|e| e.to_string())? {
+        Some(version) => Ok(Some(read_version(&platform, version).await?.config)),
+        None => Ok(None),
+    }
+}
+
 async fn read_version(
     platform: &PlatformClient,
     version: ConfigVersion,
--- a/crates/papayarill/src/document.rs
+++ b/crates/papayarill/src/document.rs
@@ -20,21 +20,35 @@
 
 /// Reads and validates a document. Each line of the error names the file.
 pub fn read(file: &str) -> Result<Document, CommandError> {
-    let text = read_text(file).map_err(|e| format!("{file}: cannot be read: {e}"))?;
+    let text = read_text(file).map_err(|e| format!("{file}: {e}"))?;
     match papayarill_config::parse(&text) {
         Ok(config) => Ok(Document { text, config }),
         Err(error) => Err(error.format_for_file(file)),
     }
 }
 
-fn read_text(file: &str) -> io::Result<String> {
-    if file == STDIN { read_limited(io::stdin()) } else { read_limited(File::open(file)?) }
+/// Reads the text of a file. The error doesn't name the file.
+pub fn read_text(file: &str) -> Result<String, CommandError> {
+    let read = if file == STDIN {
+        read_limited(io::stdin())
+    } else {
+        File::open(file).and_then(read_limited)
+    };
+    let bytes = read.map_err(|e| format!("cannot be read: {e}"))?;
+    if bytes.len() > MAX_DOCUMENT_BYTES {
+        return Err(format!("found more than {MAX_DOCUMENT_BYTES} bytes"));
+    }
+    String::from_utf8(bytes).map_err(|e| {
+        let valid = e.utf8_error().valid_up_to();
+        let line = 1 + e.as_bytes()[..valid].iter().filter(|b| **b == b'\n').count();
+        format!("line {line}: cannot be read: found a byte that is not UTF-8")
+    })
 }
 
-/// Reads up to one byte more than the limit, so that validation detects an oversized document.
-fn read_limited(source: impl Read) -> io::Result<String> {
-    let mut text = String::new();
+/// Reads up to one byte more than the limit, so that an oversized document is detected.
+fn read_limited(source: impl Read) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
     let limit = MAX_DOCUMENT_BYTES as u64 + 1;
-    source.take(limit).read_to_string(&mut text)?;
-    Ok(text)
+    source.take(limit).read_to_end(&mut bytes)?;
+    Ok(bytes)
 }
--- a/crates/papayarill/src/main.rs
+++ b/crates/papayarill/src/main.rs
@@ -44,7 +44,7 @@
     Serve(serve::ServeOptions),
     /// run the sidecar process of a backend server on the users' platform
     Sidecar(sidecar::SidecarOptions),
-    /// check a configuration document
+    /// check a configuration document or a settings file
     Check(check::CheckOptions),
     /// store a configuration document as the newest version
     Apply(apply::ApplyOptions),
@@ -77,6 +77,9 @@
     }
     init_logging(&arguments);
     match arguments.command {
+        Some(Command::Check(options)) if options.usage_error().is_some() => {
+            usage_error(options.usage_error().unwrap_or_default())
+        }
         Some(Command::Apply(options)) if options.usage_error().is_some() => {
             usage_error(options.usage_error().unwrap_or_default())
         }
