Test a status that is not final through whole sidecar processes

The rows of the libraries don't show what a caller gets. The stand-in backend server answers `/status-NNN` with that status; the caller gets 502 without seal or `Retry-After` next to the backend server and through another host, the next request is served, and both processes stay up. 000 can't be sent by the stand-in's HTTP server; it is in the rows of `http1`.

--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -9,7 +9,7 @@
 
 use adapter_stand_in::{
     Backend, CRASH_PATH_SUFFIX, CallerRequest, CallerResponse, Fault, KeyGrants, LARGE_PATH_SUFFIX,
-    LARGE_RESPONSE_BYTES, Store, send_request,
+    LARGE_RESPONSE_BYTES, STATUS_PATH_PART, Store, send_request,
 };
 use bytes::Bytes;
 use serde_json::json;
@@ -274,6 +274,34 @@
     }
 }
 
+/// Guards against a status of no response that reaches the caller, next to the backend server or
+/// through another host, or that ends a process.
+#[actix_rt::test]
+async fn a_status_that_is_not_final_becomes_a_bad_gateway() {
+    let store = Store::start().await;
+    store.put_config(&document(1));
+    let mut far = start_host(&store, SHARDED_SERVICE, "status-far").await;
+    let mut near = start_host(&store, UNSHARDED_SERVICE, "status-near").await;
+    request_until(&far, "/order/x", None, 200).await;
+    request_until(&near, "/order/x", None, 200).await;
+
+    for (name, callers) in [("far", far.callers), ("near", near.callers)] {
+        for status in [600, 999] {
+            let path = format!("/order{STATUS_PATH_PART}{status}");
+            let request = caller_request(&path, &format!("{name}-{status}"), None);
+            let response = send_request(callers, &request).await;
+            let found = response.map(|r| (r.status, r.sealed, r.retry_after));
+            assert_eq!(found, Some((502, false, None)), "{name} {status}");
+        }
+        let request = caller_request("/order/x", &format!("{name}-behind"), None);
+        let behind = send_request(callers, &request).await;
+        assert_eq!(behind.map(|r| r.status), Some(200), "{name}");
+    }
+
+    assert!(far.child.try_wait().unwrap().is_none(), "the process of {} ended", far.callers);
+    assert!(near.child.try_wait().unwrap().is_none(), "the process of {} ended", near.callers);
+}
+
 #[actix_rt::test]
 async fn a_request_that_crashes_backend_servers_is_refused_on_all_hosts() {
     let store = Store::start().await;
