--- a/crates/papayarill/tests/configuration.rs
+++ b/crates/papayarill/tests/configuration.rs
@@ -218,3 +218,20 @@
         &["not known to be in force everywhere", &format!("{behind} runs version 0")],
     );
 }
+
+/// Guards against a comparison with another version than the one in force.
+#[test]
+fn check_reports_the_differences_from_the_version_in_force() {
+    let platform = start_platform();
+    let first = example("signage.yaml");
+    let second = signage_with_slots("in-force-22.yaml", 22);
+    let against = |document: &str, text: &str| {
+        check(&["check", document, "--platform", &platform], EXIT_OK, &[text]);
+    };
+    against(&first, "no version is in force to compare with");
+    for (document, based_on) in [(&first, "0"), (&second, "1")] {
+        let args = ["apply", document, "--based-on", based_on, "--platform", &platform];
+        check(&args, EXIT_OK, &["accepted as version"]);
+    }
+    against(&first, "services[1].slots: slots 22 -> 18");
+}
