--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,8 @@
 mod error;
 mod limits;
 mod lines;
+mod nesting;
+mod review;
 mod to_doc;
 mod tracker;
 mod yaml;
@@ -24,5 +26,7 @@
     MAX_DOCUMENT_BYTES, MAX_PARTITIONS_PER_CELL, MAX_PARTITIONS_PER_SERVICE, MAX_REGIONS,
     MAX_RULES_PER_SERVICE, MAX_SERVICES, MAX_ZONES_PER_REGION,
 };
+pub use nesting::{MAX_OPEN_BRACKETS, line_of_excessive_nesting};
+pub use review::{Finding, Review, Severity, line_of_field, review};
 pub use tracker::{ConfigTracker, FreshnessLimits};
 pub use yaml::{parse, to_yaml};
--- a/crates/sidecar/src/evacuation.rs
+++ b/crates/sidecar/src/evacuation.rs
@@ -5,9 +5,10 @@
 
 use log::{info, warn};
 use mesh::{Evacuations, ZoneEvacuation};
-use model::HostAddr;
+use model::{HostAddr, ZoneName};
 
 use crate::ingress::Call;
+use crate::settings::Settings;
 use crate::state::{Cx, State, WaitOutcome, failure_domain};
 use crate::wire::{EvacuationWire, EvacuationsWire};
 
@@ -27,9 +28,8 @@
             false => info!("event=evacuation-ended zone={zone} version={version}"),
         }
     }
-    let domains = state.evacuations.active().map(failure_domain).collect();
     let evacuated = state.evacuations.is_evacuated(own_zone);
-    state.ownership.set_evacuation(evacuated, domains);
+    restrict_key_placement(&mut state, &cx.settings);
     if changed.iter().any(|z| z.zone == *own_zone) {
         if evacuated {
             for (_, waiter) in state.waiters.drain(..) {
@@ -47,6 +47,23 @@
     cx.grants_due.notify_one();
 }
 
+/// Tells key ownership in which zones no keys of this host's service may be: those that are
+/// evacuated, and those in regions that not all routes to the service allow. A service that no
+/// region may hold keeps its keys, and the requests of the routes in question are refused.
+pub fn restrict_key_placement(state: &mut State, settings: &Settings) {
+    let config = state.config.as_ref().map(|c| &c.config);
+    let allows = |region| config.is_none_or(|c| c.allows_keys_in(&settings.service, region));
+    let regions_hold = settings.regions.values().any(allows);
+    let excluded = |zone: &ZoneName| {
+        let region = settings.regions.get(zone).filter(|_| regions_hold);
+        state.evacuations.is_evacuated(zone) || region.is_some_and(|region| !allows(region))
+    };
+    let own_zone = excluded(&settings.zone);
+    let domains = settings.regions.keys().filter(|zone| excluded(zone)).map(failure_domain);
+    let domains = domains.collect();
+    state.ownership.set_evacuation(own_zone, domains);
+}
+
 /// Merges what another host knows. A host of the previous release knows nothing.
 pub fn merge(cx: &Rc<Cx>, known: EvacuationsWire) {
     let updates: Result<Vec<_>, _> =
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -175,7 +175,8 @@
             Err(e) => return (unknown(e.to_string()), Bytes::new()),
         };
         return match decode_extended::<ForwardReply, ForwardReplyExtension>(body) {
-            Ok((reply, extension, body)) => {
+            Ok((mut reply, extension, body)) => {
+                reply.outcome = reply.outcome.with_final_status();
                 cx.observe_config_version(reply.version);
                 cx.merge_suspects(&reply.suspects);
                 cx.record_class_load(host, forward, extension.class);
--- a/crates/sidecar/src/store_watch.rs
+++ b/crates/sidecar/src/store_watch.rs
@@ -349,6 +349,7 @@
     let cold_limits = service.and_then(|s| cx.settings.cold_limits(s));
     state.queue.cold_start_mut().set_limits(cold_limits);
     state.config = Some(ActiveConfig::new(row, config, document));
+    evacuation::restrict_key_placement(&mut state, &cx.settings);
 }
 
 fn log_config_issues(version: ConfigVersion, issues: &[ConfigIssue]) {
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -7,7 +7,7 @@
     ClassLoad, HostUpdate, LoadReport, Member, Renewal, RowName, SuspectUpdate, WriteOutcome,
     ZoneEvacuation,
 };
-use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName};
+use model::{HostAddr, NameError, RowVersion, ServiceName, ZoneName, is_final_status};
 use snafu::{ResultExt, Snafu};
 
 /// The largest head. Request headers are limited to 16 KiB or the limit in the configuration.
@@ -113,6 +113,17 @@
             other => other,
         }
     }
+
+    /// Returns the outcome, or that it is unknown if the status is not one of a final response: a
+    /// host of an earlier release passes such a response on.
+    pub fn with_final_status(self) -> Self {
+        match self {
+            Self::Ran { status, .. } if !is_final_status(status) => {
+                Self::Unknown { why: format!("status {status} is not one of a response") }
+            }
+            outcome => outcome,
+        }
+    }
 }
 
 impl Default for Outcome {
--- a/crates/sidecar/tests/wire.rs
+++ b/crates/sidecar/tests/wire.rs
@@ -64,6 +64,7 @@
         (NotRun::Crashes, Previous::Crashes),
         (NotRun::Malformed, Previous::Malformed),
         (NotRun::Evacuated, Previous::Leaving),
+        (NotRun::OutsideRegions, Previous::Leaving),
     ];
     for (why, expected) in rows {
         let Outcome::NotRun { why: told, after_ms } =
@@ -92,3 +93,20 @@
         assert_eq!(found, expected);
     }
 }
+
+/// Guards against a status of no response that an earlier release passes on, and that becomes
+/// another one on its way to the caller.
+#[test]
+fn a_status_that_is_not_final_leaves_the_outcome_unknown() {
+    let headers = vec![("server-seal".to_owned(), b"s".to_vec())];
+    let ran = |status| Outcome::Ran { status, headers: headers.clone() };
+    let rows = [(0, false), (99, false), (100, false), (101, false), (199, false), (200, true)];
+    let rows = rows.into_iter().chain([(421, true), (599, true), (600, false), (65_535, false)]);
+
+    for (status, is_response) in rows {
+        let found = ran(status).with_final_status();
+
+        let unknown = matches!(found, Outcome::Unknown { .. });
+        assert_eq!((found == ran(status), unknown), (is_response, !is_response), "{status}");
+    }
+}
