Add an HTTP/1.1 server connection that runs pipelined requests concurrently

hyper reads the next request of a connection only after the response before it is written, so pipelined requests wait behind a slow one and their deadline doesn't count that time. The module http1::server reads and starts requests while earlier ones are in progress, up to limits in number and bytes, and writes the responses in order. A request that the policy doesn't let start early waits until the responses before it are written. A caller that leaves cancels all its handlers, also while nothing is read from it.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -4,6 +4,10 @@
 //! depends on whether any part of it left this process, and a connection that received unexpected
 //! data must never be reused. This crate therefore pools connections itself instead of relying on a
 //! client library. Dropping a request in flight closes its connection.
+//!
+//! The module [`server`] serves connections of callers that pipeline requests.
+
+pub mod server;
 
 use std::cell::RefCell;
 use std::io::ErrorKind;
--- /dev/null
+++ b/crates/http1/src/server.rs
@@ -0,0 +1,144 @@
+//! An HTTP/1.1 server connection whose requests run concurrently when they are pipelined.
+//!
+//! A request is read, and its handler started, while earlier requests of the connection are still
+//! in progress. Responses are written in the order of the requests. All handlers of a connection are
+//! polled in the task that calls [`serve`], and are dropped when the caller closes the connection.
+//! A caller that closes only its sending side counts as one that closed the connection.
+
+mod body;
+mod connection;
+mod decoder;
+mod head;
+mod output;
+mod pending;
+
+use std::future::poll_fn;
+use std::pin::pin;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http::{Request, Response, request};
+use http_body_util::Full;
+use model::Millis;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+
+pub use body::{RequestBody, RequestBodyError};
+use connection::{Connection, Step};
+
+/// Limits and timeouts of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// The largest head of a request, in bytes.
+    pub max_head_bytes: usize,
+    /// The head of the next request must arrive within this time once nothing is in progress.
+    pub head_timeout: Millis,
+    /// The maximum number of requests in progress.
+    pub max_requests: usize,
+    /// Nothing more is read while this number of bytes of requests waits to be processed.
+    pub max_unread_bytes: usize,
+    /// No further request is read or started while this number of bytes of responses waits to be
+    /// written.
+    pub max_unwritten_bytes: usize,
+    /// How much input that nobody reads is discarded before the connection is closed: a connection
+    /// that is closed with unread input is reset, and the caller may not see the response.
+    pub max_discarded_bytes: u64,
+    /// How long such input is discarded after the response.
+    pub discard_timeout: Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 64 << 10,
+            head_timeout: Millis(15_000),
+            max_requests: 16,
+            max_unread_bytes: 64 << 10,
+            max_unwritten_bytes: 1 << 20,
+            max_discarded_bytes: 4 << 20,
+            discard_timeout: Millis(3_000),
+        }
+    }
+}
+
+/// The memory that a connection holds for its caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HeldBytes {
+    /// Bytes of responses that are not written yet.
+    pub unwritten: usize,
+    /// Bytes of requests that are not processed yet.
+    pub unread: usize,
+}
+
+/// Decisions about a connection that are made outside of it.
+pub trait Policy {
+    /// Returns whether a request may start before all earlier responses of its connection are
+    /// written.
+    fn may_start_early(&self, head: &request::Parts) -> bool;
+
+    /// Returns whether connections close after the responses to the requests that they have read.
+    fn is_stopping(&self) -> bool {
+        false
+    }
+
+    /// Receives the memory that the connection holds, whenever it has changed.
+    fn record_held_bytes(&self, held: HeldBytes) {
+        let _ = held;
+    }
+}
+
+/// Serves a connection until it ends.
+///
+/// The handler returns a response and a guard, which is dropped once the response is written or the
+/// connection has ended. After `close` has completed, no further request is read, and the
+/// connection closes after the responses to those that were read.
+pub async fn serve<H, R, G>(
+    mut stream: TcpStream,
+    settings: Settings,
+    handler: H,
+    policy: impl Policy,
+    close: impl Future<Output = ()>,
+) where
+    H: Fn(Request<RequestBody>) -> R,
+    R: Future<Output = (Response<Full<Bytes>>, G)>,
+{
+    let numbered = |number: u64, request| {
+        let response = handler(request);
+        async move { (number, response.await) }
+    };
+    let mut connection = Connection::new(settings, numbered, policy);
+    let (mut reader, mut writer) = stream.split();
+    let mut close = pin!(close);
+    let mut closing = false;
+    loop {
+        let step = if connection.wants_input() || connection.has_lost_caller() {
+            poll_fn(|cx| {
+                if !closing && close.as_mut().poll(cx).is_ready() {
+                    closing = true;
+                    connection.close();
+                }
+                connection.poll(cx, Some(&mut reader), &mut writer)
+            })
+            .await
+        } else {
+            // Every interest includes the end of the stream. There is no urgent data, so this one
+            // completes for nothing else, even while there is input.
+            let mut left = pin!(reader.ready(Interest::PRIORITY));
+            poll_fn(|cx| {
+                if !closing && close.as_mut().poll(cx).is_ready() {
+                    closing = true;
+                    connection.close();
+                }
+                if left.as_mut().poll(cx).is_ready() {
+                    connection.caller_left();
+                    return Poll::Ready(Step::Continue);
+                }
+                connection.poll(cx, None, &mut writer)
+            })
+            .await
+        };
+        if step == Step::End {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/http1/src/server/output.rs
@@ -0,0 +1,182 @@
+//! The bytes that a connection has to write: heads and bodies of responses in the order of their
+//! requests.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::SystemTime;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, DATE, TRANSFER_ENCODING};
+use http::{StatusCode, response};
+use tokio::io::AsyncWrite;
+use tokio::net::tcp::WriteHalf;
+
+/// A body up to this size is copied behind its head, so that both take one buffer.
+const MAX_COPIED_BYTES: usize = 2 << 10;
+
+/// Most heads of responses are shorter.
+const TYPICAL_HEAD_BYTES: usize = 512;
+
+/// The maximum number of buffers for one system call.
+const MAX_SLICES: usize = 32;
+
+/// What determines how a response is written, besides the response.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ResponseFormat {
+    pub(super) is_http_10: bool,
+    /// The response has no body, because the request has the method HEAD.
+    pub(super) is_head: bool,
+    /// The connection closes after the response.
+    pub(super) close: bool,
+}
+
+/// The bytes to be written.
+#[derive(Debug, Default)]
+pub(super) struct Output {
+    segments: VecDeque<Bytes>,
+    /// The last segment, to which more can be appended.
+    tail: BytesMut,
+    unwritten: usize,
+    /// The number of bytes that were ever written.
+    written: u64,
+}
+
+impl Output {
+    /// Returns the number of bytes to be written.
+    pub(super) fn len(&self) -> usize {
+        self.unwritten
+    }
+
+    /// Returns whether everything was written.
+    pub(super) fn is_empty(&self) -> bool {
+        self.unwritten == 0
+    }
+
+    /// Returns the number of bytes that were ever written.
+    pub(super) fn written(&self) -> u64 {
+        self.written
+    }
+
+    /// Returns the value of [`Output::written`] once everything so far is written.
+    pub(super) fn end(&self) -> u64 {
+        self.written + self.unwritten as u64
+    }
+
+    /// Appends the interim response that asks for the body of a request.
+    pub(super) fn push_continue(&mut self) {
+        self.append(b"HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    /// Appends a response.
+    pub(super) fn push(&mut self, format: ResponseFormat, head: &response::Parts, body: Bytes) {
+        self.tail.reserve(TYPICAL_HEAD_BYTES);
+        self.append(if format.is_http_10 { b"HTTP/1.0 " } else { b"HTTP/1.1 " });
+        self.append(head.status.as_str().as_bytes());
+        self.append(b" ");
+        self.append(head.status.canonical_reason().unwrap_or("").as_bytes());
+        self.append(b"\r\n");
+        for (name, value) in &head.headers {
+            if ![CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING].contains(name) {
+                self.push_field(name.as_str(), value.as_bytes());
+            }
+        }
+        let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        // Without a body, the length is that of the response to a GET request.
+        let announced = head.headers.get(CONTENT_LENGTH);
+        let omits_body = format.is_head || head.status == StatusCode::NOT_MODIFIED;
+        if let Some(length) = announced.filter(|_| omits_body && body.is_empty()) {
+            self.push_field("content-length", length.as_bytes());
+        } else if !(has_no_body || format.is_head && body.is_empty()) {
+            self.push_field("content-length", body.len().to_string().as_bytes());
+        }
+        if format.close {
+            self.push_field("connection", b"close");
+        } else if format.is_http_10 {
+            self.push_field("connection", b"keep-alive");
+        }
+        if !head.headers.contains_key(DATE) {
+            with_date(|date| self.push_field("date", date.as_bytes()));
+        }
+        self.append(b"\r\n");
+        if !(format.is_head || has_no_body) {
+            self.push_body(body);
+        }
+    }
+
+    fn push_field(&mut self, name: &str, value: &[u8]) {
+        self.append(name.as_bytes());
+        self.append(b": ");
+        self.append(value);
+        self.append(b"\r\n");
+    }
+
+    fn push_body(&mut self, body: Bytes) {
+        if body.len() <= MAX_COPIED_BYTES {
+            self.append(&body);
+            return;
+        }
+        self.finish_tail();
+        self.unwritten += body.len();
+        self.segments.push_back(body);
+    }
+
+    fn append(&mut self, bytes: &[u8]) {
+        self.tail.extend_from_slice(bytes);
+        self.unwritten += bytes.len();
+    }
+
+    fn finish_tail(&mut self) {
+        if !self.tail.is_empty() {
+            self.segments.push_back(std::mem::take(&mut self.tail).freeze());
+        }
+    }
+
+    /// Writes as much as the socket takes.
+    pub(super) fn poll_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        socket: &mut WriteHalf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.finish_tail();
+        let mut slices = [IoSlice::new(&[]); MAX_SLICES];
+        let count = self.segments.len().min(MAX_SLICES);
+        for (slice, segment) in slices.iter_mut().zip(&self.segments) {
+            *slice = IoSlice::new(segment);
+        }
+        let n = ready!(Pin::new(socket).poll_write_vectored(cx, &slices[..count]))?;
+        if n == 0 {
+            return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+        }
+        self.unwritten -= n;
+        self.written += n as u64;
+        let mut left = n;
+        while let Some(first) = self.segments.front_mut() {
+            if left < first.len() {
+                first.advance(left);
+                break;
+            }
+            left -= first.len();
+            self.segments.pop_front();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Calls `f` with the current date, which is formatted once per second.
+fn with_date(f: impl FnOnce(&str)) {
+    thread_local! {
+        static DATE: RefCell<(u64, String)> = const { RefCell::new((0, String::new())) };
+    }
+    let now = SystemTime::now();
+    let second = now.duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_secs());
+    DATE.with_borrow_mut(|(formatted_at, date)| {
+        if *formatted_at != second {
+            *formatted_at = second;
+            *date = httpdate::fmt_http_date(now);
+        }
+        f(date);
+    });
+}
--- /dev/null
+++ b/crates/http1/tests/server/limits.rs
@@ -0,0 +1,194 @@
+//! What a server connection holds: requests in progress, bytes of requests and of responses, and
+//! what is left of it when its caller goes.
+
+use std::rc::Rc;
+
+use http1::server::{HeldBytes, Settings};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::support::{BIG_BYTES, Record, SETTLE, WAIT_LIMIT, connect, wait_until};
+
+async fn send(stream: &mut TcpStream, text: &str) {
+    timeout(WAIT_LIMIT, stream.write_all(text.as_bytes())).await.expect("sent").unwrap();
+}
+
+/// Waits until this number of handlers was started, and no more.
+async fn started(record: &Record, count: usize) {
+    wait_until("the handlers start", || record.started.borrow().len() >= count).await;
+    sleep(SETTLE).await;
+    assert_eq!(record.started.borrow().len(), count, "{:?}", record.started.borrow());
+}
+
+/// Writes until the server takes nothing more. Returns the number of bytes written.
+async fn fill(stream: &mut TcpStream, piece: &[u8]) -> usize {
+    let mut sent = 0;
+    while let Ok(n) = timeout(SETTLE * 5, stream.write(piece)).await {
+        sent += n.unwrap();
+    }
+    sent
+}
+
+/// What two sockets on one machine may buffer.
+const MAX_SOCKET_BYTES: usize = 16 << 20;
+
+/// Guards against a caller that occupies the process with requests without end.
+#[actix_rt::test]
+async fn requests_in_progress_are_limited_in_number() {
+    let settings = Settings { max_requests: 4, ..Settings::default() };
+    let (mut stream, record) = connect(settings, None).await;
+    for i in 0..6 {
+        send(&mut stream, &format!("GET /wait-{i} HTTP/1.1\r\n\r\n")).await;
+    }
+    started(&record, 4).await;
+    // A response that stands behind a missing one frees no place.
+    record.release("/wait-1");
+    started(&record, 4).await;
+    record.release("/wait-0");
+    started(&record, 6).await;
+
+    let sent = fill(&mut stream, &b"GET /wait-x HTTP/1.1\r\n\r\n".repeat(1_000)).await;
+
+    assert!(sent < MAX_SOCKET_BYTES, "{sent} bytes were taken");
+    assert!(record.most_held.get().unread <= 8 << 10, "{:?}", record.most_held.get());
+    assert_eq!(record.started.borrow().len(), 6);
+}
+
+/// Guards against bodies without end that are read for requests which can't start yet, or whose
+/// handlers don't read.
+#[actix_rt::test]
+async fn unread_bytes_of_requests_are_limited() {
+    let max_unread_bytes = Settings::default().max_unread_bytes;
+    let body = "Transfer-Encoding: chunked\r\n\r\n";
+    for behind in ["POST /p HTTP/1.1\r\n", "GET /wait-b HTTP/1.1\r\n"] {
+        let (mut stream, record) = connect(Settings::default(), None).await;
+        send(&mut stream, &format!("GET /wait-a HTTP/1.1\r\n\r\n{behind}{body}")).await;
+
+        let sent = fill(&mut stream, &b"5\r\nchunk\r\n".repeat(10_000)).await;
+
+        let most = record.most_held.get().unread;
+        assert!(sent < MAX_SOCKET_BYTES, "{behind}: {sent} bytes were taken");
+        assert!(most >= max_unread_bytes / 2, "{behind}: only {most} bytes are held");
+        assert!(most <= 2 * max_unread_bytes, "{behind}: {most} bytes are held");
+    }
+}
+
+/// Guards against a caller that requests much and reads nothing, or slowly.
+#[actix_rt::test]
+async fn no_request_starts_while_many_bytes_wait_to_be_written() {
+    let (mut stream, record) = connect(Settings::default(), Some(16 << 10)).await;
+    for _ in 0..20 {
+        send(&mut stream, "GET /big HTTP/1.1\r\n\r\n").await;
+        sleep(SETTLE / 10).await;
+    }
+    sleep(SETTLE).await;
+    let before = record.started.borrow().len();
+    let held = record.held.get().unwritten;
+
+    let mut read = 0;
+    let mut buf = vec![0; 1 << 20];
+    while read < 20 * BIG_BYTES {
+        read += timeout(WAIT_LIMIT, stream.read(&mut buf)).await.expect("read on").unwrap();
+    }
+
+    assert!(before < 10, "{before} requests were started");
+    assert!((1..=2 * BIG_BYTES + (1 << 20)).contains(&held), "{held} bytes were held");
+    assert_eq!(record.started.borrow().len(), 20);
+    wait_until("the guards are dropped", || record.guards.get() == 0).await;
+    wait_until("nothing is held", || record.held.get() == HeldBytes::default()).await;
+}
+
+/// Guards against a request that must not run twice and starts while a response before it is still
+/// being written: the caller may lose that response, and send both again.
+#[actix_rt::test]
+async fn a_request_that_must_not_run_twice_waits_until_responses_are_written() {
+    let settings = Settings { max_unwritten_bytes: 8 * BIG_BYTES, ..Settings::default() };
+    let (mut stream, record) = connect(settings, Some(16 << 10)).await;
+    for _ in 0..5 {
+        send(&mut stream, "GET /big HTTP/1.1\r\n\r\n").await;
+    }
+    send(&mut stream, "POST /p HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\n\r\n").await;
+    wait_until("the lookup starts", || record.started.borrow().contains(&"/c".to_owned())).await;
+    sleep(SETTLE).await;
+
+    assert!(record.held.get().unwritten > 0, "everything is written already");
+    assert!(!record.started.borrow().contains(&"/p".to_owned()), "started early");
+    let mut read = 0;
+    let mut buf = vec![0; 1 << 20];
+    while !record.started.borrow().contains(&"/p".to_owned()) {
+        read += timeout(WAIT_LIMIT, stream.read(&mut buf)).await.expect("read on").unwrap();
+    }
+    // The sockets hold some megabytes of the rest.
+    assert!(read > 2 * BIG_BYTES, "started after {read} bytes were read");
+}
+
+/// Guards against work that goes on for a caller that has left, also while the connection reads
+/// nothing.
+#[actix_rt::test]
+async fn a_caller_that_leaves_cancels_its_handlers() {
+    let close: fn(TcpStream) = drop;
+    let reset: fn(TcpStream) = |stream| {
+        socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+    };
+    let rows = [
+        ("closed, one request", 1, 0, close),
+        ("reset, one request", 1, 0, reset),
+        ("closed, as many requests as may run", 16, 0, close),
+        ("reset, as many requests as may run", 16, 0, reset),
+        ("closed, with unread requests", 16, 9, close),
+        ("reset, with unread requests", 16, 9, reset),
+    ];
+    for (name, running, more, leave) in rows {
+        let (mut stream, record) = connect(Settings::default(), None).await;
+        for _ in 0..running {
+            send(&mut stream, "GET /wait HTTP/1.1\r\n\r\n").await;
+        }
+        started(&record, running).await;
+        for _ in 0..more {
+            send(&mut stream, "GET /wait HTTP/1.1\r\n\r\n").await;
+        }
+        sleep(SETTLE).await;
+
+        leave(stream);
+
+        wait_until(&format!("{name}: the connection goes on"), || record.ended.get()).await;
+        assert_eq!(record.cancelled.borrow().len(), running, "{name}");
+        assert_eq!(record.started.borrow().len(), running, "{name}");
+    }
+}
+
+/// Guards against input without end that nobody reads, and against a response that is lost because
+/// the connection is closed with unread input.
+#[actix_rt::test]
+async fn a_body_that_is_not_read_is_discarded_up_to_a_limit() {
+    let settings = Settings { max_discarded_bytes: 100_000, ..Settings::default() };
+    let cases = [
+        ("a known length within the limit", "Content-Length: 90000\r\n\r\n", false),
+        ("a known length beyond the limit", "Content-Length: 900000000\r\n\r\n", true),
+        ("chunks beyond the limit", "Transfer-Encoding: chunked\r\n\r\n", true),
+    ];
+    for (name, head, closes) in cases {
+        let (mut stream, record) = connect(settings, None).await;
+        send(&mut stream, &format!("POST /p HTTP/1.1\r\n{head}")).await;
+        let body = b"a\r\n0123456789\r\n".repeat(6_000);
+        // The connection may be closed at any time.
+        let _ = timeout(WAIT_LIMIT, stream.write_all(&body)).await.expect(name);
+        let mut received = vec![0; 12];
+        timeout(WAIT_LIMIT, stream.read_exact(&mut received)).await.expect(name).unwrap();
+
+        assert_eq!(received, b"HTTP/1.1 200", "{name}");
+        let piece = vec![b'x'; 10_000];
+        let end = async { while !record.ended.get() && stream.write_all(&piece).await.is_ok() {} };
+        if closes {
+            timeout(WAIT_LIMIT, end).await.unwrap_or_else(|_| panic!("{name}: it reads on"));
+            wait_until(name, || record.ended.get()).await;
+        } else {
+            sleep(SETTLE).await;
+            assert!(!record.ended.get(), "{name}: closed");
+        }
+        drop(stream);
+        wait_until(name, || record.ended.get()).await;
+        assert_eq!(Rc::strong_count(&record.guards), 1, "{name}");
+    }
+}
--- /dev/null
+++ b/crates/http1/tests/server/main.rs
@@ -0,0 +1,5 @@
+//! Tests of server connections over raw byte streams.
+
+mod limits;
+mod messages;
+mod support;
