--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -90,8 +90,8 @@
 /// Serves a connection until it ends.
 ///
 /// The handler returns a response and a guard, which is dropped once the response is written or the
-/// connection has ended. After `close` has completed, no further request is read, and the
-/// connection closes after the responses to those that were read.
+/// connection has ended. After `close` has completed, no further request is read besides the first
+/// one, and the connection closes after the responses to those that were read.
 pub async fn serve<H, R, G>(
     mut stream: TcpStream,
     settings: Settings,
--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -77,6 +77,7 @@
     searched: usize,
     /// Whether further requests are read.
     accepts_heads: bool,
+    closes_after_next: bool,
     caller_closes: bool,
     body: Option<CurrentBody>,
     /// The number of bytes of the current body, or after the last request, that were discarded.
@@ -119,6 +120,7 @@
             input: BytesMut::new(),
             searched: 0,
             accepts_heads: true,
+            closes_after_next: false,
             caller_closes: false,
             body: None,
             discarded: 0,
@@ -135,9 +137,11 @@
         }
     }
 
-    /// Reads no further requests, and closes the connection after the pending responses.
+    /// Reads no further requests, and closes the connection after the pending responses. If nothing
+    /// was read yet, the first request is still answered.
     pub(super) fn close(&mut self) {
-        self.accepts_heads = false;
+        self.closes_after_next = true;
+        self.accepts_heads &= self.first == 0 && self.pending.is_empty();
     }
 
     /// Cancels all requests. Responses that are encoded are still written.
@@ -292,10 +296,8 @@
                 body
             }
         };
-        if !head.keep_alive {
-            self.accepts_heads = false;
-            self.caller_closes = true;
-        }
+        self.accepts_heads = head.keep_alive && !self.closes_after_next;
+        self.caller_closes = !head.keep_alive;
         self.discarded = 0;
         let state = self.body.as_ref().map(|b| b.writer.state());
         self.pending.push_back(Pending::new(head.parts, body, state));
--- a/crates/http1/tests/server/messages.rs
+++ b/crates/http1/tests/server/messages.rs
@@ -124,6 +124,18 @@
             "an idle connection that ignores the signal to close",
             vec![Send("GET /a HTTP/1.1\r\n\r\n"), ok("/a"), Close, End],
         ),
+        (
+            "a caller that has just connected gets no response when the connection closes",
+            vec![
+                Pause,
+                Close,
+                Pause,
+                Send("POST /p HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"),
+                last("/p"),
+                End,
+                Started(&["/p"]),
+            ],
+        ),
         (
             "a caller that closes its sending side keeps its handlers running",
             vec![
