Serve callers with connections that run pipelined requests concurrently

A lookup behind a slow one on the same connection waited for it, and its deadline began only then. Callers are now served by http1::server: a request starts before earlier responses are written if its route is idempotent in the configuration in force; all others wait. The deadline of a request counts from the arrival of its head. During a planned stop only the last response on a connection closes it, and a response to a request that was accepted before the process rejects requests keeps the process from its end until it is written, also if it completes later. The connection discards the rest of refused bodies, with the former limits.

--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use adapter_stand_in::{
-    Backend, CRASH_PATH_SUFFIX, CallerRequest, CallerResponse, Fault, KeyGrants, LARGE_PATH_SUFFIX,
-    LARGE_RESPONSE_BYTES, Store, send_request,
+    Backend, CRASH_PATH_SUFFIX, CallerRequest, CallerResponse, Fault, HELD_PATH_SUFFIX, KeyGrants,
+    LARGE_PATH_SUFFIX, LARGE_RESPONSE_BYTES, Store, send_request,
 };
 use bytes::Bytes;
 use serde_json::json;
@@ -625,3 +625,70 @@
     );
     assert!(failed.iter().all(|s| *s == 503), "{failed:?}");
 }
+
+/// Guards against lookups that wait behind a slow one on the same connection until their time is up,
+/// and against an order that runs although the response before it may be lost.
+#[actix_rt::test]
+async fn pipelined_lookups_run_while_the_first_is_slow() {
+    let store = Store::start().await;
+    store.put_config(&document(2));
+    let a = start_host(&store, UNSHARDED_SERVICE, "pipe-a").await;
+    request_until(&a, "/late/x", None, 200).await;
+    let ran = |id: &str| a.backend.executed().iter().any(|r| r.id == id);
+    let request = |method: &str, path: &str, id: &str| {
+        format!(
+            "{method} {path} HTTP/1.1\r\nhost: h.example\r\nattempt-id: {id}\r\n\
+             deadline-ms: 5000\r\ncontent-length: 0\r\n\r\n"
+        )
+    };
+    let held = format!("/late{HELD_PATH_SUFFIX}");
+
+    let mut stream = tokio::net::TcpStream::connect(a.callers).await.unwrap();
+    let pipeline = [
+        request("GET", &held, "pipe-0"),
+        request("GET", "/late/x", "pipe-1"),
+        request("POST", "/order/x", "pipe-2"),
+        request("GET", "/late/x", "pipe-3"),
+    ];
+    stream.write_all(pipeline.concat().as_bytes()).await.unwrap();
+    wait_until("the lookups behind the slow one ran", || ran("pipe-1") && ran("pipe-3")).await;
+    let order_ran_early = ran("pipe-2");
+    let held_count = a.backend.held_requests().count();
+    a.backend.held_requests().release();
+    let mut received = Vec::new();
+    while received.windows(6).filter(|w| w == b"ran by").count() < 4 {
+        let read = timeout(WAIT_LIMIT, stream.read_buf(&mut received)).await;
+        assert_ne!(read.expect("the responses come").unwrap(), 0, "closed early");
+    }
+
+    assert_eq!((order_ran_early, held_count), (false, 1));
+    let text = String::from_utf8(received).unwrap();
+    let ids: Vec<&str> =
+        text.lines().filter_map(|l| l.strip_prefix("attempt-id: ")).map(str::trim).collect();
+    assert_eq!(ids, ["pipe-0", "pipe-1", "pipe-2", "pipe-3"]);
+    assert_eq!(text.matches("HTTP/1.1 200").count(), 4, "{text}");
+}
+
+/// Guards against work that goes on for a caller that has left.
+#[actix_rt::test]
+async fn a_caller_that_leaves_ends_its_pipelined_lookups_at_the_backend_server() {
+    let store = Store::start().await;
+    store.put_config(&document(2));
+    let a = start_host(&store, UNSHARDED_SERVICE, "gone-a").await;
+    request_until(&a, "/late/x", None, 200).await;
+
+    let mut stream = tokio::net::TcpStream::connect(a.callers).await.unwrap();
+    for i in 0..3 {
+        let request = format!(
+            "GET /late{HELD_PATH_SUFFIX} HTTP/1.1\r\nhost: h.example\r\nattempt-id: gone-{i}\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+    }
+    wait_until("all run", || a.backend.held_requests().count() == 3).await;
+    let left_at = Instant::now();
+    drop(stream);
+    wait_until("none runs", || a.backend.held_requests().count() == 0).await;
+
+    // Without cancellation, they would run until their time limit of five seconds.
+    assert!(left_at.elapsed() < Duration::from_secs(3), "{:?}", left_at.elapsed());
+}
--- a/crates/sidecar/src/bodies.rs
+++ b/crates/sidecar/src/bodies.rs
@@ -2,6 +2,7 @@
 //! other hosts, which are asked before anything is sent.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,12 +10,12 @@
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::Body;
 use log::info;
 use mesh::{TransferDecision, TransferId};
 use model::{HostAddr, Millis};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::backend::check_runnable;
 use crate::rpc;
@@ -27,10 +28,6 @@
 /// How long a caller is held back while other bodies take the memory.
 const MEMORY_WAIT: Duration = Duration::from_millis(200);
 
-/// How much of a refused body is read and discarded, and for how long: a connection that is closed
-/// with unread bytes is reset, and the caller may not see the response.
-const DISCARD_LIMIT: (usize, Duration) = (4 << 20, Duration::from_secs(3));
-
 /// The memory that the bodies of callers take, which all together may not exceed a limit.
 pub struct BodyMemory {
     limit: u64,
@@ -61,7 +58,7 @@
 
 impl MemoryGuard {
     /// Reserves more memory, after a wait if there is none.
-    async fn reserve(&mut self, bytes: u64) -> Result<(), BodyError> {
+    async fn reserve<E>(&mut self, bytes: u64) -> Result<(), BodyError<E>> {
         let memory = &self.cx.body_memory;
         let deadline = Instant::now() + MEMORY_WAIT;
         loop {
@@ -87,36 +84,35 @@
 
 /// Why a body could not be read.
 #[derive(Debug)]
-pub enum BodyError {
+pub enum BodyError<E> {
     /// It exceeds the limit on a single body.
     TooLong,
     /// Other bodies take the memory.
     NoMemory,
-    /// The connection broke.
-    Cut(hyper::Error),
+    /// The connection broke, or a chunk is malformed.
+    Cut(E),
 }
 
 /// Reads the body of a caller's request. The memory counts as used until the guard is dropped.
-pub async fn read(
+/// The connection discards the rest of a refused body.
+pub async fn read<B: Body<Data = Bytes>>(
     cx: &Rc<Cx>,
     headers: &HeaderMap,
-    mut body: Incoming,
+    body: B,
     max_bytes: usize,
-) -> Result<(Bytes, MemoryGuard), BodyError> {
+) -> Result<(Bytes, MemoryGuard), BodyError<B::Error>> {
     let mut guard = MemoryGuard { cx: cx.clone(), bytes: 0 };
-    let result = read_frames(headers, &mut body, max_bytes, &mut guard).await;
-    if let Err(BodyError::TooLong | BodyError::NoMemory) = result {
-        actix_rt::spawn(discard(body));
-    }
-    result.map(|bytes| (bytes, guard))
+    let bytes = read_frames(headers, body, max_bytes, &mut guard).await?;
+    Ok((bytes, guard))
 }
 
-async fn read_frames(
+async fn read_frames<B: Body<Data = Bytes>>(
     headers: &HeaderMap,
-    body: &mut Incoming,
+    body: B,
     max_bytes: usize,
     guard: &mut MemoryGuard,
-) -> Result<Bytes, BodyError> {
+) -> Result<Bytes, BodyError<B::Error>> {
+    let mut body = pin!(body);
     let announced = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     let announced: u64 = announced.unwrap_or(0);
     if announced > max_bytes as u64 {
@@ -136,20 +132,6 @@
     Ok(read.freeze())
 }
 
-async fn discard(mut body: Incoming) {
-    let mut discarded = 0;
-    let reading = async {
-        while let Some(Ok(frame)) = body.frame().await {
-            discarded += frame.data_ref().map_or(0, Bytes::len);
-            if discarded > DISCARD_LIMIT.0 {
-                return;
-            }
-        }
-    };
-    // Whatever is left after that is the caller's to notice.
-    let _ = timeout(DISCARD_LIMIT.1, reading).await;
-}
-
 /// Asks a host whether a large body may be sent to it. Nothing was sent if it may not.
 pub async fn announce(
     cx: &Cx,
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -1,14 +1,13 @@
 //! Handles requests of callers on this host: reads the request and looks up its route. `attempts`
 //! sends it to backend servers, and `response` builds the response.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 
 use adapter::{ErrorResponse, RequestHead, error_response};
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response};
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use http1::server::RequestBody;
 use log::info;
 use mesh::{Config, RetrySafety, SuspectUpdate};
 use model::{Millis, ServiceName};
@@ -63,24 +62,18 @@
 }
 
 /// Handles a request of a caller.
-pub async fn handle(
-    cx: Rc<Cx>,
-    req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+pub async fn handle(cx: Rc<Cx>, req: Request<RequestBody>) -> Response<Full<Bytes>> {
     let _in_flight = InFlightGuard::new(&cx);
-    let received_at = cx.now();
     let (head, body) = req.into_parts();
-    let mut response = match adapter::parse_request_head(&head) {
+    // The request may have waited for the responses before it on the same connection.
+    let received_at = cx.now().since(Millis::from(body.age()));
+    match adapter::parse_request_head(&head) {
         Ok(request_head) => serve(&cx, received_at, &head, request_head, body).await,
         Err(e) => {
             info!("event=refused id=- why={e:?}");
             error_response(ErrorResponse::BadRequest, None)
         }
-    };
-    if cx.stopping.get() {
-        response.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
 }
 
 async fn serve(
@@ -88,7 +81,7 @@
     received_at: Millis,
     head: &http::request::Parts,
     request_head: RequestHead,
-    body: Incoming,
+    body: RequestBody,
 ) -> Response<Full<Bytes>> {
     let id = request_head.id.clone();
     if cx.rejecting.get() {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod backend;
 mod bodies;
+mod callers;
 mod departures;
 mod dependency;
 mod grant_calls;
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -13,7 +13,9 @@
 
 use crate::settings::{Settings, SettingsError};
 use crate::state::Cx;
-use crate::{departures, grant_calls, key_ownership, listeners, relay, renewals, rpc, store_watch};
+use crate::{
+    callers, departures, grant_calls, key_ownership, listeners, relay, renewals, rpc, store_watch,
+};
 
 /// The platform checks readiness every second and assigns a process no new work after two failed
 /// checks; requests that arrive until then are still served.
@@ -75,7 +77,7 @@
     let handle = PrometheusBuilder::new().install_recorder().context(MetricsSnafu)?;
     let listen = settings.listen;
     let open = async |name, address| TcpListener::bind(address).await.context(ListenSnafu { name });
-    let callers = open("callers", listen.callers).await?;
+    let caller_listener = open("callers", listen.callers).await?;
     let hosts = open("hosts", listen.hosts).await?;
     let ready = open("ready", listen.ready).await?;
     let backend = open("backend", listen.backend).await?;
@@ -92,7 +94,7 @@
         env!("CARGO_PKG_VERSION")
     );
     actix_rt::spawn(maintain_metrics(handle.clone(), METRICS_UPKEEP_INTERVAL));
-    actix_rt::spawn(listeners::listen(cx.clone(), "callers", callers, listeners::handle_caller));
+    actix_rt::spawn(callers::listen(cx.clone(), caller_listener));
     actix_rt::spawn(listeners::listen(cx.clone(), "ready", ready, listeners::handle_ready));
     actix_rt::spawn(listeners::listen(
         cx.clone(),
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -1,4 +1,4 @@
-//! HTTP/1.1 listeners for callers, the backend server, readiness checks and metrics.
+//! HTTP/1.1 listeners for the backend server, readiness checks and metrics.
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -20,8 +20,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
+use crate::departures;
 use crate::state::{Cx, WritingGuard};
-use crate::{departures, ingress};
 
 /// The largest heartbeat, in bytes: all keys of a service in short ranges.
 const MAX_HEARTBEAT_BYTES: usize = 1 << 20;
@@ -30,8 +30,8 @@
 /// and the next heartbeat follows a little less than a second after the previous one.
 const HEARTBEAT_HOLD: Millis = Millis(600);
 
-/// Callers must acknowledge written bytes within this time.
-const TCP_USER_TIMEOUT: Millis = Millis(10_000);
+/// Clients must acknowledge written bytes within this time.
+pub const TCP_USER_TIMEOUT: Millis = Millis(10_000);
 
 /// Idle accepted connections are probed after this time.
 const KEEPALIVE_IDLE: Millis = Millis(20_000);
@@ -40,7 +40,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// The largest request head, in bytes; hyper's smallest buffer is 8 KiB.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// The result of a request handler, which cannot fail.
 pub type HandlerResult = Result<Response<Full<Bytes>>, Infallible>;
@@ -113,11 +113,6 @@
     }
 }
 
-/// Handles requests of callers.
-pub async fn handle_caller(cx: Rc<Cx>, req: Request<Incoming>) -> HandlerResult {
-    ingress::handle(cx, req).await
-}
-
 /// Handles readiness checks.
 pub async fn handle_ready(cx: Rc<Cx>, _req: Request<Incoming>) -> HandlerResult {
     let ready = cx.state.borrow().config.is_some() && !cx.stopping.get();
