Copy a head once for all its header values, and test input in pieces

Each header value was an allocation of its own, and the socket was polled again after it was found empty. All values now share one copy of the head. The tests send a pipeline in two pieces, cut at each position, and fields without a value.

--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -179,16 +179,18 @@
         writer: &mut WriteHalf<'_>,
     ) -> Poll<Step> {
         self.set_body_waker(None);
+        let mut socket_empty = false;
         loop {
             let mut progress = false;
             if let Some(reader) = reader.as_deref_mut()
+                && !socket_empty
                 && self.wants_input()
             {
                 match self.poll_read(cx, reader) {
                     Poll::Ready(Ok(0)) => self.caller_left(),
                     Poll::Ready(Ok(_)) => progress = true,
                     Poll::Ready(Err(_)) => return Poll::Ready(Step::End),
-                    Poll::Pending => {}
+                    Poll::Pending => socket_empty = true,
                 }
             }
             progress |= self.parse();
--- a/crates/http1/src/server/head.rs
+++ b/crates/http1/src/server/head.rs
@@ -1,6 +1,6 @@
 //! Parses the heads of requests, and refuses those that other software might read differently.
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, Version, request};
 
@@ -72,17 +72,24 @@
     if input[..length].iter().enumerate().any(bare) {
         return Err(HeadError::Malformed);
     }
-    Ok(Some((build(&parsed)?, length)))
+    Ok(Some((build(&parsed, &input[..length])?, length)))
 }
 
-fn build(parsed: &httparse::Request<'_, '_>) -> Result<Head, HeadError> {
+fn build(parsed: &httparse::Request<'_, '_>, bytes: &[u8]) -> Result<Head, HeadError> {
     let method = parsed.method.and_then(|m| Method::from_bytes(m.as_bytes()).ok());
     let uri = parsed.path.and_then(|p| Uri::try_from(p).ok());
     let (Some(method), Some(uri)) = (method, uri) else { return Err(HeadError::Malformed) };
+    // All values share one copy of the head, so that the read buffer is free again.
+    let copy = Bytes::copy_from_slice(bytes);
     let mut headers = HeaderMap::with_capacity(parsed.headers.len());
     for field in parsed.headers.iter() {
         let name = HeaderName::from_bytes(field.name.as_bytes());
-        let value = HeaderValue::from_bytes(field.value);
+        let start = field.value.as_ptr().addr().wrapping_sub(bytes.as_ptr().addr());
+        let value = match field.value {
+            [] => Bytes::new(),
+            value => copy.slice(start..start + value.len()),
+        };
+        let value = HeaderValue::from_maybe_shared(value);
         let (Ok(name), Ok(value)) = (name, value) else { return Err(HeadError::Malformed) };
         headers.append(name, value);
     }
--- a/crates/http1/tests/server/messages.rs
+++ b/crates/http1/tests/server/messages.rs
@@ -4,7 +4,9 @@
 use model::Millis;
 
 use crate::support::{Step, last, ok, response, run};
-use Step::{Cancelled, Close, End, HalfClose, Pause, Receive, Release, Send, Started, Stop};
+use Step::{
+    Cancelled, Close, End, HalfClose, Pause, Receive, Release, Send, ShortPause, Started, Stop,
+};
 
 const CLOSE: &str = "connection: close\r\n";
 
@@ -231,6 +233,15 @@
                 Started(&["/p", "/b"]),
             ],
         ),
+        (
+            "a field without a value, or one between spaces, spoils its request",
+            vec![
+                Send(
+                    "\r\nGET /a HTTP/1.1\r\nhost:\r\nx: \r\ny:   z \t\r\ncontent-length: 0\r\n\r\n",
+                ),
+                ok("/a"),
+            ],
+        ),
         (
             "a response without a body is followed by one",
             vec![
@@ -265,6 +276,23 @@
     }
 }
 
+/// Guards against input that is parsed wrongly if it arrives in two pieces.
+#[actix_rt::test]
+async fn requests_may_arrive_in_pieces_of_any_length() {
+    let requests = "POST /echo HTTP/1.1\r\nx: y\r\nTransfer-Encoding: chunked\r\n\r\n\
+                    3;a=b\r\nabc\r\nC\r\n0123456789ab\r\n0\r\nt: 1\r\n\r\n\
+                    POST /echo HTTP/1.1\r\nContent-Length: 4\r\n\r\n0\r\n\rGET /c HTTP/1.1\r\n\r\n";
+    let mut steps = Vec::new();
+    for at in 1..requests.len() {
+        let (first, second) = requests.split_at(at);
+        steps.extend([Send(first), ShortPause, Send(second)]);
+        steps.push(Receive(response("200 OK", "", "abc0123456789ab")));
+        steps.push(Receive(response("200 OK", "", "0\r\n\r")));
+        steps.push(ok("/c"));
+    }
+    run("pieces", Settings::default(), steps).await;
+}
+
 /// Guards against request smuggling: bytes in which other software would see other requests.
 #[actix_rt::test]
 async fn ambiguous_requests_are_refused_and_their_connection_closes() {
--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -144,7 +144,9 @@
     if let Some(bytes) = receive_buffer {
         socket.set_recv_buffer_size(bytes).unwrap();
     }
-    (socket.connect(address).await.unwrap(), record)
+    let stream = socket.connect(address).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    (stream, record)
 }
 
 /// Waits until a condition holds.
@@ -163,6 +165,8 @@
     Send(&'static str),
     /// Waits a moment, so that what was sent arrives by itself.
     Pause,
+    /// Waits until the server has probably read what was sent.
+    ShortPause,
     /// Lets the handlers with this path respond.
     Release(&'static str),
     /// Expects that the handlers of exactly these requests were started so far.
@@ -215,6 +219,7 @@
         match step {
             Step::Send(text) => stream.write_all(text.as_bytes()).await.unwrap(),
             Step::Pause => sleep(SETTLE).await,
+            Step::ShortPause => sleep(Duration::from_millis(3)).await,
             Step::Release(path) => record.release(path),
             Step::Started(expected) => expect_list(&at, &record.started, expected).await,
             Step::Cancelled(expected) => {
