Let the ownership search take the store back to an earlier state

Cause: the store may come back from a copy that is some seconds old, with version numbers used again. Neither the search nor the random walks knew this event.

Change: `RowVersion` has the era in its high bits. The store of the simulations can go back; writes in flight are applied late in the new era if their conditions hold there. Three search spaces with this event.

--- a/crates/mesh/tests/ownership/search.rs
+++ b/crates/mesh/tests/ownership/search.rs
@@ -22,6 +22,12 @@
 /// The ticks after the last fault: longer than the longest term of a lease.
 const SETTLE_TICKS: usize = 26;
 
+/// The same where the store goes back, after which keys are taken over that much later.
+const ROLLBACK_SETTLE_TICKS: usize = 44;
+
+/// How many ticks ago the copy was made to which the store goes back.
+const COPY_AGE_TICKS: usize = 4;
+
 const LAST_HOST: usize = 3;
 
 /// The host to which the faults happen. It is not among the first two, which watch the leases.
@@ -62,6 +68,10 @@
     DeliverHeartbeat,
     /// The holder's backend server deregisters and sends no more heartbeats.
     Deregister,
+    /// The store goes back to an earlier state.
+    RollBack,
+    /// A process is lost, with its backend server.
+    Lose(usize),
 }
 
 #[derive(Clone)]
@@ -96,6 +106,8 @@
 struct World {
     now: Millis,
     store: Store,
+    /// The states of the store at the end of the last ticks.
+    copies: Vec<Store>,
     nodes: Vec<Node>,
     late: Vec<ConditionalWrite>,
     /// The departure that the store has for the holder.
@@ -156,6 +168,7 @@
         let mut world = Self {
             now,
             store,
+            copies: Vec::new(),
             nodes: (0..=LAST_HOST).map(node).collect(),
             late: Vec::new(),
             departure: (RowVersion(0), None),
@@ -209,6 +222,12 @@
                 }
             }
             Fault::Deregister => self.deregister(),
+            Fault::RollBack => self.store = self.store.restored_from(&self.copies[0]),
+            Fault::Lose(i) => {
+                let n = &mut self.nodes[i];
+                n.frozen_until = Millis(u64::MAX);
+                n.backend.held.clear();
+            }
         }
     }
 
@@ -260,6 +279,10 @@
             }
             self.check()?;
         }
+        self.copies.push(self.store.clone());
+        if self.copies.len() > COPY_AGE_TICKS {
+            self.copies.remove(0);
+        }
         Ok(())
     }
 
@@ -314,7 +337,7 @@
             return WriteOutcome::NotApplied;
         }
         if self.now >= n.losing_until {
-            return self.store.apply(&write);
+            return self.store.write(&write);
         }
         if n.done_at_once {
             self.store.apply(&write);
@@ -376,7 +399,8 @@
     fn digest(&self) -> u64 {
         let mut text = String::new();
         let store = (self.store.map(), self.store.leases());
-        write!(text, "{store:?} {:?} {:?} {:?}", self.late, self.departure, self.confirmed)
+        let copies: Vec<_> = self.copies.iter().map(|c| (c.map(), c.leases())).collect();
+        write!(text, "{store:?} {copies:?} {:?} {:?} {:?}", self.late, self.departure, self.confirmed)
             .unwrap();
         for n in &self.nodes {
             let Node { ownership, witness, departures, backend: b, held_heartbeat, .. } = n;
@@ -431,6 +455,8 @@
     faults: Vec<Fault>,
     /// The ticks in which faults happen.
     ticks: usize,
+    /// The ticks after the last fault.
+    settle_ticks: usize,
     /// The most faults that happen.
     budget: usize,
 }
@@ -460,7 +486,7 @@
         level = next;
     }
     for (mut world, trace) in level {
-        for _ in 0..SETTLE_TICKS {
+        for _ in 0..space.settle_ticks {
             world.step().map_err(|e| format!("{}: {e}: {trace:?}", space.name))?;
         }
     }
@@ -504,6 +530,7 @@
             Fault::ApplyLate,
         ],
         ticks: 4,
+        settle_ticks: SETTLE_TICKS,
         budget: 6,
     });
 }
@@ -520,6 +547,7 @@
             Fault::CutStore,
         ],
         ticks: 4,
+        settle_ticks: SETTLE_TICKS,
         budget: 4,
     });
 }
@@ -536,6 +564,7 @@
             Fault::RestartBackend,
         ],
         ticks: 4,
+        settle_ticks: SETTLE_TICKS,
         budget: 4,
     });
 }
@@ -552,6 +581,7 @@
             Fault::Restart(1),
         ],
         ticks: 4,
+        settle_ticks: SETTLE_TICKS,
         budget: 4,
     });
 }
@@ -569,6 +599,59 @@
             Fault::DeliverHeartbeat,
         ],
         ticks: 5,
+        settle_ticks: SETTLE_TICKS,
         budget: 6,
     });
 }
+
+#[test]
+fn rollbacks_of_the_store_and_moves() {
+    check(Space {
+        name: "rollbacks of the store and moves",
+        faults: vec![
+            Fault::AskMove,
+            Fault::RollBack,
+            Fault::LoseAnswers,
+            Fault::ApplyLate,
+            Fault::CutStore,
+        ],
+        ticks: 6,
+        settle_ticks: ROLLBACK_SETTLE_TICKS,
+        budget: 4,
+    });
+}
+
+#[test]
+fn rollbacks_of_the_store_and_restarts() {
+    check(Space {
+        name: "rollbacks of the store and restarts",
+        faults: vec![
+            Fault::AskMove,
+            Fault::RollBack,
+            Fault::Restart(HOLDER),
+            Fault::Restart(0),
+            Fault::RestartBackend,
+        ],
+        ticks: 6,
+        settle_ticks: ROLLBACK_SETTLE_TICKS,
+        budget: 3,
+    });
+}
+
+#[test]
+fn rollbacks_of_the_store_and_lost_hosts() {
+    check(Space {
+        name: "rollbacks of the store and lost hosts",
+        faults: vec![
+            Fault::AskMove,
+            Fault::RollBack,
+            Fault::Join,
+            Fault::Freeze,
+            Fault::CutStore,
+            Fault::Lose(1),
+        ],
+        ticks: 6,
+        settle_ticks: ROLLBACK_SETTLE_TICKS,
+        budget: 3,
+    });
+}
--- a/crates/mesh/tests/ownership/simulation.rs
+++ b/crates/mesh/tests/ownership/simulation.rs
@@ -56,6 +56,8 @@
 pub struct Store {
     rows: Vec<Row>,
     version: u64,
+    /// How often the store went back to an earlier state.
+    era: u64,
     unavailable_until: u64,
 }
 
@@ -224,7 +226,7 @@
 
 impl Simulation {
     pub fn new(seed: u64, count: usize, delivery: GrantDelivery, faults: Faults) -> Self {
-        let store = Store { rows: Vec::new(), version: 10, unavailable_until: 0 };
+        let store = Store { version: 10, ..Store::default() };
         let mut sim = Self {
             rng: StdRng::seed_from_u64(seed),
             now: 1_000,
@@ -756,7 +758,7 @@
             self.store.apply(&write);
             (now + 1_500, WriteOutcome::Unknown)
         } else {
-            (now + delay, self.store.apply(&write))
+            (now + delay, self.store.write(&write))
         }
     }
 
@@ -811,12 +813,23 @@
         }
     }
 
+    /// Returns the version that a client reports for a row.
+    fn stamp(&self, number: u64) -> RowVersion {
+        RowVersion::in_era(self.era, number)
+    }
+
+    /// Returns the store after it went back to the state `copy`.
+    pub fn restored_from(&self, copy: &Self) -> Self {
+        Self { era: self.era + 1, unavailable_until: self.unavailable_until, ..copy.clone() }
+    }
+
+    /// Applies a write. Like a store, it knows nothing of the era in which the write was sent.
     pub fn apply(&mut self, write: &ConditionalWrite) -> WriteOutcome {
-        let differs = write.expect.iter().any(|(name, v)| self.get(*name).0 != v.0);
+        let differs = write.expect.iter().any(|(name, v)| self.get(*name).0 != v.number());
         if differs {
             let row = |(name, _): &(RowName, RowVersion)| {
                 let (version, value) = self.get(*name);
-                (*name, RowVersion(version), value)
+                (*name, self.stamp(version), value)
             };
             return WriteOutcome::Conflict(write.expect.iter().map(row).collect());
         }
@@ -827,18 +840,27 @@
         for name in &write.remove {
             self.set(*name, None);
         }
-        WriteOutcome::Committed(RowVersion(self.version))
+        WriteOutcome::Committed(self.stamp(self.version))
+    }
+
+    /// Writes for a client that has seen this era: it sends no write with versions of another one.
+    pub fn write(&mut self, write: &ConditionalWrite) -> WriteOutcome {
+        let foreign = |v: RowVersion| v != RowVersion(0) && v.era() != self.era;
+        if write.expect.iter().any(|(_, v)| foreign(*v)) {
+            return WriteOutcome::NotApplied;
+        }
+        self.apply(write)
     }
 
     pub fn map(&self) -> Option<(RowVersion, KeyMap)> {
         let (version, value) = self.get(RowName::Map);
-        value.map(|v| (RowVersion(version), KeyMap::decode(&v).unwrap()))
+        value.map(|v| (self.stamp(version), KeyMap::decode(&v).unwrap()))
     }
 
     pub fn leases(&self) -> Vec<(HostAddr, RowVersion, LeaseRow)> {
         let lease = |r: &Row| match (r.name, &r.value) {
             (RowName::Lease(host), Some(value)) => {
-                Some((host, RowVersion(r.version), LeaseRow::decode(value).unwrap()))
+                Some((host, self.stamp(r.version), LeaseRow::decode(value).unwrap()))
             }
             _ => None,
         };
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -47,6 +47,28 @@
     pub struct RowVersion(u64);
 }
 
+/// The bits of a [`RowVersion`] that hold the number which the store gave the row.
+const VERSION_BITS: u32 = 48;
+
+impl RowVersion {
+    /// Returns the version with `number` in an era of the store. The era counts how often the store
+    /// was restored from a copy, after which it uses numbers again; together they never go back. The
+    /// number 0 stands for a row that doesn't exist, in every era.
+    pub const fn in_era(era: u64, number: u64) -> Self {
+        if number == 0 { Self(0) } else { Self((era << VERSION_BITS) | number) }
+    }
+
+    /// Returns the era.
+    pub const fn era(self) -> u64 {
+        self.0 >> VERSION_BITS
+    }
+
+    /// Returns the number that the store gave the row.
+    pub const fn number(self) -> u64 {
+        self.0 & ((1 << VERSION_BITS) - 1)
+    }
+}
+
 crate::number_type! {
     /// The version of the configuration, incremented by every accepted change.
     pub struct ConfigVersion(u64);
