Keep keys with one holder and fences rising when the store goes back

Cause: after the store came back from a copy, a restored map was acted on at once. The search found a fence that does not rise: key 17000 has fence 4 after 5 with [(0, AskMove), (3, RollBack)].

Change: ownership/eras.rs. A host that kept keys which the restored map assigns to another one writes itself as the owner when it registers. Lease rows of a former era expire only after the longest term; nobody with unclaimed ranges is evicted before that. Each write of the map depends on that no later era has been marked, and registration marks the era, so a late write of a former era can't meet its conditions again. Rows have optional trailing fields: era and claims in leases, era, fences and settled in maps. The random walks learn the event. What several files of the module use of lists of grants is now in grants.rs.

--- a/crates/mesh/src/key_map.rs
+++ b/crates/mesh/src/key_map.rs
@@ -18,6 +18,10 @@
 /// each.
 const MAX_MAP_BYTES: u64 = 1 << 18;
 
+/// How far fences are raised with each era of the store: more than can be allocated in the seconds
+/// that are lost when the store comes back from a copy.
+const FENCES_PER_ERA: u64 = 1 << 20;
+
 derive_common! {
     data
     /// A range of keys with one owner; both ends are included.
@@ -40,11 +44,18 @@
 derive_common! {
     data
     /// The owners of all keys of a service.
+    #[derive(Default)]
     pub struct KeyMap {
         /// The highest fence allocated so far.
         pub last_fence: Fence,
         /// Ranges in ascending order that cover every key.
         pub ranges: Vec<KeyRange>,
+        /// The era of the store in which the map was last written.
+        pub era: u64,
+        /// The highest fence of former eras.
+        pub former_fences: Fence,
+        /// Whether all grants of former eras have ended.
+        pub settled: bool,
     }
 }
 
@@ -82,6 +93,14 @@
     next_owner: Option<u16>,
 }
 
+/// The end of the row, which earlier releases neither write nor read.
+#[derive(Default, bincode::Encode, bincode::Decode)]
+struct WireMapExtension {
+    era: u64,
+    former_fences: u64,
+    settled: bool,
+}
+
 #[derive(bincode::Encode, bincode::Decode)]
 struct WireMap {
     last_fence: u64,
@@ -127,13 +146,48 @@
         self.last_fence
     }
 
+    /// Prepares the map for a write in an era of the store: raises the last fence above all that were
+    /// used in former eras.
+    pub fn enter_era(&mut self, era: u64) {
+        if era > self.era {
+            self.last_fence.0 += (era - self.era) * FENCES_PER_ERA;
+            (self.era, self.former_fences, self.settled) = (era, self.last_fence, false);
+        }
+    }
+
+    /// Returns the initial map as written in `era`: nothing in it was granted in a former one.
+    #[must_use]
+    pub fn first_of_era(mut self, era: u64) -> Self {
+        if era > self.era {
+            self.enter_era(era);
+            let fence = self.allocate_fence();
+            self.ranges.iter_mut().for_each(|r| r.fence = fence);
+            self.settled = true;
+        }
+        self
+    }
+
+    /// Returns whether the fence of a range was allocated in `era`, so that no host holds it by a
+    /// grant of a former one.
+    pub fn is_claimed(&self, range: &KeyRange, era: u64) -> bool {
+        self.era >= era && range.fence > self.former_fences || era == 0
+    }
+
     /// Encodes the map as the bytes of its row.
     pub fn encode(&self) -> Vec<u8> {
         let wire = WireMap::from(self);
         let config = bincode::config::standard();
         // Encoding plain data into memory can't fail; if it did, every reader would reject the
         // empty row.
-        let plain = bincode::encode_to_vec(wire, config).unwrap_or_default();
+        let mut plain = bincode::encode_to_vec(wire, config).unwrap_or_default();
+        if self.era > 0 {
+            let extension = WireMapExtension {
+                era: self.era,
+                former_fences: self.former_fences.0,
+                settled: self.settled,
+            };
+            plain.extend(bincode::encode_to_vec(extension, config).unwrap_or_default());
+        }
         compress(&plain)
     }
 
@@ -141,9 +195,15 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, KeyMapError> {
         let plain = decompress(bytes, MAX_MAP_BYTES).context(DecompressSnafu)?;
         let config = bincode::config::standard().with_limit::<{ MAX_MAP_BYTES as usize }>();
-        let (wire, _): (WireMap, usize) =
+        let (wire, read): (WireMap, usize) =
             bincode::decode_from_slice(&plain, config).context(DecodeSnafu)?;
-        Self::try_from(wire)
+        let extension = match &plain[read..] {
+            [] => WireMapExtension::default(),
+            rest => bincode::decode_from_slice(rest, config).context(DecodeSnafu)?.0,
+        };
+        let WireMapExtension { era, former_fences, settled } = extension;
+        let map = Self::try_from(wire)?;
+        Ok(Self { era, former_fences: Fence(former_fences), settled, ..map })
     }
 }
 
@@ -200,6 +260,6 @@
             from = to + 1;
         }
         ensure!(from == u32::from(MAX_KEY) + 1, CoverageSnafu);
-        Ok(Self { last_fence: Fence(wire.last_fence), ranges })
+        Ok(Self { last_fence: Fence(wire.last_fence), ranges, ..Self::default() })
     }
 }
--- a/crates/mesh/src/leases.rs
+++ b/crates/mesh/src/leases.rs
@@ -33,6 +33,12 @@
         /// The number of requests with keys that the backend server can run concurrently, in
         /// hundredths of a slot.
         pub capacity: u32,
+        /// The era of the store in which the row was written. Rows of earlier releases lack this and
+        /// the following field.
+        pub era: u64,
+        /// Whether the map assigns ranges to the host that it doesn't hold yet, because another host
+        /// may hold them by a grant of a former era.
+        pub unclaimed: bool,
     }
 }
 
@@ -67,7 +73,9 @@
     /// Decodes the bytes of the row.
     pub fn decode(bytes: &[u8]) -> Result<Self, LeaseRowError> {
         let config = bincode::config::standard().with_limit::<65_536>();
-        let (row, _) = bincode::decode_from_slice(bytes, config).context(LeaseRowSnafu)?;
+        // The values of the fields that rows of earlier releases lack.
+        let bytes = [bytes, &[0; 2]].concat();
+        let (row, _) = bincode::decode_from_slice(&bytes, config).context(LeaseRowSnafu)?;
         Ok(row)
     }
 }
--- a/crates/mesh/src/ownership.rs
+++ b/crates/mesh/src/ownership.rs
@@ -15,7 +15,9 @@
 //! on the condition that the lease row is still the version that was seen to expire.
 
 mod assignment;
+mod eras;
 mod grant_calls;
+mod grants;
 mod heartbeats;
 mod releases;
 mod timing;
@@ -31,6 +33,7 @@
     HeartbeatAction, HeartbeatReply, HeldRange, KeyRejection, RowName, WriteOutcome,
 };
 
+use self::eras::EraState;
 use self::grant_calls::GrantCalls;
 use self::releases::Release;
 use self::witnesses::{ConfirmRound, Denial};
@@ -133,10 +136,13 @@
     found_row: Option<(RowVersion, LeaseRow)>,
     /// The incarnation to which an earlier process on this host may have granted keys.
     predecessor_granted_to: Option<Incarnation>,
-    /// Whether the leases have been read at least once.
+    /// Whether the leases have been read in the current era of the store.
     leases_read: bool,
+    /// Whether the leases have been read at least once.
+    predecessor_known: bool,
+    era: EraState,
     map: Option<(RowVersion, KeyMap)>,
-    /// Whether the map has been read at least once, even if there was none.
+    /// Whether the map has been read in the current era of the store, even if there was none.
     map_read: bool,
     backend: Option<Backend>,
     releases: Vec<Release>,
@@ -188,7 +194,8 @@
         if self.releases.iter().any(|r| r.from <= key && key <= r.to) {
             return Err(KeyRejection::Moving);
         }
-        match self.backend.as_ref().filter(|b| b.holds(key, range.fence, now)) {
+        let backend = self.backend.as_ref().filter(|_| self.may_hold(range));
+        match backend.filter(|b| b.holds(key, range.fence, now)) {
             Some(_) => Ok(range.fence),
             None => Err(KeyRejection::NotGranted),
         }
@@ -212,10 +219,11 @@
     /// Returns when the lease expires, if there is one.
     pub fn lease_expiry(&self) -> Option<Millis> {
         let timing = &self.timing;
-        self.lease.map(|l| {
+        let lease = self.lease.map(|l| {
             let confirmed = l.renewal_sent.max(l.confirm_sent) + timing.base_term;
             confirmed.min(l.renewal_sent + timing.max_term)
-        })
+        });
+        lease.or(self.era.former_lease_until())
     }
 
     /// Returns whether the leases should be read now.
@@ -318,6 +326,8 @@
             found_row: None,
             predecessor_granted_to: None,
             leases_read: false,
+            predecessor_known: false,
+            era: EraState::default(),
             map: None,
             map_read: false,
             backend: None,
@@ -352,11 +362,16 @@
 
     /// Applies a version of the map, unless it is not newer than the known one. Returns whether it
     /// was applied.
-    pub fn update_map(&mut self, version: RowVersion, map: KeyMap) -> bool {
+    pub fn update_map(&mut self, version: RowVersion, map: KeyMap, now: Millis) -> bool {
+        self.record_era(version.era(), now);
+        if version.era() < self.era() {
+            return false;
+        }
         if self.map.as_ref().is_some_and(|(known, _)| *known >= version) {
             return false;
         }
         let me = self.me;
+        self.keep_across_maps();
         // A release is complete when this host no longer owns the range.
         self.releases.retain(|r| map.range_of(r.from).owner == me);
         self.map = Some((version, map));
@@ -365,12 +380,25 @@
 
     /// Applies the lease rows returned by one read.
     pub fn update_leases(&mut self, rows: Vec<(HostAddr, RowVersion, LeaseRow)>, now: Millis) {
+        if let Some(era) = rows.iter().map(|(_, version, _)| version.era()).max() {
+            self.record_era(era, now);
+            if era < self.era() {
+                return;
+            }
+        }
         if !self.leases_read {
             let own = rows.iter().find(|(h, ..)| *h == self.me);
             self.found_row = own.map(|(_, version, row)| (*version, row.clone()));
-            self.predecessor_granted_to = own.map(|(.., row)| row.incarnation.clone());
             self.leases_read = true;
         }
+        if !self.predecessor_known {
+            let row = self.found_row.as_ref().map(|(_, row)| row.clone());
+            if let Some(row) = &row {
+                self.inherit_claims(row);
+            }
+            self.predecessor_granted_to = row.map(|row| row.incarnation);
+            self.predecessor_known = true;
+        }
         self.last_lease_read = now;
         self.leases_read_at = now;
         self.store_contact_at = now;
@@ -417,7 +445,7 @@
             return 0;
         }
         let (load, capacity) = self.load;
-        let own = self.own_ranges();
+        let own = self.holdable_ranges();
         let me = Member { host: self.me, accepts_keys: true, load, capacity, ranges: own.len() };
         let mut others = self.members(now);
         others.retain(|m| !unreachable.contains(&m.host));
--- a/crates/mesh/src/ownership/assignment.rs
+++ b/crates/mesh/src/ownership/assignment.rs
@@ -52,7 +52,7 @@
         if !self.leases_fresh(now) {
             return None;
         }
-        let Some((version, map)) = &self.map else { return self.initial_map_write(now) };
+        let Some((version, map)) = self.current_map() else { return self.initial_map_write(now) };
         let silent = self
             .observed_leases
             .unchanged_for(self.timing.base_term + self.timing.drift_margin, now);
@@ -62,6 +62,7 @@
             .collect();
         let without_lease = map.owners().into_iter().filter(|h| !self.observed_leases.contains(*h));
         expired.extend(without_lease.map(|h| (h, RowVersion(0))));
+        expired.retain(|(h, _)| !self.may_be_held_by_others(map, *h, now));
         let expired_hosts: Vec<HostAddr> = expired.iter().map(|(h, _)| *h).collect();
         let mut recipients = self.recipients(now);
         if self.new_lease_row().accepts_keys {
@@ -70,7 +71,7 @@
         recipients.retain(|h| !expired_hosts.contains(h));
         let expect_map = (RowName::Map, *version);
         if !expired.is_empty() {
-            let map = placement::evict(map, &expired_hosts, &recipients);
+            let map = placement::evict(&self.map_to_write(map), &expired_hosts, &recipients);
             let mut write = ConditionalWrite {
                 expect: vec![expect_map],
                 reason: "evict",
@@ -87,6 +88,9 @@
             return (!empty).then_some(write);
         }
         let is_first = self.observed_leases.hosts().first().is_some_and(|(h, _)| *h == self.me);
+        if is_first && let Some(write) = self.settle_write(now) {
+            return Some(write);
+        }
         if !is_first
             || now.since(self.rebalanced_at) < Millis(2 * self.timing.lease_read_interval.0)
         {
@@ -107,6 +111,9 @@
         if now.since(self.started_at) < self.timing.bootstrap_wait {
             return None;
         }
+        if self.former_era_known() && !self.former_grants_ended(now) {
+            return None;
+        }
         let hosts = self.observed_leases.hosts();
         let is_first = hosts.first().is_some_and(|(h, _)| *h == self.me);
         // The other hosts create the map later, in case the first one can't.
@@ -115,7 +122,7 @@
         }
         let recipients: Vec<HostAddr> =
             hosts.iter().filter(|(_, row)| row.accepts_keys).map(|(h, _)| *h).collect();
-        let map = placement::initial_map(&recipients)?;
+        let map = placement::initial_map(&recipients)?.first_of_era(self.era());
         Some(ConditionalWrite {
             expect: vec![(RowName::Map, RowVersion(0))],
             put: vec![(RowName::Map, map.encode())],
--- a/crates/mesh/src/ownership/grant_calls.rs
+++ b/crates/mesh/src/ownership/grant_calls.rs
@@ -13,7 +13,7 @@
 use model::{Fence, Millis};
 
 use super::KeyOwnership;
-use super::heartbeats::{CLOCK_DRIFT_DIVISOR, merge_adjacent};
+use super::grants::{CLOCK_DRIFT_DIVISOR, merge_adjacent};
 use super::releases::Release;
 use crate::ownership::types::{Grant, GrantCall, GrantCallId, GrantCallOutcome, HeldRange};
 
--- a/crates/mesh/src/ownership/heartbeats.rs
+++ b/crates/mesh/src/ownership/heartbeats.rs
@@ -1,71 +1,14 @@
 //! Heartbeats of the backend server, and the grants in the replies.
 
-use model::{HostAddr, Millis};
+use model::Millis;
 
 use super::grant_calls::GrantCalls;
-use super::releases::Release;
+use super::grants::{CLOCK_DRIFT_DIVISOR, MAX_GRANTS_BYTES, merge_adjacent, subtract_releases};
 use super::{Backend, KeyOwnership};
 use crate::ownership::types::{
     BackendHeartbeat, Grant, HeartbeatAction, HeartbeatReply, HeldRange,
 };
-use crate::{GrantDelivery, KeyMap, KeyRange};
-
-/// The maximum length of the encoded list of grants, in bytes. Backend servers ignore replies above
-/// 4 KiB, which include the surrounding fields.
-pub(super) const MAX_GRANTS_BYTES: usize = 3_900;
-
-/// The clock of a backend server may run slow by one part in this many.
-pub(super) const CLOCK_DRIFT_DIVISOR: u64 = 50;
-
-/// Merges adjacent grants with the same fence and no handover token, to keep the list short.
-pub(super) fn merge_adjacent(grants: &mut Vec<Grant>) {
-    grants.dedup_by(|next, grant| {
-        let adjacent = u32::from(grant.range.to) + 1 == u32::from(next.range.from);
-        let compatible = grant.range.fence == next.range.fence
-            && grant.handover.is_empty()
-            && next.handover.is_empty();
-        if adjacent && compatible {
-            grant.range.to = next.range.to;
-        }
-        adjacent && compatible
-    });
-}
-
-/// Returns the grants for all ranges of `owner`.
-pub(super) fn own_grants(map: &KeyMap, owner: HostAddr) -> Vec<Grant> {
-    let mut grants = map.owned_by(owner).map(Grant::from).collect();
-    merge_adjacent(&mut grants);
-    grants
-}
-
-/// Returns the parts of a range that are not being released.
-pub(super) fn subtract_releases(range: &KeyRange, releases: &[Release]) -> Vec<KeyRange> {
-    let mut left = vec![range.clone()];
-    for r in releases {
-        left = left.into_iter().flat_map(|range| subtract(range, r.from, r.to)).collect();
-    }
-    left
-}
-
-/// Returns the parts of a range outside of `from` to `to`.
-pub(super) fn subtract(range: KeyRange, from: u16, to: u16) -> Vec<KeyRange> {
-    if to < range.from || range.to < from {
-        return vec![range];
-    }
-    let mut left = Vec::new();
-    if range.from < from {
-        left.push(KeyRange { to: from - 1, ..range.clone() });
-    }
-    if to < range.to {
-        left.push(KeyRange { from: to + 1, ..range });
-    }
-    left
-}
-
-/// Returns the encoded length of a list of grants, in bytes.
-pub(super) fn grants_len(grants: &[Grant]) -> usize {
-    grants.iter().map(Grant::encoded_len).sum()
-}
+use crate::{GrantDelivery, KeyRange};
 
 impl KeyOwnership {
     /// Processes a heartbeat and replies immediately. A stale heartbeat, which is out of order or
@@ -233,7 +176,8 @@
         if b.incarnation != self.own_row.incarnation || valid_for == Millis::ZERO {
             return None;
         }
-        let own = map.owned_by(self.me).filter(|r| r.fence.0 > self.own_row.fence_floor);
+        let own = map.owned_by(self.me);
+        let own = own.filter(|r| r.fence.0 > self.own_row.fence_floor && self.may_hold(r));
         let ranges = own.flat_map(|range| subtract_releases(range, &self.releases)).collect();
         Some((ranges, valid_for))
     }
--- a/crates/mesh/src/ownership/releases.rs
+++ b/crates/mesh/src/ownership/releases.rs
@@ -3,7 +3,7 @@
 use model::{HostAddr, Millis};
 
 use super::KeyOwnership;
-use super::heartbeats::{MAX_GRANTS_BYTES, grants_len, own_grants, subtract_releases};
+use super::grants::{MAX_GRANTS_BYTES, grants_len, own_grants, subtract_releases};
 use crate::ownership::types::{BackendHeartbeat, ConditionalWrite, HeldRange, RowName};
 use crate::{GrantDelivery, KeyRange};
 
@@ -48,7 +48,7 @@
     }
 
     pub(super) fn release_all_keys(&mut self) {
-        for range in self.own_ranges() {
+        for range in self.holdable_ranges() {
             self.start_release(&range, range.next_owner);
         }
     }
@@ -65,8 +65,10 @@
         if !self.store_reachable(now) || now < self.predecessor_grants_end() {
             return;
         }
-        let requested =
-            self.own_ranges().into_iter().filter(|r| r.next_owner.is_some_and(|n| n != self.me));
+        let requested = self
+            .holdable_ranges()
+            .into_iter()
+            .filter(|r| r.next_owner.is_some_and(|n| n != self.me));
         for range in requested.collect::<Vec<_>>() {
             self.start_release(&range, range.next_owner);
         }
@@ -112,8 +114,8 @@
             return None;
         }
         let recipients = self.recipients(now);
-        let (version, known) = self.map.as_ref()?;
-        let mut map = known.clone();
+        let (version, known) = self.current_map()?;
+        let mut map = self.map_to_write(known);
         let fence = map.allocate_fence();
         let ready: Vec<&Release> =
             self.releases.iter().filter(|r| predecessor_ended && r.done || grants_ended).collect();
@@ -159,7 +161,7 @@
     /// more grants than can be delivered.
     pub(super) fn merge_write(&self) -> Option<ConditionalWrite> {
         let lease = self.lease?;
-        let (version, map) = self.map.as_ref()?;
+        let (version, map) = self.current_map()?;
         let own = own_grants(map, self.me);
         let fits = match self.delivery {
             GrantDelivery::HeartbeatReply => grants_len(&own) <= MAX_GRANTS_BYTES,
@@ -168,12 +170,13 @@
         if !self.releases.is_empty() || fits {
             return None;
         }
-        let mut merged = map.clone();
+        let mut merged = self.map_to_write(map);
         let fence = merged.allocate_fence();
         let me = self.me;
-        let own = |r: &KeyRange| r.owner == me && r.next_owner.is_none();
+        let holds = |r: &KeyRange| r.owner == me && self.may_hold(r);
+        let own = |r: &KeyRange| holds(r) && r.next_owner.is_none();
         for i in 1..merged.ranges.len() {
-            if own(&merged.ranges[i - 1]) && own(&merged.ranges[i]) {
+            if own(&map.ranges[i - 1]) && own(&map.ranges[i]) {
                 for range in &mut merged.ranges[i - 1..=i] {
                     range.fence = fence;
                     range.handover.clear();
--- a/crates/mesh/src/ownership/types.rs
+++ b/crates/mesh/src/ownership/types.rs
@@ -16,6 +16,8 @@
         Map,
         /// The lease of a host.
         Lease(HostAddr),
+        /// The mark that an era of the store has begun. The row is empty.
+        Era(u64),
     }
 }
 
@@ -54,6 +56,18 @@
 }
 
 impl WriteOutcome {
+    /// Returns the era in which the store was, if the outcome tells.
+    pub(super) fn era(&self) -> Option<u64> {
+        match self {
+            Self::Committed(version) => Some(version.era()),
+            Self::Conflict(rows) => {
+                let found = rows.iter().filter(|(_, version, _)| *version != RowVersion(0));
+                found.map(|(_, version, _)| version.era()).max()
+            }
+            Self::NotApplied | Self::Unknown => None,
+        }
+    }
+
     /// Returns a short name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/mesh/src/ownership/witnesses.rs
+++ b/crates/mesh/src/ownership/witnesses.rs
@@ -125,6 +125,9 @@
             let Some((_, row, unchanged_for)) = self.observed_leases.get(holder, now) else {
                 continue;
             };
+            if row.era < self.era() {
+                continue;
+            }
             let question = if unchanged_for > early {
                 WitnessQuestion::Deny
             } else {
@@ -199,6 +202,11 @@
         if unchanged_for > self.timing.max_term + self.timing.drift_margin {
             return true;
         }
+        // A row of a former era may be older than the holder's last renewal, so it may name witnesses
+        // that the holder no longer asks.
+        if row.era < self.era() {
+            return false;
+        }
         if unchanged_for <= self.timing.base_term + self.timing.drift_margin {
             return false;
         }
--- a/crates/mesh/src/ownership/writes.rs
+++ b/crates/mesh/src/ownership/writes.rs
@@ -4,9 +4,9 @@
 
 use super::grant_calls::GrantCalls;
 use super::{Backend, KeyOwnership, Lease};
-use crate::KeyMap;
 use crate::leases::{Incarnation, LeaseRow};
 use crate::ownership::types::{ConditionalWrite, RowName, WriteOutcome};
+use crate::{KeyMap, KeyRange, Renewal};
 
 /// The shortest delay before the write after a conflict.
 const MIN_CONFLICT_DELAY: Millis = Millis(20);
@@ -28,20 +28,33 @@
         if self.lease_expiry().is_some_and(|until| now >= until) {
             self.lease = None;
         }
-        let write = self
+        self.end_former_lease(now);
+        let mut write = self
             .register_write()
             .or_else(|| self.incarnation_write())
+            .or_else(|| self.claim_write(now))
             .or_else(|| self.release_write(now))
             .or_else(|| self.merge_write())
             .or_else(|| self.renewal_write(now))
             .or_else(|| self.assignment_write(now))?;
+        if Renewal::from_write(&write).is_none() {
+            self.bind_to_era(&mut write);
+        }
         self.pending_write = Some((write.clone(), now));
         Some(write)
     }
 
     /// Applies the outcome of the pending write.
     pub fn write_finished(&mut self, outcome: WriteOutcome, now: Millis) {
+        if let Some(era) = outcome.era() {
+            self.record_era(era, now);
+        }
         let Some((write, sent)) = self.pending_write.take() else { return };
+        if self.era.take_former_write() {
+            // What was written is read again in the new era.
+            self.next_write_at = now;
+            return;
+        }
         match outcome {
             WriteOutcome::Committed(version) => {
                 self.conflicts = 0;
@@ -69,6 +82,7 @@
 
     /// Records that `version` and all earlier versions had been written to the store at `now`.
     pub fn record_store_version(&mut self, version: RowVersion, now: Millis) {
+        self.record_era(version.era(), now);
         self.observed_leases.record_version(version, now);
     }
 
@@ -85,6 +99,9 @@
         for (name, bytes) in &write.put {
             match name {
                 RowName::Lease(_) => {
+                    if self.lease.is_none() {
+                        self.registered_in_era(write);
+                    }
                     self.lease = Some(Lease { version, renewal_sent: sent, confirm_sent: sent });
                     self.next_renewal_at = sent + self.timing.renew_interval;
                     if let Ok(row) = LeaseRow::decode(bytes) {
@@ -95,9 +112,10 @@
                 }
                 RowName::Map => {
                     if let Ok(map) = KeyMap::decode(bytes) {
-                        self.update_map(version, map);
+                        self.update_map(version, map, now);
                     }
                 }
+                RowName::Era(_) => {}
             }
         }
     }
@@ -116,7 +134,7 @@
             match (name, value) {
                 (RowName::Map, Some(bytes)) => {
                     if let Ok(map) = KeyMap::decode(&bytes) {
-                        self.update_map(version, map);
+                        self.update_map(version, map, now);
                     }
                 }
                 (RowName::Lease(host), value) if host == self.me => {
@@ -124,7 +142,7 @@
                 }
                 // The other host has renewed its lease after all, or it has already been evicted.
                 (RowName::Lease(_), _) => self.leases_read_at = Millis::ZERO,
-                (RowName::Map, None) => {}
+                (RowName::Map, None) | (RowName::Era(_), _) => {}
             }
         }
         self.next_write_at = now + self.conflict_delay();
@@ -144,15 +162,19 @@
         let row = value.and_then(|bytes| LeaseRow::decode(&bytes).ok());
         match row {
             Some(row) if row.process == self.process => {
-                // An earlier write by this process, for which the response was lost.
-                self.own_row = row;
+                // An earlier write by this process, for which the response was lost. One of a former
+                // era knows less than this process.
                 match &mut self.lease {
                     Some(lease) => lease.version = version,
-                    None => self.found_row = Some((version, self.own_row.clone())),
+                    None => self.found_row = Some((version, row.clone())),
+                }
+                if row.era == self.era() {
+                    self.own_row = row;
                 }
             }
             Some(row) => {
                 self.lease = None;
+                self.inherit_claims(&row);
                 self.found_row = Some((version, row));
             }
             None => {
@@ -167,6 +189,7 @@
         let accepts_keys = self.backend.as_ref().is_some_and(|b| !b.draining);
         let witnesses = self.choose_witnesses();
         let changed = self.witness_refused || witnesses != self.own_row.witnesses;
+        let unclaimed = self.own_ranges().iter().any(|r| !self.may_hold(r));
         LeaseRow {
             process: self.process,
             accepts_keys,
@@ -174,6 +197,8 @@
             witnesses,
             load: self.load.0,
             capacity: self.load.1,
+            era: self.era(),
+            unclaimed,
             ..self.own_row.clone()
         }
     }
@@ -184,7 +209,10 @@
         if self.lease.is_some() || self.backend.is_none() || !self.map_read {
             return None;
         }
+        let found = self.found_row.as_ref().map_or(RowVersion(0), |(version, _)| *version);
         let version = match &self.found_row {
+            // The row from before the rollback, which this process has written, says more.
+            _ if self.has_former_lease() => found,
             Some((version, row)) => {
                 self.own_row.incarnation.clone_from(&row.incarnation);
                 self.own_row.fence_floor = row.fence_floor;
@@ -198,9 +226,13 @@
         // Requires that the known map is the newest, because a write by the previous process may
         // have been applied after the map was read. After this write, such a write fails because it
         // expects the old version of the lease.
-        let map = self.map.as_ref().map_or(RowVersion(0), |(version, _)| *version);
+        let map = self.current_map().map_or(RowVersion(0), |(version, _)| *version);
         let mut row = self.new_lease_row();
-        let map_row = self.raise_fences(&mut row);
+        let claimed = self.current_map().and_then(|(_, map)| self.claim_kept(map));
+        let map_row = match claimed {
+            Some(map) => Some((RowName::Map, map.encode())),
+            None => self.raise_fences(&mut row),
+        };
         let mut write = ConditionalWrite {
             expect: vec![(RowName::Lease(self.me), version), (RowName::Map, map)],
             reason: "register",
@@ -219,12 +251,13 @@
             return None;
         }
         row.incarnation.clone_from(incarnation);
-        let (_, map) = self.map.as_ref()?;
+        let (_, map) = self.current_map()?;
         row.fence_floor = map.last_fence.0;
-        map.owned_by(self.me).next()?;
-        let mut map = map.clone();
+        let holds = |r: &KeyRange| r.owner == self.me && self.may_hold(r);
+        map.ranges.iter().find(|r| holds(r))?;
+        let mut map = self.map_to_write(map);
         let fence = map.allocate_fence();
-        map.ranges.iter_mut().filter(|r| r.owner == self.me).for_each(|r| r.fence = fence);
+        map.ranges.iter_mut().filter(|r| holds(r)).for_each(|r| r.fence = fence);
         Some((RowName::Map, map.encode()))
     }
 
@@ -247,7 +280,7 @@
             reason: "new-boot",
             ..ConditionalWrite::default()
         };
-        write.expect.extend(self.map.as_ref().map(|(version, _)| (RowName::Map, *version)));
+        write.expect.extend(self.current_map().map(|(version, _)| (RowName::Map, *version)));
         write.put.extend(map_row);
         write.put.push((RowName::Lease(self.me), row.encode()));
         Some(write)
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -73,7 +73,7 @@
     while keys / (length * count) > RANGES_PER_OWNER {
         length *= 2;
     }
-    let mut map = KeyMap { last_fence: Default::default(), ranges: Vec::new() };
+    let mut map = KeyMap::default();
     let fence = map.allocate_fence();
     for (i, from) in (0..keys).step_by(length as usize).enumerate() {
         let to = u16::try_from(from + length - 1).unwrap_or(MAX_KEY);
--- a/crates/mesh/src/renewal_batch.rs
+++ b/crates/mesh/src/renewal_batch.rs
@@ -131,6 +131,18 @@
         }
     }
 
+    /// Removes the waiting renewals of hosts that don't know the era in which the store is. Returns
+    /// their reply handles.
+    pub fn remove_other_eras(&mut self, era: u64) -> Vec<R> {
+        let known = |s: &Submitted<R>| {
+            s.renewal.expected == RowVersion(0) || s.renewal.expected.era() == era
+        };
+        let (kept, removed) = std::mem::take(&mut self.waiting).into_iter().partition(known);
+        self.waiting = kept;
+        let removed: Vec<Submitted<R>> = removed;
+        removed.into_iter().map(|s| s.reply).collect()
+    }
+
     fn find_waiting(&self, host: HostAddr) -> Result<usize, usize> {
         self.waiting.binary_search_by_key(&host, |s| s.renewal.host)
     }
--- a/crates/mesh/tests/ownership/random_faults.rs
+++ b/crates/mesh/tests/ownership/random_faults.rs
@@ -85,6 +85,39 @@
     (300..380).for_each(|seed| check(seed, faults));
 }
 
+#[test]
+fn keys_have_one_holder_while_the_store_goes_back_to_earlier_states() {
+    let faults = Faults {
+        rollbacks: 6,
+        restarts: 4,
+        crashes: 3,
+        freezes: 2,
+        outages: 2,
+        late_writes: 15,
+        lost_messages: 10,
+        stale_reads: 10,
+        store_partitions: 2,
+        ..Faults::default()
+    };
+    (900..920).for_each(|seed| check(seed, faults));
+    (920..930).for_each(|seed| check_delivery(seed, GrantDelivery::Call, faults));
+}
+
+#[test]
+fn every_key_is_served_again_after_the_store_went_back() {
+    let faults = Faults { rollbacks: 10, late_writes: 15, lost_messages: 10, ..Faults::default() };
+    for delivery in [GrantDelivery::HeartbeatReply, GrantDelivery::Call] {
+        for seed in 950..956 {
+            let mut sim = Simulation::new(seed, 4, delivery, faults);
+            sim.run(40_000);
+            sim.stop_faults();
+            sim.run(25_000);
+            let unheld = sim.count_unheld_keys();
+            assert_eq!(unheld, 0, "seed {seed}, {delivery:?}: keys without a holder");
+        }
+    }
+}
+
 #[test]
 fn keys_granted_by_calls_have_one_holder_without_faults() {
     (600..605).for_each(|seed| check_delivery(seed, GrantDelivery::Call, Faults::default()));
@@ -126,6 +159,7 @@
         stale_reads: 20,
         store_partitions: 3,
         host_partitions: 3,
+        ..Faults::default()
     };
     (800..840).for_each(|seed| check_delivery(seed, GrantDelivery::Call, faults));
 }
--- a/crates/mesh/tests/ownership/scenarios.rs
+++ b/crates/mesh/tests/ownership/scenarios.rs
@@ -25,7 +25,7 @@
         ownership.update_leases(self.store.leases(), self.now);
         ownership.note_map_read();
         if let Some((version, map)) = self.store.map() {
-            ownership.update_map(version, map);
+            ownership.update_map(version, map, self.now);
         }
         ownership
     }
@@ -86,7 +86,7 @@
     let [mut ownership, _other] = fixture.two_owners();
     fixture.request_move(addr(0), addr(1));
     let (version, map) = fixture.store.map().unwrap();
-    ownership.update_map(version, map);
+    ownership.update_map(version, map, fixture.now);
     ownership.update_leases(fixture.store.leases(), fixture.now);
     fixture.heartbeat(&mut ownership, 0, 2);
     fixture.heartbeat(&mut ownership, 0, 3);
@@ -125,7 +125,7 @@
             let late = BackendHeartbeat { incarnation, seq, ..BackendHeartbeat::default() };
             next.handle_heartbeat(&late, fixture.now);
             if let Some((version, map)) = fixture.store.map() {
-                next.update_map(version, map);
+                next.update_map(version, map, fixture.now);
             }
             next.update_leases(fixture.store.leases(), fixture.now);
             if let Some(write) = next.next_write(fixture.now) {
@@ -223,7 +223,7 @@
     // A release conflicts with a change of the map that the holder has not seen.
     fixture.request_move(addr(0), addr(1));
     let (version, map) = fixture.store.map().unwrap();
-    holder.update_map(version, map);
+    holder.update_map(version, map, fixture.now);
     holder.update_leases(fixture.store.leases(), fixture.now);
     fixture.heartbeat(&mut holder, 0, 3);
     fixture.heartbeat(&mut holder, 0, 4);
@@ -301,7 +301,7 @@
     fixture.heartbeat(&mut ownership, 0, 1);
     fixture.apply_writes(&mut ownership);
     let (version, map) = fixture.store.map().unwrap();
-    ownership.update_map(version, map);
+    ownership.update_map(version, map, fixture.now);
     let calls = ownership.next_grant_calls(true, fixture.now);
     assert!(!calls.is_empty());
     (ownership, calls)
--- a/crates/mesh/tests/ownership/search.rs
+++ b/crates/mesh/tests/ownership/search.rs
@@ -12,7 +12,7 @@
 };
 use model::{Fence, Millis, RowVersion};
 
-use crate::simulation::{Store, addr};
+use crate::simulation::{Store, addr, is_sent};
 
 const TICK: Millis = Millis(500);
 
@@ -139,7 +139,11 @@
             handover: String::new(),
             next_owner: None,
         };
-        let map = KeyMap { last_fence: Fence(1), ranges: (0..8).map(range).collect() };
+        let map = KeyMap {
+            last_fence: Fence(1),
+            ranges: (0..8).map(range).collect(),
+            ..KeyMap::default()
+        };
         store.apply(&ConditionalWrite {
             put: vec![(RowName::Map, map.encode())],
             ..ConditionalWrite::default()
@@ -302,7 +306,7 @@
             n.ownership.set_peers(peers);
             n.ownership.note_map_read();
             if let Some((version, map)) = self.store.map() {
-                n.ownership.update_map(version, map);
+                n.ownership.update_map(version, map, now);
             }
         }
         if !n.cut && !n.departures.is_known() {
@@ -333,11 +337,11 @@
 
     fn write(&mut self, i: usize, write: ConditionalWrite) -> WriteOutcome {
         let n = &self.nodes[i];
-        if n.cut {
+        if n.cut || !is_sent(&write, n.ownership.era()) {
             return WriteOutcome::NotApplied;
         }
         if self.now >= n.losing_until {
-            return self.store.write(&write);
+            return self.store.apply(&write);
         }
         if n.done_at_once {
             self.store.apply(&write);
@@ -400,8 +404,12 @@
         let mut text = String::new();
         let store = (self.store.map(), self.store.leases());
         let copies: Vec<_> = self.copies.iter().map(|c| (c.map(), c.leases())).collect();
-        write!(text, "{store:?} {copies:?} {:?} {:?} {:?}", self.late, self.departure, self.confirmed)
-            .unwrap();
+        write!(
+            text,
+            "{store:?} {copies:?} {:?} {:?} {:?}",
+            self.late, self.departure, self.confirmed
+        )
+        .unwrap();
         for n in &self.nodes {
             let Node { ownership, witness, departures, backend: b, held_heartbeat, .. } = n;
             let times = (n.losing_until, n.changes_held_until, n.frozen_until);
--- a/crates/mesh/tests/ownership/simulation.rs
+++ b/crates/mesh/tests/ownership/simulation.rs
@@ -29,7 +29,7 @@
 const CLOCK_DRIFT_DIVISOR: u64 = 50;
 
 /// Fault rates. `late_writes`, `late_calls`, `lost_messages` and `stale_reads` are percentages of
-/// the calls, `outages` are per 100 s, all others per host and 100 s.
+/// the calls, `outages` and `rollbacks` are per 100 s, all others per host and 100 s.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
     pub restarts: u32,
@@ -37,6 +37,7 @@
     pub drains: u32,
     pub freezes: u32,
     pub outages: u32,
+    pub rollbacks: u32,
     pub late_writes: u32,
     pub late_calls: u32,
     pub lost_messages: u32,
@@ -324,6 +325,10 @@
         if self.occurs(f.outages) {
             self.store.unavailable_until = self.now + self.rng.random_range(500..20_000);
         }
+        if f.rollbacks > 0 && self.occurs(f.rollbacks) && !self.history.is_empty() {
+            let copy = &self.history[self.rng.random_range(0..self.history.len())].1;
+            self.store = self.store.restored_from(copy);
+        }
         for i in 0..self.hosts.len() {
             if self.occurs(f.restarts) {
                 let process = self.next_id();
@@ -488,6 +493,14 @@
                 self.renewal_messages.push(RenewalMessage { at, from: i, to, renewal, outcome });
             }
         }
+        let era = self.hosts[i].ownership.era();
+        for host in self.hosts[i].renewals.remove_other_eras(era) {
+            let Some(to) = self.hosts.iter().position(|h| h.addr == host) else { continue };
+            let at = now + if to == i { 0 } else { self.rng.random_range(1..100) };
+            let renewal = Renewal { host, expected: RowVersion(0), row: Vec::new() };
+            let outcome = Some(WriteOutcome::NotApplied);
+            self.renewal_messages.push(RenewalMessage { at, from: i, to, renewal, outcome });
+        }
         if self.hosts[i].batch_response.is_none()
             && let Some(write) = self.hosts[i].renewals.next_write(Millis(now))
         {
@@ -715,6 +728,9 @@
         } else {
             self.store.clone()
         };
+        if store.era() < self.hosts[i].ownership.era() {
+            return;
+        }
         let processes: Vec<_> = self.hosts.iter().map(|h| (h.addr, h.process)).collect();
         let suspicious = (0..self.hosts.len()).any(|o| !self.is_up(o) || !self.connected(i, o));
         let h = &mut self.hosts[i];
@@ -725,7 +741,7 @@
             let map = store.map();
             h.ownership.note_map_read();
             if let Some((version, map)) = map {
-                h.ownership.update_map(version, map);
+                h.ownership.update_map(version, map, Millis(now));
             }
         }
         let writer = h.renewals.active_within(Millis(3_000), Millis(now));
@@ -746,7 +762,9 @@
             self.store.unavailable_until > now || self.hosts[i].store_partition_until > now;
         let (late, lost) = (self.faults.late_writes, self.faults.lost_messages);
         let delay = self.rng.random_range(10..150);
-        if self.chance(late) {
+        if !is_sent(&write, self.hosts[i].ownership.era()) {
+            (now, WriteOutcome::NotApplied)
+        } else if self.chance(late) {
             let at = now + self.rng.random_range(50..6_000);
             self.pending_writes.push(LateWrite { at, write });
             (now + 1_500, WriteOutcome::Unknown)
@@ -758,7 +776,7 @@
             self.store.apply(&write);
             (now + 1_500, WriteOutcome::Unknown)
         } else {
-            (now + delay, self.store.write(&write))
+            (now + delay, self.store.apply(&write))
         }
     }
 
@@ -799,7 +817,18 @@
     }
 }
 
+/// Returns whether the client of a host that has seen `era` sends a write: none that expects versions
+/// of another era.
+pub fn is_sent(write: &ConditionalWrite, era: u64) -> bool {
+    write.expect.iter().all(|(_, v)| *v == RowVersion(0) || v.era() == era)
+}
+
 impl Store {
+    /// Returns how often the store went back to an earlier state.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
     fn get(&self, name: RowName) -> (u64, Option<Vec<u8>>) {
         let row = self.rows.iter().find(|r| r.name == name && r.value.is_some());
         row.map_or((0, None), |r| (r.version, r.value.clone()))
@@ -843,15 +872,6 @@
         WriteOutcome::Committed(self.stamp(self.version))
     }
 
-    /// Writes for a client that has seen this era: it sends no write with versions of another one.
-    pub fn write(&mut self, write: &ConditionalWrite) -> WriteOutcome {
-        let foreign = |v: RowVersion| v != RowVersion(0) && v.era() != self.era;
-        if write.expect.iter().any(|(_, v)| foreign(*v)) {
-            return WriteOutcome::NotApplied;
-        }
-        self.apply(write)
-    }
-
     pub fn map(&self) -> Option<(RowVersion, KeyMap)> {
         let (version, value) = self.get(RowName::Map);
         value.map(|v| (self.stamp(version), KeyMap::decode(&v).unwrap()))
