Read the era of the store, and write again what a rollback lost

Cause: the store comes back from a copy with version numbers used again; the header Store-Era tells.

Change: the client completes versions with the era and strips it in calls. It refuses writes and watches that name a version of another era, and responses of an older era. Hosts that learn of an era from another host record it too. When the era changes (event=store-rolled-back, papayarill_store_rollbacks), the departure is read and written again and the host row is written again within a second; watches have lost their history, so rows are read whole. A host that writes renewals refuses those of hosts that don't know the era. The stand-in store can be copied and restored.

--- a/crates/mesh/src/departure.rs
+++ b/crates/mesh/src/departure.rs
@@ -59,6 +59,8 @@
     /// The row in the store: its version, 0 if there is none, and its content. `None` until it was
     /// read.
     stored: Option<(RowVersion, Option<Departure>)>,
+    /// Whether the row has to be read again, because the store has gone back to an earlier state.
+    outdated: bool,
     latest: Option<Departure>,
 }
 
@@ -84,11 +86,19 @@
 
     /// Returns whether the store has the latest departure, so that it may be confirmed.
     pub fn is_recorded(&self) -> bool {
-        self.is_known() && self.next_write().is_none()
+        self.is_known() && !self.outdated && self.next_write().is_none()
+    }
+
+    /// Returns whether the row has to be read before it can be written.
+    pub fn wants_read(&self) -> bool {
+        self.outdated || !self.is_known()
     }
 
     /// Returns the departure to write and the version that the row must have, if a write is due.
     pub fn next_write(&self) -> Option<(RowVersion, &Departure)> {
+        if self.outdated {
+            return None;
+        }
         let ((version, stored), latest) = (self.stored.as_ref()?, self.latest.as_ref()?);
         let recorded = stored.as_ref().is_some_and(|s| s.covers(latest));
         (!recorded).then_some((*version, latest))
@@ -103,6 +113,12 @@
             self.latest.clone_from(&departure);
         }
         self.stored = Some((version, departure));
+        self.outdated = false;
+    }
+
+    /// Records that the store has gone back to an earlier state, which may lack the departure.
+    pub fn store_rolled_back(&mut self) {
+        self.outdated = true;
     }
 
     /// Records that a heartbeat reported that its sender is draining. The first one counts, so that
--- a/crates/mesh/tests/departures.rs
+++ b/crates/mesh/tests/departures.rs
@@ -69,3 +69,18 @@
     log.update_stored(RowVersion(41), Some(draining(5, 7)));
     assert!(log.is_recorded());
 }
+
+#[test]
+fn a_departure_that_a_rollback_of_the_store_lost_is_written_again() {
+    let mut log = log(None);
+    log.record_draining(&incarnation(5, "b"), 7);
+    log.update_stored(RowVersion::in_era(0, 40), Some(draining(5, 7)));
+
+    log.store_rolled_back();
+    let before_read = (log.is_known(), log.is_recorded(), log.wants_read(), log.next_write());
+    assert_eq!(before_read, (true, false, true, None));
+
+    log.update_stored(RowVersion::in_era(1, 30), None);
+    assert_eq!(log.next_write(), Some((RowVersion::in_era(1, 30), &draining(5, 7))));
+    assert!(!log.admits(&incarnation(5, "b"), 7));
+}
--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -1,8 +1,10 @@
 //! End-to-end tests of sidecars as separate processes, with a stand-in store, backend servers that
 //! send heartbeats, and callers.
 
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -336,6 +338,94 @@
     assert_eq!(store.keys("leases").len(), 2);
 }
 
+/// The fence under which each sampled key was last held, and by which host.
+#[derive(Default)]
+struct HolderCheck {
+    last: Vec<(u16, u64, usize)>,
+}
+
+impl HolderCheck {
+    /// Checks that no key has two holders, and that a key's fence is higher for each new holder.
+    fn sample(&mut self, hosts: &[&Host]) {
+        let held: Vec<_> = hosts.iter().map(|h| h.backend.held_ranges()).collect();
+        for key in (0..=u16::MAX).step_by(61) {
+            let covers = |(from, to, _): &&(u16, u16, u64)| *from <= key && key <= *to;
+            let holders = held.iter().enumerate();
+            let holders = holders.filter_map(|(i, r)| r.iter().find(covers).map(|r| (r.2, i)));
+            let holders: Vec<(u64, usize)> = holders.collect();
+            assert!(holders.len() < 2, "key {key} has holders {holders:?}");
+            let Some((fence, holder)) = holders.first().copied() else { continue };
+            match self.last.binary_search_by_key(&key, |(k, ..)| *k) {
+                Ok(at) => {
+                    let (_, previous, last) = self.last[at];
+                    let rises = fence > previous || fence == previous && holder == last;
+                    assert!(rises, "key {key} has fence {fence} after {previous}");
+                    self.last[at] = (key, fence, holder);
+                }
+                Err(at) => self.last.insert(at, (key, fence, holder)),
+            }
+        }
+    }
+}
+
+/// Guards against acting on a restored key map: keys that moved after the copy was made would be
+/// served by two hosts, or again under the fence of their earlier holder.
+#[actix_rt::test]
+async fn keys_have_one_holder_and_are_served_after_the_store_went_back() {
+    let store = Store::start().await;
+    store.put_config(&document(1));
+    let a = start_host(&store, SHARDED_SERVICE, "back-a").await;
+    let b = start_host(&store, SHARDED_SERVICE, "back-b").await;
+    wait_until("all keys are held", || held_key_count(&[&a, &b]) == KEY_COUNT).await;
+    let copy = store.copy();
+    let c = start_host(&store, SHARDED_SERVICE, "back-c").await;
+    let hosts = [&a, &b, &c];
+    let mut check = HolderCheck::default();
+    wait_until("keys have moved", || {
+        check.sample(&hosts);
+        c.backend.held_key_count() > KEY_COUNT / 5
+    })
+    .await;
+    let served = Rc::new(Cell::new(0));
+    let callers = [a.callers, b.callers];
+    let load = actix_rt::spawn(send_requests(callers, served.clone()));
+
+    store.set_fault(Fault::Busy);
+    sleep(Duration::from_millis(300)).await;
+    store.restore(&copy);
+    store.put_config(&document(1));
+    store.set_fault(Fault::None);
+    let end = Instant::now() + Duration::from_secs(16);
+    while Instant::now() < end {
+        check.sample(&hosts);
+        sleep(Duration::from_millis(10)).await;
+    }
+    wait_until("all keys are held again", || {
+        check.sample(&hosts);
+        held_key_count(&hosts) == KEY_COUNT
+    })
+    .await;
+    let before = served.get();
+    wait_until("requests are served", || served.get() > before + 20).await;
+    load.abort();
+
+    assert!(has_metric(&a, "papayarill_store_rollbacks 1").await);
+    assert_eq!(store.keys("leases").len(), 3);
+    assert_eq!(store.keys("fleet").iter().filter(|k| *k != "map").count(), 3);
+}
+
+/// Sends requests with changing keys, and counts those that are served.
+async fn send_requests(callers: [SocketAddr; 2], served: Rc<Cell<u64>>) {
+    for n in 0_u16.. {
+        let request = caller_request("/read/x", &format!("load-{n}"), Some(n.wrapping_mul(1_009)));
+        let response = send_request(callers[usize::from(n % 2)], &request).await;
+        if response.is_some_and(|r| r.status == 200) {
+            served.set(served.get() + 1);
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[actix_rt::test]
 async fn a_draining_backend_server_hands_over_its_keys_and_receives_no_more_requests() {
     let store = Store::start().await;
--- a/crates/sidecar/src/departures.rs
+++ b/crates/sidecar/src/departures.rs
@@ -21,23 +21,10 @@
     let mut dependency = Dependency::new("store-departures");
     let service = &cx.settings.service;
     loop {
-        match cx.store.read_departure(service, cx.me).await {
-            Ok((version, departure)) => {
-                dependency.succeeded();
-                if let Some(d) = &departure {
-                    info!("event=departure-known id={} seq={}", d.incarnation.id, d.seq);
-                }
-                cx.state.borrow_mut().departures.update_stored(version, departure);
-                cx.changed.notify_waiters();
-                break;
-            }
-            Err(e) => {
-                dependency.failed(&e);
-                sleep(RETRY_DELAY).await;
-            }
+        if cx.state.borrow().departures.wants_read() {
+            read_departure(&cx, &mut dependency).await;
+            continue;
         }
-    }
-    loop {
         let due = cx.state.borrow().departures.next_write().map(|(v, d)| (v, d.clone()));
         let Some((expected, departure)) = due else {
             cx.departure_due.notified().await;
@@ -61,6 +48,23 @@
     }
 }
 
+async fn read_departure(cx: &Cx, dependency: &mut Dependency) {
+    match cx.store.read_departure(&cx.settings.service, cx.me).await {
+        Ok((version, departure)) => {
+            dependency.succeeded();
+            if let Some(d) = &departure {
+                info!("event=departure-known id={} seq={}", d.incarnation.id, d.seq);
+            }
+            cx.state.borrow_mut().departures.update_stored(version, departure);
+            cx.changed.notify_waiters();
+        }
+        Err(e) => {
+            dependency.failed(&e);
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
 /// Waits until it is known what was recorded before this process started. Returns false if the store
 /// doesn't answer in time.
 pub async fn wait_until_known(cx: &Cx) -> bool {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -18,6 +18,7 @@
 mod relay;
 mod renewals;
 mod response;
+mod rollback;
 mod rpc;
 mod settings;
 mod state;
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -13,7 +13,9 @@
 
 use crate::settings::{Settings, SettingsError};
 use crate::state::Cx;
-use crate::{departures, grant_calls, key_ownership, listeners, relay, renewals, rpc, store_watch};
+use crate::{
+    departures, grant_calls, key_ownership, listeners, relay, renewals, rollback, rpc, store_watch,
+};
 
 /// The platform checks readiness every second and assigns a process no new work after two failed
 /// checks; requests that arrive until then are still served.
@@ -107,6 +109,7 @@
         listeners::metrics_handler(handle),
     ));
     actix_rt::spawn(rpc::listen(cx.clone(), hosts));
+    actix_rt::spawn(rollback::watch_era(cx.clone()));
     actix_rt::spawn(store_watch::watch_config(cx.clone()));
     actix_rt::spawn(store_watch::watch_fleet(cx.clone()));
     actix_rt::spawn(relay::pull_changes(cx.clone()));
--- a/crates/sidecar/src/renewals.rs
+++ b/crates/sidecar/src/renewals.rs
@@ -134,9 +134,12 @@
                 }
             }
         }
-        let Some(write) = cx.state.borrow_mut().renewals.batch.next_write(cx.now()) else {
-            continue;
+        let (outdated, write) = {
+            let batch = &mut cx.state.borrow_mut().renewals.batch;
+            (batch.remove_other_eras(cx.store.era()), batch.next_write(cx.now()))
         };
+        outdated.into_iter().for_each(|reply| send_outcome(reply, WriteOutcome::NotApplied));
+        let Some(write) = write else { continue };
         let (outcome, error) = cx.store.write(&cx.settings.service, &write).await;
         match &error {
             Some(e) => dependency.failed(e),
--- a/crates/sidecar/src/store_watch.rs
+++ b/crates/sidecar/src/store_watch.rs
@@ -250,6 +250,7 @@
 
 /// Applies changes of host rows.
 pub fn apply_host_changes(cx: &Rc<Cx>, changes: HostChanges<HostRow>) {
+    cx.store.record_era(changes.position);
     let changed = cx.state.borrow_mut().hosts.apply(changes);
     if !changed.is_empty() {
         cx.state.borrow_mut().update_peers(&cx.settings.service);
@@ -285,9 +286,10 @@
 /// Applies a key map unless a newer one is known.
 pub fn apply_key_map(cx: &Cx, service: &ServiceName, version: RowVersion, map: KeyMap) {
     let runs = map.ranges.len();
+    cx.store.record_era(version);
     let mut state = cx.state.borrow_mut();
     if *service == cx.settings.service {
-        state.ownership.update_map(version, map.clone());
+        state.ownership.update_map(version, map.clone(), cx.now());
     }
     if state.apply_key_map(service, version, Rc::new(map)) {
         info!("event=key-map service={service} version={version} runs={runs}");
