Add scenarios of a copy without a map and of a restart of the backend server

Change: two scenarios; the one about outcomes of a former era also checks that leases of it are not taken.

--- a/crates/mesh/tests/ownership/rollbacks.rs
+++ b/crates/mesh/tests/ownership/rollbacks.rs
@@ -1,8 +1,8 @@
 //! Scenarios in which the store goes back to an earlier state.
 
 use mesh::{
-    BackendHeartbeat, ConditionalWrite, Incarnation, KeyMap, KeyOwnership, LeaseRow, WriteOutcome,
-    initial_map,
+    BackendHeartbeat, ConditionalWrite, Incarnation, KeyMap, KeyOwnership, LeaseReader, LeaseRow,
+    WriteOutcome, initial_map,
 };
 use model::{Fence, Millis, RowVersion};
 
@@ -314,5 +314,51 @@
 
     assert!(noticed && !map_taken);
     assert_eq!(ownership.lease_expiry(), until);
+    assert!(ownership.wants_lease_read(LeaseReader::Member, fixture.now));
     assert_eq!(write, None);
 }
+
+/// Guards against an initial map, and against keys that are kept without any map, when the copy is older
+/// than the first map: hosts that don't know of the rollback may still hold keys.
+#[test]
+fn without_a_map_nothing_is_held_until_an_initial_map_is_written_after_the_longest_term() {
+    let mut fixture = Fixture::new();
+    let empty = fixture.store.clone();
+    let [mut ownership, _other] = fixture.two_owners();
+    fixture.store = fixture.store.restored_from(&empty);
+    ownership.record_era(1, fixture.now);
+
+    let written = fixture.run_until((&mut ownership, 0), 2, Millis(16_000), |f, ownership| {
+        let has_map = f.store.map().is_some();
+        assert!(has_map || ownership.check_key(0, f.now).is_err());
+        has_map
+    });
+
+    assert!(written.is_some_and(|after| after > LONGEST_TERM), "{written:?}");
+    let (_, map) = fixture.store.map().unwrap();
+    assert!(map.ranges.iter().all(|r| r.fence.0 > FENCES_PER_ERA));
+}
+
+/// Guards against a restarted backend server that is granted an unclaimed key under the fence that is
+/// raised for its restart, while another one holds the key.
+#[test]
+fn a_restart_of_the_backend_server_does_not_claim_keys() {
+    let mut fixture = Fixture::new();
+    let [mut giver, _receiver] = fixture.moved_and_lost();
+    fixture.synchronize(&mut giver, 0, 12);
+    fixture.synchronize(&mut giver, 0, 13);
+    let incarnation = Incarnation { started_at: 2, id: "b0".into() };
+
+    for seq in 1..4 {
+        let first =
+            BackendHeartbeat { incarnation: incarnation.clone(), seq, ..Default::default() };
+        giver.handle_heartbeat(&first, fixture.now);
+        fixture.apply_writes(&mut giver);
+    }
+
+    let (_, map) = fixture.store.map().unwrap();
+    assert!(map.range_of(0).fence.0 < FENCES_PER_ERA);
+    assert!(giver.check_key(0, fixture.now).is_err());
+    let raised = map.owned_by(addr(0)).filter(|r| r.fence.0 > FENCES_PER_ERA).count();
+    assert!(raised > 1, "the fences of the other keys are raised");
+}
