--- a/crates/mesh/tests/ownership/rollbacks.rs
+++ b/crates/mesh/tests/ownership/rollbacks.rs
@@ -1,8 +1,8 @@
 //! Scenarios in which the store goes back to an earlier state.
 
 use mesh::{
-    BackendHeartbeat, ConditionalWrite, Incarnation, KeyMap, KeyOwnership, LeaseReader, LeaseRow,
-    WriteOutcome, initial_map,
+    BackendHeartbeat, ConditionalWrite, Incarnation, KeyMap, KeyOwnership, KeyRange, LeaseReader,
+    LeaseRow, WriteOutcome, initial_map,
 };
 use model::{Fence, Millis, RowVersion};
 
@@ -362,3 +362,58 @@
     let raised = map.owned_by(addr(0)).filter(|r| r.fence.0 > FENCES_PER_ERA).count();
     assert!(raised > 1, "the fences of the other keys are raised");
 }
+
+/// Guards against unclaimed ranges that get a new fence because their list is too long for a reply.
+#[test]
+fn a_long_list_of_unclaimed_ranges_is_not_merged() {
+    let mut fixture = Fixture::new();
+    let range = |i: u16| KeyRange {
+        from: i * 128,
+        to: i * 128 + 127,
+        owner: addr(0),
+        fence: Fence(1 + u64::from(i % 2)),
+        handover: String::new(),
+        next_owner: None,
+    };
+    fixture.put_map(|_| KeyMap {
+        last_fence: Fence(2),
+        ranges: (0..512).map(range).collect(),
+        ..KeyMap::default()
+    });
+    fixture.roll_back();
+    let mut next = fixture.ownership(0, 9);
+    fixture.synchronize(&mut next, 0, 1);
+
+    let granted = fixture.run_until((&mut next, 0), 2, Millis(14_000), |f, ownership| {
+        ownership.check_key(0, f.now).is_ok()
+    });
+
+    assert!(granted.is_some_and(|after| after > LONGEST_TERM), "{granted:?}");
+}
+
+/// Guards against a release of a former era that is written again in the new one: it may have been
+/// written before, and the next holder may not know of the rollback yet.
+#[test]
+fn a_release_of_a_former_era_is_not_written_again() {
+    let mut fixture = Fixture::new();
+    let [mut giver, _receiver] = fixture.two_owners();
+    let copy = fixture.store.clone();
+    fixture.request_move(addr(0), addr(1));
+    let (version, map) = fixture.store.map().unwrap();
+    giver.update_map(version, map, fixture.now);
+    giver.update_leases(fixture.store.leases(), fixture.now);
+    for seq in 2..4 {
+        fixture.heartbeat(&mut giver, 0, seq);
+    }
+    let release = giver.next_write(fixture.now).expect("the keys are released");
+    assert_eq!(release.reason, "release");
+    giver.write_finished(WriteOutcome::Unknown, fixture.now);
+
+    fixture.store = fixture.store.restored_from(&copy);
+    let moved = fixture.run_until((&mut giver, 0), 4, Millis(2_000), |f, _| {
+        f.store.map().is_some_and(|(_, map)| map.range_of(0).owner != addr(0))
+    });
+
+    assert_eq!(moved, None);
+    assert!(giver.check_key(0, fixture.now).is_err());
+}
