--- a/crates/mesh/tests/ownership/evacuation.rs
+++ b/crates/mesh/tests/ownership/evacuation.rs
@@ -31,7 +31,7 @@
         let seq = fixture.now.0;
         for (i, ownership) in all.iter_mut().enumerate() {
             if let Some((version, map)) = fixture.store.map() {
-                ownership.update_map(version, map);
+                ownership.update_map(version, map, fixture.now);
             }
             ownership.update_leases(fixture.store.leases(), fixture.now);
             fixture.heartbeat(ownership, i, seq);
--- a/crates/mesh/tests/ownership/main.rs
+++ b/crates/mesh/tests/ownership/main.rs
@@ -3,6 +3,7 @@
 
 mod evacuation;
 mod random_faults;
+mod rollbacks;
 mod scenarios;
 mod search;
 mod simulation;
--- a/crates/mesh/tests/ownership/search.rs
+++ b/crates/mesh/tests/ownership/search.rs
@@ -12,7 +12,7 @@
 };
 use model::{Fence, Millis, RowVersion};
 
-use crate::simulation::{Store, addr};
+use crate::simulation::{Store, addr, is_sent};
 
 const TICK: Millis = Millis(500);
 
@@ -22,6 +22,12 @@
 /// The ticks after the last fault: longer than the longest term of a lease.
 const SETTLE_TICKS: usize = 26;
 
+/// The same where the store goes back, after which keys are taken over that much later.
+const ROLLBACK_SETTLE_TICKS: usize = 44;
+
+/// How many ticks ago the copy was made to which the store goes back.
+const COPY_AGE_TICKS: usize = 4;
+
 const LAST_HOST: usize = 3;
 
 /// The host to which the faults happen. It is not among the first two, which watch the leases.
@@ -62,6 +68,10 @@
     DeliverHeartbeat,
     /// The holder's backend server deregisters and sends no more heartbeats.
     Deregister,
+    /// The store goes back to an earlier state.
+    RollBack,
+    /// A process is lost, with its backend server.
+    Lose(usize),
 }
 
 #[derive(Clone)]
@@ -96,6 +106,8 @@
 struct World {
     now: Millis,
     store: Store,
+    /// The states of the store at the end of the last ticks.
+    copies: Vec<Store>,
     nodes: Vec<Node>,
     late: Vec<ConditionalWrite>,
     /// The departure that the store has for the holder.
@@ -127,7 +139,11 @@
             handover: String::new(),
             next_owner: None,
         };
-        let map = KeyMap { last_fence: Fence(1), ranges: (0..8).map(range).collect() };
+        let map = KeyMap {
+            last_fence: Fence(1),
+            ranges: (0..8).map(range).collect(),
+            ..KeyMap::default()
+        };
         store.apply(&ConditionalWrite {
             put: vec![(RowName::Map, map.encode())],
             ..ConditionalWrite::default()
@@ -156,6 +172,7 @@
         let mut world = Self {
             now,
             store,
+            copies: Vec::new(),
             nodes: (0..=LAST_HOST).map(node).collect(),
             late: Vec::new(),
             departure: (RowVersion(0), None),
@@ -209,6 +226,12 @@
                 }
             }
             Fault::Deregister => self.deregister(),
+            Fault::RollBack => self.store = self.store.restored_from(&self.copies[0]),
+            Fault::Lose(i) => {
+                let n = &mut self.nodes[i];
+                n.frozen_until = Millis(u64::MAX);
+                n.backend.held.clear();
+            }
         }
     }
 
@@ -260,6 +283,10 @@
             }
             self.check()?;
         }
+        self.copies.push(self.store.clone());
+        if self.copies.len() > COPY_AGE_TICKS {
+            self.copies.remove(0);
+        }
         Ok(())
     }
 
@@ -279,7 +306,7 @@
             n.ownership.set_peers(peers);
             n.ownership.note_map_read();
             if let Some((version, map)) = self.store.map() {
-                n.ownership.update_map(version, map);
+                n.ownership.update_map(version, map, now);
             }
         }
         if !n.cut && !n.departures.is_known() {
@@ -310,7 +337,7 @@
 
     fn write(&mut self, i: usize, write: ConditionalWrite) -> WriteOutcome {
         let n = &self.nodes[i];
-        if n.cut {
+        if n.cut || !is_sent(&write, n.ownership.era()) {
             return WriteOutcome::NotApplied;
         }
         if self.now >= n.losing_until {
@@ -376,8 +403,13 @@
     fn digest(&self) -> u64 {
         let mut text = String::new();
         let store = (self.store.map(), self.store.leases());
-        write!(text, "{store:?} {:?} {:?} {:?}", self.late, self.departure, self.confirmed)
-            .unwrap();
+        let copies: Vec<_> = self.copies.iter().map(|c| (c.map(), c.leases())).collect();
+        write!(
+            text,
+            "{store:?} {copies:?} {:?} {:?} {:?}",
+            self.late, self.departure, self.confirmed
+        )
+        .unwrap();
         for n in &self.nodes {
             let Node { ownership, witness, departures, backend: b, held_heartbeat, .. } = n;
             let times = (n.losing_until, n.changes_held_until, n.frozen_until);
@@ -431,6 +463,8 @@
     faults: Vec<Fault>,
     /// The ticks in which faults happen.
     ticks: usize,
+    /// The ticks after the last fault.
+    settle_ticks: usize,
     /// The most faults that happen.
     budget: usize,
 }
@@ -460,7 +494,7 @@
         level = next;
     }
     for (mut world, trace) in level {
-        for _ in 0..SETTLE_TICKS {
+        for _ in 0..space.settle_ticks {
             world.step().map_err(|e| format!("{}: {e}: {trace:?}", space.name))?;
         }
     }
@@ -504,6 +538,7 @@
             Fault::ApplyLate,
         ],
         ticks: 4,
+        settle_ticks: SETTLE_TICKS,
         budget: 6,
     });
 }
@@ -520,6 +555,7 @@
             Fault::CutStore,
         ],
         ticks: 4,
+        settle_ticks: SETTLE_TICKS,
         budget: 4,
     });
 }
@@ -536,6 +572,7 @@
             Fault::RestartBackend,
         ],
         ticks: 4,
+        settle_ticks: SETTLE_TICKS,
         budget: 4,
     });
 }
@@ -552,6 +589,7 @@
             Fault::Restart(1),
         ],
         ticks: 4,
+        settle_ticks: SETTLE_TICKS,
         budget: 4,
     });
 }
@@ -569,6 +607,59 @@
             Fault::DeliverHeartbeat,
         ],
         ticks: 5,
+        settle_ticks: SETTLE_TICKS,
         budget: 6,
     });
 }
+
+#[test]
+fn rollbacks_of_the_store_and_moves() {
+    check(Space {
+        name: "rollbacks of the store and moves",
+        faults: vec![
+            Fault::AskMove,
+            Fault::RollBack,
+            Fault::LoseAnswers,
+            Fault::ApplyLate,
+            Fault::CutStore,
+        ],
+        ticks: 6,
+        settle_ticks: ROLLBACK_SETTLE_TICKS,
+        budget: 4,
+    });
+}
+
+#[test]
+fn rollbacks_of_the_store_and_restarts() {
+    check(Space {
+        name: "rollbacks of the store and restarts",
+        faults: vec![
+            Fault::AskMove,
+            Fault::RollBack,
+            Fault::Restart(HOLDER),
+            Fault::Restart(0),
+            Fault::RestartBackend,
+        ],
+        ticks: 6,
+        settle_ticks: ROLLBACK_SETTLE_TICKS,
+        budget: 3,
+    });
+}
+
+#[test]
+fn rollbacks_of_the_store_and_lost_hosts() {
+    check(Space {
+        name: "rollbacks of the store and lost hosts",
+        faults: vec![
+            Fault::AskMove,
+            Fault::RollBack,
+            Fault::Join,
+            Fault::Freeze,
+            Fault::CutStore,
+            Fault::Lose(1),
+        ],
+        ticks: 6,
+        settle_ticks: ROLLBACK_SETTLE_TICKS,
+        budget: 3,
+    });
+}
