Estimate waits by slot, and don't let short jobs give way

Cause: the expected wait of the next job was the mean remaining run time, several times the time until the first of many slots is free, so short requests with a short target were refused or went last while slots were about to be free. The wait now follows from when each slot is free, and jobs whose run is short compared to the mean neither give way to others nor are refused because they would miss their target.

Run: tests of mesh/tests/load.rs and cold_start.rs.

--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -75,6 +75,9 @@
 /// The bounds on the time after which a refused caller is told to retry, in milliseconds.
 const RETRY_AFTER_MS: (u64, u64) = (100, 2_000);
 
+/// Jobs up to this fraction of the mean run time are short.
+const SHORT_RUN: f64 = 0.7;
+
 /// The fraction of the slots that refused callers may use when they return; the others are for new
 /// callers.
 const RETURN_SHARE: f64 = 0.5;
@@ -93,6 +96,25 @@
     started_at: Millis,
 }
 
+/// When each slot is expected to be free, in milliseconds from now; never empty.
+struct SlotTimes {
+    free_in: Vec<f64>,
+}
+
+impl SlotTimes {
+    fn earliest(&self) -> Millis {
+        Millis(self.free_in.iter().copied().fold(f64::INFINITY, f64::min).max(0.0) as u64)
+    }
+
+    /// Lets a job take the slot that is free first.
+    fn occupy(&mut self, run_ms: f64) {
+        let first = self.free_in.iter_mut().min_by(|a, b| a.total_cmp(b));
+        if let Some(free_in) = first {
+            *free_in += run_ms;
+        }
+    }
+}
+
 /// The queue of one backend server.
 #[derive(Debug)]
 pub struct RequestQueue {
@@ -166,21 +188,18 @@
     }
 
     fn wait_for_slot(&self, ahead: usize, now: Millis) -> Millis {
-        if self.running.len() < self.slots && ahead == 0 {
-            return Millis::ZERO;
-        }
-        let queued: f64 =
-            self.waiting[..ahead].iter().map(|w| self.expected_run_ms(w.job.class)).sum();
-        Millis(((self.remaining_work(now) + queued).max(0.0) / self.slots.max(1) as f64) as u64)
+        let mut slots = self.slot_times(now);
+        self.waiting[..ahead].iter().for_each(|w| slots.occupy(self.expected_run_ms(w.job.class)));
+        slots.earliest()
     }
 
     /// Returns the expected wait of a job behind those of the first `ahead` waiting jobs that can
     /// still meet their target. The others give way to it if it can.
     fn wait_behind_on_target(&self, ahead: usize, now: Millis) -> Millis {
-        let on_target = self.waiting[..ahead].iter().filter(|w| self.meets_target(w, now));
-        let queued: f64 = on_target.map(|w| self.expected_run_ms(w.job.class)).sum();
-        let work = (self.remaining_work(now) + queued).max(0.0);
-        Millis((work / self.slots.max(1) as f64) as u64)
+        let mut slots = self.slot_times(now);
+        let on_target = self.waiting[..ahead].iter().filter(|w| !self.gives_way(w, now));
+        on_target.for_each(|w| slots.occupy(self.expected_run_ms(w.job.class)));
+        slots.earliest()
     }
 
     /// Returns whether jobs have been waiting without interruption for longer than the latency
@@ -190,15 +209,17 @@
         self.congested_since.is_some_and(|since| now.since(since) > target)
     }
 
-    /// Returns the remaining run time of the running jobs, less what the free slots can do
-    /// meanwhile.
-    fn remaining_work(&self, now: Millis) -> f64 {
+    /// Returns when the slots are expected to be free.
+    fn slot_times(&self, now: Millis) -> SlotTimes {
         let remaining = |r: &Running| {
             let run = self.expected_run_ms(r.class);
             (run - now.since(r.started_at).0 as f64).max(run * 0.25)
         };
-        let running: f64 = self.running.iter().map(remaining).sum();
-        running - self.slots.saturating_sub(self.running.len()) as f64 * self.overall_mean
+        let mut free_in: Vec<f64> = self.running.iter().map(remaining).collect();
+        // After the number of slots was reduced, the jobs that end first free none.
+        free_in.sort_by(|a, b| b.total_cmp(a));
+        free_in.resize(self.slots.max(1), 0.0);
+        SlotTimes { free_in }
     }
 
     /// Returns the expected run time of a job, in milliseconds.
@@ -254,6 +275,7 @@
             return Admission::Refused(self.retry_after(wait));
         }
         let late = self.is_congested(&job, now)
+            && !self.is_short(job.class)
             && now + self.wait_behind_on_target(ahead, now) + run > job.target_deadline;
         if now + wait + run > job.deadline || full || late {
             return Admission::Refused(self.schedule_return(now));
@@ -302,19 +324,19 @@
     /// first.
     fn remove_late(&mut self, now: Millis) -> Vec<JobId> {
         let (on_target, off_target): (Vec<usize>, Vec<usize>) =
-            (0..self.waiting.len()).partition(|i| self.meets_target(&self.waiting[*i], now));
-        let mut work = self.remaining_work(now);
+            (0..self.waiting.len()).partition(|i| !self.gives_way(&self.waiting[*i], now));
+        let mut slots = self.slot_times(now);
         let mut late = Vec::new();
         let mut ahead = 0;
         for i in on_target.into_iter().chain(off_target) {
             let w = &self.waiting[i];
-            let wait = Millis((work.max(0.0) / self.slots.max(1) as f64) as u64);
+            let wait = slots.earliest();
             let wait = wait.max(self.cold_start.nth_start(ahead, now).since(now));
             if self.misses_deadline(w, wait, now) {
                 late.push(w.id);
             } else {
                 ahead += 1;
-                work += self.expected_run_ms(w.job.class);
+                slots.occupy(self.expected_run_ms(w.job.class));
             }
         }
         self.waiting.retain(|w| !late.contains(&w.id));
@@ -348,14 +370,22 @@
         self.cold_start.take_back(id);
     }
 
-    /// Returns the index of the first job that can still meet its target deadline, or else of the
-    /// first job: one that misses its target deadline anyway can wait longer.
+    /// Returns the index of the first job that doesn't give way to others, or else of the first job.
     fn next_to_start(&self, now: Millis) -> usize {
-        self.waiting.iter().position(|w| self.meets_target(w, now)).unwrap_or(0)
+        self.waiting.iter().position(|w| !self.gives_way(w, now)).unwrap_or(0)
+    }
+
+    /// Returns whether a job starts after others, because it misses its target deadline anyway and
+    /// would take a whole run from one that can still meet its own.
+    fn gives_way(&self, w: &Waiting, now: Millis) -> bool {
+        let end = now + Millis(self.expected_run_ms(w.job.class) as u64);
+        end > w.job.target_deadline && !self.is_short(w.job.class)
     }
 
-    fn meets_target(&self, w: &Waiting, now: Millis) -> bool {
-        now + Millis(self.expected_run_ms(w.job.class) as u64) <= w.job.target_deadline
+    /// Returns whether jobs of a class take so little time that they delay others less than it would
+    /// cost to serve them late. Such jobs are often needed by requests that already run elsewhere.
+    fn is_short(&self, class: u64) -> bool {
+        self.expected_run_ms(class) <= self.overall_mean * SHORT_RUN
     }
 
     /// Tells whether a job that starts after `wait` misses its deadline. Assumes half of the
