--- a/crates/mesh/src/load_balancer.rs
+++ b/crates/mesh/src/load_balancer.rs
@@ -149,7 +149,8 @@
 const ALL_CLOSED_RETRY: Millis = Millis(300);
 
 /// Hosts whose expected completion exceeds the earliest one by less than this fraction are chosen
-/// at random: the estimates are no more accurate than that.
+/// at random: the estimates are no more accurate than that. Hosts farther away than the earliest
+/// one are left out, because with long runs this fraction exceeds the cost of another region.
 const TIE_FRACTION: f64 = 0.15;
 
 /// The time that a refusal and another try take, in milliseconds: a round trip within the region
@@ -193,12 +194,14 @@
         let usable = self.peers.iter().filter(usable);
         let mut candidates: Vec<(HostAddr, Estimate)> =
             usable.map(|p| (p.host, p.estimate(req, utilization, now))).collect();
-        candidates.sort_by(|(_, a), (_, b)| a.total.total_cmp(&b.total));
-        let (_, earliest) = candidates.first()?;
-        let limit = earliest.total * (1.0 + TIE_FRACTION);
-        let tied = candidates.partition_point(|(_, e)| e.total <= limit).max(1);
-        let chosen = req.random as usize % tied;
-        let (host, estimate) = candidates.swap_remove(chosen);
+        let (_, earliest) =
+            candidates.iter().min_by(|(_, a), (_, b)| a.total.total_cmp(&b.total))?;
+        let (limit, distance_cost) =
+            (earliest.total * (1.0 + TIE_FRACTION), earliest.distance_cost);
+        let is_tied = |e: &Estimate| e.total <= limit && e.distance_cost <= distance_cost;
+        let tied = (0..candidates.len()).filter(|i| is_tied(&candidates[*i].1));
+        let tied: Vec<usize> = tied.collect();
+        let (host, estimate) = candidates.swap_remove(tied[req.random as usize % tied.len()]);
         let next = candidates.iter().map(|(_, e)| e.total).reduce(f64::min);
         let max_wait = next.map(|next| {
             let without_wait = estimate.total - estimate.wait;
--- a/crates/mesh/src/load_balancer/peer.rs
+++ b/crates/mesh/src/load_balancer/peer.rs
@@ -22,8 +22,14 @@
 const REPORT_LIFETIME_MS: f64 = 2_000.0;
 
 /// A host that has not reported for this long, or never, is probed before other hosts of its zone.
+/// One of another region is only taken for idle, so that it is probed when the hosts of the region
+/// are loaded: otherwise each process would send it one request in this time, whatever the load.
 const PROBE_AFTER: Millis = Millis(4_000);
 
+/// Multiplies the time of a report, so that reports a few milliseconds apart lead to probes at very
+/// different times.
+const PROBE_SPREAD: u64 = 2_654_435_761;
+
 /// The run time assumed of such a host, in milliseconds: less than that of any backend server.
 const PROBE_RUN_MS: f64 = 20.0;
 
@@ -62,6 +68,8 @@
 pub(super) struct Estimate {
     /// How long the request waits for a slot and for the link of the host.
     pub(super) wait: f64,
+    /// The extra wait that is acceptable elsewhere to avoid the distance.
+    pub(super) distance_cost: f64,
     /// The whole time, plus penalties.
     pub(super) total: f64,
 }
@@ -100,9 +108,11 @@
         let slots = f64::from(r.slots.max(1));
         // Only one request at a time is sent as a probe.
         let probe = self.needs_probe(now) && self.in_flight == 0;
+        let near_probe = probe && self.distance != Distance::OtherRegion;
         let class = self.class(req.class);
-        let mean_run = if probe { PROBE_RUN_MS } else { f64::from(r.mean_run_ms.max(1)) };
-        let run = class.filter(|_| !probe).map_or(mean_run, |c| f64::from(c.run_ms.max(1)));
+        let mean_run = if near_probe { PROBE_RUN_MS } else { f64::from(r.mean_run_ms.max(1)) };
+        let class_run = class.filter(|c| !near_probe && c.run_ms > 0);
+        let run = class_run.map_or(mean_run, |c| f64::from(c.run_ms));
         let freshness = self.freshness(now);
         let jobs = f64::from(r.running) + f64::from(r.waiting);
         let assumed = if probe { 0.0 } else { utilization * slots * (1.0 - freshness) };
@@ -115,13 +125,14 @@
         let congestion = (demand / slots).min(1.0).powi(3) * run * 0.5;
         let delivery = class.map_or(0.0, |c| f64::from(c.delivery_ms) * freshness);
         let wait = queued + delivery;
+        let distance_cost = self.distance.cost_ms(req);
         let total = run
             + wait
             + congestion
             + self.transfer_ms(req.body_bytes, freshness)
-            + self.distance.cost_ms(req)
+            + distance_cost
             + self.failure_rate(now) * FAILURE_COST_MS;
-        Estimate { wait, total }
+        Estimate { wait, distance_cost, total }
     }
 
     fn class(&self, class: u64) -> Option<ClassLoad> {
@@ -129,8 +140,12 @@
         Some(self.classes[at].1)
     }
 
+    /// Returns whether the host never reported or was silent for one to two [`PROBE_AFTER`]. How long
+    /// exactly depends on the time of its report, which differs between processes: otherwise those
+    /// that started together would go on probing a slow host all at once.
     fn needs_probe(&self, now: Millis) -> bool {
-        self.reported_at == Millis::ZERO || now.since(self.reported_at) > PROBE_AFTER
+        let spread = Millis(self.reported_at.0.wrapping_mul(PROBE_SPREAD) % PROBE_AFTER.0);
+        self.reported_at == Millis::ZERO || now.since(self.reported_at) > PROBE_AFTER + spread
     }
 
     fn freshness(&self, now: Millis) -> f64 {
