--- a/crates/mesh/src/response_link.rs
+++ b/crates/mesh/src/response_link.rs
@@ -30,8 +30,10 @@
 #[derive(Clone, Debug)]
 pub struct ResponseLink {
     bytes_per_ms: f64,
-    /// When the responses written so far are expected to have crossed the link.
-    free_at: Millis,
+    /// When the responses written so far are expected to have crossed the link, in milliseconds.
+    /// Not rounded: small responses take less than a millisecond, and on a link that is never idle
+    /// the error would grow without bound.
+    free_at_ms: f64,
     classes: Vec<Class>, // Sorted by id.
 }
 
@@ -45,15 +47,12 @@
         };
         let in_progress = self.classes.iter().map(|c| c.mean_bytes * f64::from(c.in_progress));
         let bytes = in_progress.sum::<f64>() + own.mean_bytes;
-        self.free_at.max(now) + self.transfer_time(bytes) - now
+        let now = now.0 as f64;
+        Millis((self.free_at_ms.max(now) + self.transfer_ms(bytes) - now) as u64)
     }
 
-    fn transfer_time(&self, bytes: f64) -> Millis {
-        if self.bytes_per_ms > 0.0 {
-            Millis((bytes / self.bytes_per_ms) as u64)
-        } else {
-            Millis::ZERO
-        }
+    fn transfer_ms(&self, bytes: f64) -> f64 {
+        if self.bytes_per_ms > 0.0 { bytes / self.bytes_per_ms } else { 0.0 }
     }
 
     fn class(&self, id: u64) -> Option<&Class> {
@@ -66,7 +65,7 @@
 impl ResponseLink {
     /// Creates an unused link that carries `bytes_per_ms`.
     pub fn new(bytes_per_ms: f64) -> Self {
-        Self { bytes_per_ms, free_at: Millis::ZERO, classes: Vec::new() }
+        Self { bytes_per_ms, free_at_ms: 0.0, classes: Vec::new() }
     }
 
     /// Records that a request of `class` is in progress whose response will cross the link.
@@ -83,12 +82,20 @@
     /// Records that a response of `bytes` is ready, and returns how long it has to wait until it is
     /// written.
     pub fn response_ready(&mut self, class: u64, bytes: usize, now: Millis) -> Millis {
-        let mean = &mut self.class_mut(class).mean_bytes;
-        let weight = if *mean == 0.0 { 1.0 } else { SIZE_WEIGHT };
-        *mean += (bytes as f64 - *mean) * weight;
-        let free_at = self.free_at.max(now);
-        self.free_at = free_at + self.transfer_time(bytes as f64);
-        if bytes < LARGE_RESPONSE { Millis::ZERO } else { free_at.since(now + MAX_BACKLOG) }
+        if bytes > 0 {
+            // Refusals and failures have no body and tell nothing about the size of responses.
+            let mean = &mut self.class_mut(class).mean_bytes;
+            let weight = if *mean == 0.0 { 1.0 } else { SIZE_WEIGHT };
+            *mean += (bytes as f64 - *mean) * weight;
+        }
+        let now = now.0 as f64;
+        let backlog_ms = (self.free_at_ms - now).max(0.0);
+        self.free_at_ms = now + backlog_ms + self.transfer_ms(bytes as f64);
+        if bytes < LARGE_RESPONSE {
+            Millis::ZERO
+        } else {
+            Millis(backlog_ms as u64).since(MAX_BACKLOG)
+        }
     }
 
     fn class_mut(&mut self, id: u64) -> &mut Class {
