--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -370,12 +370,16 @@
     }
 
     /// Returns when a refused caller should return: after the waiting jobs and the callers that were
-    /// refused before it, so that they don't all meet the same full queue again.
+    /// refused before it, so that they don't all meet the same full queue again. If these take the
+    /// longest permitted time, the time between is given out once more: told to return then, all
+    /// further callers would come at once.
     fn schedule_return(&mut self, now: Millis) -> Millis {
-        let at = self.returns_until.max(now + self.expected_wait(now));
-        let run = self.overall_mean / (self.slots.max(1) as f64 * RETURN_SHARE);
+        let earliest = now + self.expected_wait(now);
         let latest = now + Millis(RETRY_AFTER_MS.1);
-        self.returns_until = (at + Millis(run as u64)).min(latest);
+        let next = self.returns_until.max(earliest);
+        let at = if next < latest { next } else { earliest };
+        let run = self.overall_mean / (self.slots.max(1) as f64 * RETURN_SHARE);
+        self.returns_until = at + Millis(run as u64);
         self.retry_after(at.since(now))
     }
 }
