Test that a request that arrives late is not refused for a short burst

Cause: review of the congestion rule. It compares how long jobs have been waiting with the time left to the target of the new job. For a request that was passed on or waited for its key, this is short, so that it is refused after a short burst although it could be served within its limit. Mending it needs the whole target in `Job`, set by the sidecar.

--- a/crates/mesh/tests/overload.rs
+++ b/crates/mesh/tests/overload.rs
@@ -176,6 +176,21 @@
     assert_eq!(shipped.refused, 0, "{shipped:?}");
 }
 
+/// Guards against a request that arrives with little time left to its target, such as one that was
+/// passed on, being refused for the lasting overload that a short burst is not.
+#[test]
+fn a_request_that_arrives_late_is_not_refused_for_a_short_burst() {
+    let mut queue = queue();
+    (0..SLOTS + 2).for_each(|_| {
+        queue.submit(job(0, 0), Millis(0));
+    });
+    let late = Job { target_deadline: Millis(200), deadline: Millis(1_000), ..job(0, 0) };
+
+    let admission = queue.submit(late, Millis(150));
+
+    assert!(matches!(admission, Admission::Queued(_)), "{admission:?}");
+}
+
 /// Guards against the less urgent of two priorities being served at the cost of the other.
 #[test]
 fn at_twice_the_capacity_the_more_urgent_priority_is_served_no_less_often() {
