Replay callers that return as told

Cause: the test of waves looked only at the times that refused callers are told, not at what happens when they return.

Change: a replay of 100 callers at once that return until they are served, next to new callers at half of the capacity.

--- a/crates/mesh/tests/overload.rs
+++ b/crates/mesh/tests/overload.rs
@@ -1,7 +1,7 @@
 //! Admission at one backend server under overload, replayed against admission by the deadline only
 //! and a constant time to return. Time is simulated and seeds are fixed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use mesh::{Admission, Job, JobId, QueueLimits, RequestQueue};
 use model::Millis;
@@ -237,3 +237,64 @@
         assert!(wave <= bound, "{callers} callers: {wave}, bound {bound}");
     }
 }
+
+/// Replays 6 s of `callers` that arrive at once next to new callers at half of the capacity, and
+/// that return after a refusal: as told or, if given, after a constant time. Returns the largest
+/// number of them that return within 200 ms, and how many had a response within 6 s.
+fn largest_wave_of_returns(callers: usize, constant: Option<u64>) -> (usize, usize) {
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut queue = queue();
+    let mut due: Vec<u64> = vec![0; callers];
+    let mut ends: Vec<(u64, JobId)> = Vec::new();
+    let mut returning: HashSet<JobId> = HashSet::new();
+    let (mut returns, mut responses) = (vec![0; 6_000], 0);
+    let mut new_callers = at_capacity(0.5);
+    for now in 0..6_000_u64 {
+        for (_, id) in ends.extract_if(.., |(at, _)| *at <= now) {
+            queue.finish(id, Millis(now));
+            responses += usize::from(returning.remove(&id));
+        }
+        for _ in new_callers(now, &mut rng) {
+            if let Admission::Start(id) = queue.submit(job(0, now), Millis(now)) {
+                ends.push((now + run_time(&mut rng), id));
+            }
+        }
+        let arrived = due.extract_if(.., |at| *at <= now).count();
+        returns[now as usize] = if now == 0 { 0 } else { arrived };
+        for _ in 0..arrived {
+            match queue.submit(job(0, now), Millis(now)) {
+                Admission::Start(id) => {
+                    returning.insert(id);
+                    ends.push((now + run_time(&mut rng), id));
+                }
+                Admission::Queued(id) => {
+                    returning.insert(id);
+                }
+                Admission::Refused(after) => due.push(now + constant.unwrap_or(after.0)),
+            }
+        }
+        let (started, late) = queue.dispatch(Millis(now));
+        ends.extend(started.into_iter().map(|id| (now + run_time(&mut rng), id)));
+        for id in late {
+            if returning.remove(&id) {
+                due.push(now + constant.unwrap_or(queue.expected_wait(Millis(now)).0.max(1)));
+            }
+        }
+    }
+    let wave = returns.windows(200).map(|w| w.iter().sum()).max();
+    (wave.unwrap(), responses)
+}
+
+/// Guards against callers that meet a full queue together again and again, although they return as
+/// told: a wave is at most five times what the slots run meanwhile.
+#[test]
+fn callers_that_return_as_told_are_served_without_waves() {
+    let bound = 5 * SLOTS * 200 / RUN_MS as usize;
+    let (wave, responses) = largest_wave_of_returns(100, None);
+    let (constant_wave, constant_responses) = largest_wave_of_returns(100, Some(1_000));
+
+    println!("as told: {wave}, {responses} served; {constant_wave}, {constant_responses} served");
+    assert!(wave <= bound, "{wave}, bound {bound}");
+    assert!(constant_wave > bound, "{constant_wave}, bound {bound}");
+    assert!(responses >= constant_responses, "{responses} {constant_responses}");
+}
