Judge congestion by the whole latency target, and let refused callers return after a run

Cause: congestion was judged by the time that a request has left to its target, so one that arrived late was refused for a short burst; and callers were told to return after the whole queue, although a place in it is free after a run, which left less time to spread them over. A request now names the whole target of its route.

--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -34,6 +34,8 @@
     pub target_deadline: Millis,
     /// A response after this time is useless.
     pub deadline: Millis,
+    /// The whole latency target of its kind of requests, also if a part of it has passed.
+    pub latency_target: Millis,
     /// If it has to wait longer, another backend server is expected to be faster. `None` if there
     /// is no other.
     pub max_wait: Option<Millis>,
@@ -205,8 +207,20 @@
     /// Returns whether jobs have been waiting without interruption for longer than the latency
     /// target of `job`.
     fn is_congested(&self, job: &Job, now: Millis) -> bool {
-        let target = job.target_deadline.since(now);
-        self.congested_since.is_some_and(|since| now.since(since) > target)
+        self.congested_since.is_some_and(|since| now.since(since) > job.latency_target)
+    }
+
+    /// Returns the expected run time that the running and the first `ahead` waiting jobs have left,
+    /// for each slot.
+    fn work_per_slot(&self, ahead: usize, now: Millis) -> Millis {
+        if self.running.len() < self.slots && ahead == 0 {
+            return Millis::ZERO;
+        }
+        let queued = self.waiting[..ahead].iter().map(|w| self.expected_run_ms(w.job.class));
+        let left: f64 = self.slot_times(now).free_in.iter().sum::<f64>() + queued.sum::<f64>();
+        // Free slots work off the queue meanwhile.
+        let free = self.slots.saturating_sub(self.running.len()) as f64 * self.overall_mean;
+        Millis(((left - free).max(0.0) / self.slots.max(1) as f64) as u64)
     }
 
     /// Returns when the slots are expected to be free.
@@ -271,7 +285,9 @@
         let wait = self.wait_behind(ahead, now);
         let run = Millis(self.expected_run_ms(job.class) as u64);
         let full = self.waiting.len() >= self.limits.max_waiting_per_slot * self.slots;
-        if job.max_wait.is_some_and(|max| wait > max) {
+        // A free slot elsewhere is better than the next one here, since backend servers slow down
+        // when nearly full.
+        if job.max_wait.is_some_and(|max| self.work_per_slot(ahead, now) > max) {
             return Admission::Refused(self.retry_after(wait));
         }
         let late = self.is_congested(&job, now)
@@ -399,12 +415,12 @@
         Millis(wait.0.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1))
     }
 
-    /// Returns when a refused caller should return: after the waiting jobs and the callers that were
-    /// refused before it, so that they don't all meet the same full queue again. If these take the
+    /// Returns when a refused caller should return: after the callers that were refused before it, so that they don't all meet the same full queue again. If these take the
     /// longest permitted time, the time between is given out once more: told to return then, all
     /// further callers would come at once.
     fn schedule_return(&mut self, now: Millis) -> Millis {
-        let earliest = now + self.expected_wait(now);
+        // A place in the queue is free again after a run, though the whole queue takes longer.
+        let earliest = now + self.expected_wait(now).min(self.mean_run_time());
         let latest = now + Millis(RETRY_AFTER_MS.1);
         let next = self.returns_until.max(earliest);
         let at = if next < latest { next } else { earliest };
--- a/crates/mesh/tests/cold_start.rs
+++ b/crates/mesh/tests/cold_start.rs
@@ -161,7 +161,15 @@
         let mut started = Vec::new();
         if random.random_ratio(u32::try_from(crowd.arrivals_per_second).unwrap(), 1_000) {
             let (target_deadline, deadline) = (Millis(now + 800), Millis(now + crowd.deadline));
-            let job = Job { class: 1, priority: 1, target_deadline, deadline, max_wait: None };
+            let latency_target = target_deadline.since(Millis(now));
+            let job = Job {
+                class: 1,
+                priority: 1,
+                target_deadline,
+                deadline,
+                latency_target,
+                max_wait: None,
+            };
             match queue.submit(job, Millis(now)) {
                 Admission::Start(id) => started.push(id),
                 Admission::Queued(_) => {}
@@ -269,6 +277,7 @@
             priority: 1,
             target_deadline: Millis(5_000 + deadline),
             deadline: Millis(5_000 + deadline),
+            latency_target: Millis(deadline),
             max_wait: None,
         };
         let mut refused = 0;
--- a/crates/mesh/tests/load.rs
+++ b/crates/mesh/tests/load.rs
@@ -20,6 +20,7 @@
         priority,
         target_deadline: Millis(now + target),
         deadline: Millis(now + limit),
+        latency_target: Millis(target),
         max_wait: None,
     }
 }
--- a/crates/mesh/tests/overload.rs
+++ b/crates/mesh/tests/overload.rs
@@ -21,6 +21,7 @@
         priority,
         target_deadline: Millis(now + TARGET_MS),
         deadline: Millis(now + LIMIT_MS),
+        latency_target: Millis(TARGET_MS),
         max_wait: None,
     }
 }
--- a/crates/mesh/tests/uneven_servers.rs
+++ b/crates/mesh/tests/uneven_servers.rs
@@ -243,6 +243,7 @@
             priority: 1,
             target_deadline: Millis(arrived_at + TARGET_MS),
             deadline: Millis(arrived_at + LIMIT_MS),
+            latency_target: Millis(TARGET_MS),
             max_wait,
         };
         match self.queues[server].submit(job, Millis(now)) {
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -337,14 +337,17 @@
     forward.limit_ms = saturating_ms(left.since(margin));
     forward.caller_ms = saturating_ms(call.caller_deadline.since(now));
     forward.suspects = cx.suspect_update();
+    let extension = ForwardExtension {
+        max_wait_ms: max_wait.map(saturating_ms),
+        latency_target_ms: saturating_ms(call.target_deadline.since(call.received_at)),
+    };
     let exchange = async {
         if host == cx.me {
-            let origin = Origin::ThisHost { max_wait };
+            let origin = Origin::ThisHost(extension);
             let (reply, body) = backend::run(cx, &forward, origin, call.body.clone()).await;
             cx.record_class_load(host, &forward, cx.class_load(forward.class));
             return (reply, body);
         }
-        let extension = ForwardExtension { max_wait_ms: max_wait.map(saturating_ms) };
         rpc::forward(cx, host, &forward, extension, &call.body).await
     };
     let result = timeout(Duration::from(left), exchange).await;
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -125,19 +125,15 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Origin {
     /// A caller on this host.
-    ThisHost {
-        /// The longest wait for a slot.
-        max_wait: Option<Millis>,
-    },
+    ThisHost(ForwardExtension),
     /// A caller on another host, to which the response crosses the link.
     OtherHost(ForwardExtension),
 }
 
 impl Origin {
-    fn max_wait(self) -> Option<Millis> {
+    fn extension(self) -> ForwardExtension {
         match self {
-            Self::ThisHost { max_wait } => max_wait,
-            Self::OtherHost(extension) => extension.max_wait_ms.map(|ms| Millis(u64::from(ms))),
+            Self::ThisHost(extension) | Self::OtherHost(extension) => extension,
         }
     }
 }
@@ -233,19 +229,22 @@
     }
     // The run has to end early enough for its response to be delivered in time.
     let delivery = match origin {
-        Origin::ThisHost { .. } => Millis::ZERO,
+        Origin::ThisHost(_) => Millis::ZERO,
         Origin::OtherHost(_) => {
             cx.state.borrow().response_link.expected_delivery(forward.class, received_at)
         }
     };
     let _link = matches!(origin, Origin::OtherHost(_)).then(|| LinkGuard::new(cx, forward.class));
     let target_deadline = received_at + Millis(u64::from(forward.target_ms));
+    let ForwardExtension { max_wait_ms, latency_target_ms } = origin.extension();
     let job = Job {
         class: forward.class,
         priority: forward.priority,
         target_deadline: Millis::ZERO + target_deadline.since(delivery),
         deadline: Millis::ZERO + deadline.since(delivery),
-        max_wait: origin.max_wait().map(|max| max.since(delivery)),
+        // A host of an earlier release doesn't tell the whole target.
+        latency_target: Millis(u64::from(latency_target_ms.max(forward.target_ms))),
+        max_wait: max_wait_ms.map(|max| Millis(u64::from(max)).since(delivery)),
     };
     let held_back = cx.state.borrow().queue.held_back_while_cold(received_at);
     let admission = cx.state.borrow_mut().queue.submit(job, received_at);
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -54,6 +54,8 @@
     /// The request is refused if it has to wait longer for a slot, in milliseconds. `None` if it
     /// may wait as long as its deadline allows.
     pub max_wait_ms: Option<u32>,
+    /// The whole latency target of the route, in milliseconds.
+    pub latency_target_ms: u32,
 }
 
 /// A question whether a large body may be sent.
