Bound the memory of responses and the connections of callers

Cause: responses were read from backend servers and other hosts whether or not the callers before them were read, so that callers that read slowly used up the memory of the process. Connections of callers were not limited.

Change: all responses together take at most a quarter of limits.memory_mb. Each counts for the connection that it goes to, from before it is read until its last part is written. A response for which there is no room is not read for up to 2.5 s, after which the outcome is unknown. Above 7/8 of the limit, requests are refused as not run. The connection of the caller with the most bytes times time without progress is closed then, with a log line and a counter. Heads and bodies that a connection has read but not processed count, too. Connections of callers take at most half of the descriptors of the process, or limits.caller_connections; the one that has been idle longest is closed for another.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -23,7 +23,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use model::{Clock, Millis, is_final_status};
-use snafu::Snafu;
+use snafu::{Snafu, ensure};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -58,6 +58,9 @@
         /// The limit.
         max_bytes: usize,
     },
+    /// There was no memory for it in time.
+    #[snafu(display("no memory for the body"))]
+    NoRoom,
     /// It broke off.
     #[snafu(display("the body broke off: {reason}"))]
     Incomplete {
@@ -66,6 +69,21 @@
     },
 }
 
+/// Memory for a response, which is asked for before the response is read.
+pub trait ResponseRoom {
+    /// Waits for room for `bytes` more. Returns false if there is none in time.
+    fn reserve(&mut self, bytes: usize) -> impl Future<Output = bool>;
+}
+
+/// Room without a limit.
+struct Unlimited;
+
+impl ResponseRoom for Unlimited {
+    async fn reserve(&mut self, _bytes: usize) -> bool {
+        true
+    }
+}
+
 /// Timeouts and limits of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -145,9 +163,28 @@
 
     /// Like [`Client::send`], but opens a new connection only if `may_open` allows it at that time.
     pub async fn send_if(
+        &self,
+        req: Request<Full<Bytes>>,
+        may_open: impl Fn() -> bool,
+    ) -> Result<Response<Bytes>, SendError> {
+        self.exchange(req, may_open, &mut Unlimited).await
+    }
+
+    /// Like [`Client::send`], but reads the body of the response only as far as there is room for
+    /// it. The server can't send more meanwhile.
+    pub async fn send_with_room(
+        &self,
+        req: Request<Full<Bytes>>,
+        room: &mut impl ResponseRoom,
+    ) -> Result<Response<Bytes>, SendError> {
+        self.exchange(req, || true, room).await
+    }
+
+    async fn exchange(
         &self,
         mut req: Request<Full<Bytes>>,
         may_open: impl Fn() -> bool,
+        room: &mut impl ResponseRoom,
     ) -> Result<Response<Bytes>, SendError> {
         // An idle connection may turn out to be closed before anything is written. The request is
         // then retried on the next idle connection, and finally on a new one.
@@ -176,7 +213,7 @@
                 result = tx.try_send_request(req) => result,
             };
             match result {
-                Ok(response) => return self.read(tx, response).await,
+                Ok(response) => return self.read(tx, response, room).await,
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if reused => req = unsent,
                     Some(_) => {
@@ -196,13 +233,14 @@
         &self,
         tx: SendRequest<Full<Bytes>>,
         response: Response<hyper::body::Incoming>,
+        room: &mut impl ResponseRoom,
     ) -> Result<Response<Bytes>, SendError> {
         let (head, body) = response.into_parts();
         if !is_final_status(head.status.as_u16()) {
             let reason = format!("status {} is not one of a response", head.status.as_u16());
             return UnknownSnafu { reason }.fail();
         }
-        let body = read_body(body, self.settings.max_response_bytes).await;
+        let body = read_body_with_room(body, self.settings.max_response_bytes, room).await;
         let body = body.map_err(|e| SendError::Unknown { reason: e.to_string() })?;
         self.keep_idle(tx, &head);
         Ok(Response::from_parts(head, body))
@@ -255,18 +293,49 @@
 /// buffer that the connection read it into, which stays allocated as long as the frame, so that a
 /// body in small pieces would take many times its length.
 pub async fn read_body<B>(body: B, max_bytes: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: std::fmt::Display,
+{
+    read_body_with_room(body, max_bytes, &mut Unlimited).await
+}
+
+/// Like [`read_body`], but reads only as far as there is room. A body of known length is read once
+/// there is room for all of it, so that bodies in progress don't wait for each other.
+pub async fn read_body_with_room<B>(
+    body: B,
+    max_bytes: usize,
+    room: &mut impl ResponseRoom,
+) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
     B::Error: std::fmt::Display,
 {
     let mut body = std::pin::pin!(body);
-    let mut read = BytesMut::new();
+    let mut reserved = 0;
+    if let Some(length) = body.size_hint().exact() {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        ensure!(length <= max_bytes, TooLongSnafu { max_bytes });
+        ensure!(length == 0 || room.reserve(length).await, NoRoomSnafu);
+        reserved = length;
+    }
+    let mut read = BytesMut::with_capacity(reserved);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| BodyError::Incomplete { reason: e.to_string() })?;
         let Ok(data) = frame.into_data() else { continue };
         if data.len() > max_bytes - read.len() {
             return TooLongSnafu { max_bytes }.fail();
         }
+        let length = read.len() + data.len();
+        if length > reserved {
+            // The buffer doubles, so that it isn't copied for each frame.
+            let enlarged = length.max(reserved * 2).min(max_bytes);
+            ensure!(room.reserve(enlarged - reserved).await, NoRoomSnafu);
+            reserved = enlarged;
+            let mut buffer = BytesMut::with_capacity(reserved);
+            buffer.extend_from_slice(&read);
+            read = buffer;
+        }
         read.extend_from_slice(&data);
     }
     Ok(read.freeze())
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,6 +9,7 @@
 mod cold_start;
 mod compression;
 mod config;
+mod connection_limit;
 mod departure;
 mod directory;
 mod evacuation;
@@ -16,6 +17,7 @@
 mod key_request_counts;
 mod leases;
 mod load_balancer;
+mod memory_budget;
 mod ownership;
 mod placement;
 mod queue;
@@ -32,6 +34,7 @@
 pub use config::{
     Config, GrantDelivery, RequestLimits, RetrySafety, Route, Service, WeightedService,
 };
+pub use connection_limit::ConnectionLimit;
 pub use departure::{Departure, DepartureError, DepartureLog};
 pub use directory::{HostChanges, HostDirectory, HostUpdate};
 pub use evacuation::{Evacuations, ZoneEvacuation};
@@ -41,6 +44,7 @@
 pub use load_balancer::{
     AttemptResult, ClassLoad, Distance, LoadBalancer, LoadReport, Peer, Pick, PickRequest,
 };
+pub use memory_budget::{HolderId, MemoryBudget, StalledHolder};
 pub use ownership::{
     BackendHeartbeat, ConditionalWrite, Grant, GrantCall, GrantCallId, GrantCallOutcome,
     HeartbeatAction, HeartbeatReply, HeldRange, KeyOwnership, KeyRejection, LeaseReader,
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use log::info;
-use mesh::{AttemptResult, LoadReport, Pick, PickRequest, RetrySafety};
+use mesh::{AttemptResult, HolderId, LoadReport, Pick, PickRequest, RetrySafety};
 use model::{HostAddr, Millis, ServiceName};
 use tokio::time::timeout;
 
@@ -70,9 +70,13 @@
 
 /// Tries hosts until one returns a response or no further attempt is allowed. If a retry after a
 /// server error yields no response, the error response is returned.
-pub(crate) async fn execute(cx: &Rc<Cx>, call: &Call) -> Result<(ForwardReply, Bytes), Failure> {
+pub(crate) async fn execute(
+    cx: &Rc<Cx>,
+    holder: HolderId,
+    call: &Call,
+) -> Result<(ForwardReply, Bytes), Failure> {
     let mut server_error = None;
-    let result = run_attempts(cx, call, &mut server_error).await;
+    let result = run_attempts(cx, holder, call, &mut server_error).await;
     result.or_else(|failure| server_error.ok_or(failure))
 }
 
@@ -88,6 +92,7 @@
 
 async fn run_attempts(
     cx: &Rc<Cx>,
+    holder: HolderId,
     call: &Call,
     server_error: &mut Option<(ForwardReply, Bytes)>,
 ) -> Result<(ForwardReply, Bytes), Failure> {
@@ -132,7 +137,7 @@
             return Err(progress.last_failure);
         }
         let max_wait = max_wait.filter(|_| progress.redirects < MAX_REDIRECTS);
-        let Ok((reply, body)) = send(cx, call, host, max_wait, now).await else {
+        let Ok((reply, body)) = send(cx, holder, call, host, max_wait, now).await else {
             return Err(Failure::TimedOut);
         };
         progress.arrivals += u32::from(reply.arrived);
@@ -319,6 +324,7 @@
 /// Sends a request to one host. Fails if its deadline passes first.
 async fn send(
     cx: &Rc<Cx>,
+    holder: HolderId,
     call: &Call,
     host: HostAddr,
     max_wait: Option<Millis>,
@@ -340,12 +346,12 @@
     let exchange = async {
         if host == cx.me {
             let origin = Origin::ThisHost { max_wait };
-            let (reply, body) = backend::run(cx, &forward, origin, call.body.clone()).await;
+            let (reply, body) = backend::run(cx, holder, &forward, origin, call.body.clone()).await;
             cx.record_class_load(host, &forward, cx.class_load(forward.class));
             return (reply, body);
         }
         let extension = ForwardExtension { max_wait_ms: max_wait.map(saturating_ms) };
-        rpc::forward(cx, host, &forward, extension, &call.body).await
+        rpc::forward(cx, holder, host, &forward, extension, &call.body).await
     };
     let result = timeout(Duration::from(left), exchange).await;
     let Ok((reply, body)) = result else {
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -11,7 +11,7 @@
 use http::{HeaderName, HeaderValue, Method};
 use http1::SendError;
 use log::{info, warn};
-use mesh::{Admission, Job, JobId, KeyRejection, RunId};
+use mesh::{Admission, HolderId, Job, JobId, KeyRejection, RunId};
 use model::{Millis, ServiceName};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
@@ -164,12 +164,13 @@
 /// Runs a request on the backend server of this host, or returns why it did not run.
 pub async fn run(
     cx: &Rc<Cx>,
+    holder: HolderId,
     forward: &Forward,
     origin: Origin,
     body: Bytes,
 ) -> (ForwardReply, Bytes) {
     let received_at = cx.now();
-    let (outcome, arrived, body) = attempt(cx, forward, origin, body, received_at).await;
+    let (outcome, arrived, body) = attempt(cx, holder, forward, origin, body, received_at).await;
     let version = cx.version();
     let suspects = cx.suspect_update();
     let reply = ForwardReply { version, outcome, report: cx.load_report(), arrived, suspects };
@@ -213,6 +214,7 @@
 
 async fn attempt(
     cx: &Rc<Cx>,
+    holder: HolderId,
     forward: &Forward,
     origin: Origin,
     body: Bytes,
@@ -278,7 +280,7 @@
             guard
         }
     };
-    send(cx, forward, body, received_at, deadline, guard).await
+    send(cx, holder, forward, body, received_at, deadline, guard).await
 }
 
 /// Counts a request that would have started if the backend server were not cold.
@@ -358,6 +360,7 @@
 
 async fn send(
     cx: &Rc<Cx>,
+    holder: HolderId,
     forward: &Forward,
     body: Bytes,
     received_at: Millis,
@@ -390,8 +393,14 @@
             return not_run(NotRun::Malformed);
         }
     };
+    if !cx.response_memory.admits_request() {
+        guard.take_back();
+        return not_run(NotRun::NoRoom);
+    }
     let run = RunGuard::start(cx, forward.digest);
-    let response = match timeout(Duration::from(left), cx.backend.send(req)).await {
+    let mut room = cx.response_memory.reservation(holder);
+    let sent = cx.backend.send_with_room(req, &mut room);
+    let response = match timeout(Duration::from(left), sent).await {
         Err(_) => return (Outcome::Unknown { why: "timeout".into() }, true, Bytes::new()),
         Ok(Err(SendError::NotSent { reason })) => {
             warn!("event=backend-unreachable id={} why={reason:?}", forward.id);
@@ -410,6 +419,7 @@
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
+    let body = room.attach(body);
     match adapter::classify_response(&forward.id, &head) {
         ResponseKind::Ran => {
             guard.finished();
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use http1::server::RequestBody;
 use log::info;
-use mesh::{Config, RetrySafety, SuspectUpdate};
+use mesh::{Config, HolderId, RetrySafety, SuspectUpdate};
 use model::{Millis, RegionName, ServiceName};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -63,13 +63,17 @@
 }
 
 /// Handles a request of a caller.
-pub async fn handle(cx: Rc<Cx>, req: Request<RequestBody>) -> Response<Full<Bytes>> {
+pub async fn handle(
+    cx: Rc<Cx>,
+    holder: HolderId,
+    req: Request<RequestBody>,
+) -> Response<Full<Bytes>> {
     let _in_flight = InFlightGuard::new(&cx);
     let (head, body) = req.into_parts();
     // The request may have waited for the responses before it on the same connection.
     let received_at = cx.now().since(Millis::from(body.age()));
     match adapter::parse_request_head(&head) {
-        Ok(request_head) => serve(&cx, received_at, &head, request_head, body).await,
+        Ok(request_head) => serve(&cx, holder, received_at, &head, request_head, body).await,
         Err(e) => {
             info!("event=refused id=- why={e:?}");
             error_response(ErrorResponse::BadRequest, None)
@@ -79,6 +83,7 @@
 
 async fn serve(
     cx: &Rc<Cx>,
+    holder: HolderId,
     received_at: Millis,
     head: &http::request::Parts,
     request_head: RequestHead,
@@ -92,6 +97,11 @@
             Some(&id),
         );
     }
+    if !cx.response_memory.admits_request() {
+        info!("event=refused id={id} why=response-memory");
+        let after = retry_after(DEFAULT_RETRY_AFTER_MS);
+        return error_response(ErrorResponse::NotRun(after), Some(&id));
+    }
     let config = cx.state.borrow().config.clone();
     let Some(ActiveConfig { config, .. }) = config else {
         info!("event=refused id={id} why=no-configuration");
@@ -127,7 +137,7 @@
         info!("event=refused id={id} why=no-route version={}", config.version);
         return error_response(ErrorResponse::NoRoute, Some(&id));
     };
-    let result = execute(cx, &call).await;
+    let result = execute(cx, holder, &call).await;
     caller_response(cx, &call, &config, result)
 }
 
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -282,6 +282,8 @@
         metrics::gauge!("papayarill_backend_cold").set(f64::from(u8::from(cold.is_some())));
         let evacuated = cx.state.borrow().evacuations.active().count();
         metrics::gauge!("papayarill_evacuated_zones").set(evacuated as f64);
+        let held = cx.response_memory.used();
+        metrics::gauge!("papayarill_held_response_bytes").set(held as f64);
         let text = Bytes::from(handle.render());
         std::future::ready(Ok(text_response(StatusCode::OK, text)))
     }
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -16,7 +16,7 @@
 use hyper::rt::Executor;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
-use mesh::{TransferId, WitnessReply, WitnessRequest};
+use mesh::{HolderId, TransferId, WitnessReply, WitnessRequest};
 use model::{HostAddr, Millis};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
@@ -140,6 +140,7 @@
 /// there.
 pub async fn forward(
     cx: &Cx,
+    holder: HolderId,
     host: HostAddr,
     forward: &Forward,
     extension: ForwardExtension,
@@ -170,8 +171,11 @@
                 return (unknown(e.into_error().to_string()), Bytes::new());
             }
         };
-        let body = match http1::read_body(response.into_body(), MAX_REPLY_BYTES).await {
-            Ok(body) => body,
+        let mut room = cx.response_memory.reservation(holder);
+        let read =
+            http1::read_body_with_room(response.into_body(), MAX_REPLY_BYTES, &mut room).await;
+        let body = match read {
+            Ok(body) => room.attach(body),
             Err(e) => return (unknown(e.to_string()), Bytes::new()),
         };
         return match decode_extended::<ForwardReply, ForwardReplyExtension>(body) {
@@ -299,7 +303,8 @@
 /// Serves a connection of another host. Once the process stops, it sends a GOAWAY first: if a
 /// request were on its way while the connection closes, its sender could not tell whether it ran.
 async fn serve_connection(cx: Rc<Cx>, stream: TcpStream) {
-    let service = hyper::service::service_fn(|req| handle(cx.clone(), req));
+    let holder = cx.response_memory.add_host();
+    let service = hyper::service::service_fn(|req| handle(cx.clone(), holder.id(), req));
     let connection = hyper::server::conn::http2::Builder::new(LocalExecutor)
         .timer(TokioTimer::new())
         .initial_stream_window_size(1 << 20)
@@ -315,7 +320,11 @@
     }
 }
 
-async fn handle(cx: Rc<Cx>, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+async fn handle(
+    cx: Rc<Cx>,
+    holder: HolderId,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
     let path = req.uri().path().to_owned();
     let transfer = path.strip_prefix(RUN_PATH).and_then(|p| p.strip_prefix('/')?.parse().ok());
     let transfer = transfer.map(|id| TransferGuard::new(&cx, TransferId(id)));
@@ -354,7 +363,7 @@
         },
         _ => match decode_extended(message) {
             Ok((forward, extension, body)) => {
-                Ok(handle_forward(&cx, &forward, extension, body).await)
+                Ok(handle_forward(&cx, holder, &forward, extension, body).await)
             }
             Err(e) => Err(e),
         },
@@ -374,13 +383,15 @@
 
 async fn handle_forward(
     cx: &Rc<Cx>,
+    holder: HolderId,
     forward: &Forward,
     extension: ForwardExtension,
     body: Bytes,
 ) -> Bytes {
     cx.observe_config_version(forward.version);
     cx.merge_suspects(&forward.suspects);
-    let (mut reply, body) = backend::run(cx, forward, Origin::OtherHost(extension), body).await;
+    let (mut reply, body) =
+        backend::run(cx, holder, forward, Origin::OtherHost(extension), body).await;
     reply.outcome = reply.outcome.for_other_hosts();
     let wait =
         cx.state.borrow_mut().response_link.response_ready(forward.class, body.len(), cx.now());
@@ -388,7 +399,9 @@
         sleep(Duration::from(wait)).await;
     }
     let extension = ForwardReplyExtension { class: cx.class_load(forward.class) };
-    encode_extended(&reply, &extension, &body)
+    let message = encode_extended(&reply, &extension, &body);
+    drop(body);
+    cx.response_memory.hold(holder, message)
 }
 
 fn handle_witness(cx: &Cx, request: &WitnessRequest) -> WitnessReply {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -70,11 +70,13 @@
     pub memory_mb: f64,
     /// What the link of the host carries, in Mbit/s.
     pub link_mbps: f64,
+    /// The maximum number of connections of callers. By default a share of the descriptors.
+    pub caller_connections: Option<usize>,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { memory_mb: 128.0, link_mbps: 100.0 }
+        Self { memory_mb: 128.0, link_mbps: 100.0, caller_connections: None }
     }
 }
 
@@ -89,6 +91,14 @@
 /// requests at once, and responses are far smaller unless a backend server misbehaves.
 const RESPONSE_SHARE: f64 = 1.0 / 32.0;
 
+/// The fraction of the memory that all responses together may take. On a host of 160 MB, that is
+/// more than 70 of the largest responses of the known deployments (540 KB) at the same time.
+const ALL_RESPONSES_SHARE: f64 = 1.0 / 4.0;
+
+/// The fraction of the descriptors that connections of callers may take. The rest is for the backend
+/// server, for other hosts and the store.
+const CALLER_DESCRIPTOR_SHARE: f64 = 0.5;
+
 /// The bodies on the link at once take about this long to arrive, longer than a round trip between
 /// regions, so that the link stays busy.
 const LINK_FILL_MS: f64 = 100.0;
@@ -108,6 +118,18 @@
         usize::try_from(self.memory_bytes(RESPONSE_SHARE)).unwrap_or(usize::MAX)
     }
 
+    /// Returns the memory that all responses together may take.
+    pub fn response_bytes(&self) -> u64 {
+        self.memory_bytes(ALL_RESPONSES_SHARE)
+    }
+
+    /// Returns the maximum number of connections of callers of a process that may have
+    /// `descriptors`, if these are limited.
+    pub fn max_caller_connections(&self, descriptors: Option<u64>) -> usize {
+        let share = descriptors.map(|n| (n as f64 * CALLER_DESCRIPTOR_SHARE) as usize);
+        self.caller_connections.or(share).unwrap_or(usize::MAX).max(1)
+    }
+
     /// Returns what the link carries, in bytes per millisecond.
     pub fn link_bytes_per_ms(&self) -> f64 {
         self.link_mbps * 1_000_000.0 / 8.0 / 1_000.0
@@ -180,9 +202,12 @@
         ensure!(window_s > 0.0, range("retry.window_s", window_s, "more than 0"));
         let hold = settings.hold_max_ms as f64;
         ensure!(hold >= 1_000.0, range("hold_max_ms", hold, "1000 or more"));
-        let Limits { memory_mb, link_mbps } = settings.limits;
+        let Limits { memory_mb, link_mbps, caller_connections } = settings.limits;
         ensure!(memory_mb >= 16.0, range("limits.memory_mb", memory_mb, "16 or more"));
         ensure!(link_mbps >= 0.1, range("limits.link_mbps", link_mbps, "0.1 or more"));
+        let connections = caller_connections.unwrap_or(1) as f64;
+        let expected = "1 or more";
+        ensure!(connections >= 1.0, range("limits.caller_connections", connections, expected));
         let ColdBounds { overage, slack } = settings.cold;
         let (overage, slack) = (overage.unwrap_or(0.0), slack.unwrap_or(0.0));
         ensure!(overage >= 0.0, range("cold.overage", overage, "0 or more"));
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -18,6 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::bodies::BodyMemory;
+use crate::memory::ResponseMemory;
 use crate::renewals::Renewals;
 use crate::rpc::HostConnections;
 use crate::settings::Settings;
@@ -159,6 +160,8 @@
     pub grant_client: http1::Client,
     /// The memory that the bodies of callers take.
     pub body_memory: BodyMemory,
+    /// The memory that responses take.
+    pub response_memory: Rc<ResponseMemory>,
     /// Connections to other hosts.
     pub host_connections: HostConnections,
     /// The client of the store.
@@ -255,12 +258,19 @@
         let backend = http1::Client::new(settings.backend_server, client_settings, clock.clone());
         let grant_client =
             http1::Client::new(settings.backend_server, http1::Settings::default(), clock.clone());
+        let descriptors = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let response_memory = ResponseMemory::new(
+            settings.limits.response_bytes(),
+            settings.limits.max_caller_connections(descriptors),
+            clock.clone(),
+        );
         Rc::new(Self {
             me,
             state: RefCell::new(state),
             backend,
             grant_client,
             body_memory: BodyMemory::new(settings.limits.caller_body_bytes()),
+            response_memory,
             host_connections: HostConnections::default(),
             store: adapter::StoreClient::new(settings.store, clock.clone()),
             process,
