Test the decisions about the memory of responses, and don't hold a lock while waiting

Cause: the decisions had no tests of their own.

The reservation takes the lock in a function of its own.

--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -220,6 +220,14 @@
 }
 
 impl Held {
+    fn try_grow(&mut self, bytes: u64, now: Millis) -> bool {
+        let reserved = self.shared.budget().reserve(self.holder, bytes, now);
+        if reserved {
+            self.bytes += bytes;
+        }
+        reserved
+    }
+
     fn attach(self, bytes: Bytes) -> Bytes {
         if bytes.is_empty() {
             return bytes;
@@ -265,16 +273,12 @@
         let bytes = bytes as u64;
         let deadline = Instant::now() + ROOM_WAIT;
         loop {
-            let freed = self.held.shared.freed.notified();
-            let now: Millis = self.memory.clock.now();
-            let mut budget = self.held.shared.budget();
-            if budget.reserve(self.held.holder, bytes, now) {
-                self.held.bytes += bytes;
+            let shared = self.held.shared.clone();
+            let freed = shared.freed.notified();
+            if self.held.try_grow(bytes, self.memory.clock.now()) {
                 return true;
             }
-            let fits = budget.fits(bytes);
-            drop(budget);
-            if !fits || Instant::now() >= deadline {
+            if !shared.budget().fits(bytes) || Instant::now() >= deadline {
                 return false;
             }
             self.memory.close_stalled(bytes);
--- a/crates/sidecar/tests/settings.rs
+++ b/crates/sidecar/tests/settings.rs
@@ -50,3 +50,22 @@
         assert!(settings.is_err(), "{cold}");
     }
 }
+
+/// Guards against limits below what callers inside them need, and against connections that take all
+/// descriptors.
+#[test]
+fn responses_and_connections_of_callers_take_a_share_of_the_host() {
+    let check = |limits: &str, descriptors: Option<u64>, expected: (u64, usize)| {
+        let settings = Settings::parse(&format!("{SETTINGS}{limits}"));
+        let limits = settings.unwrap_or_else(|e| panic!("{limits:?}: {e}")).limits;
+        let found = (limits.response_bytes() >> 20, limits.max_caller_connections(descriptors));
+        assert_eq!(found, expected, "{limits:?}, {descriptors:?}");
+    };
+    check("", Some(4_100), (32, 2_050));
+    check("limits: {memory_mb: 160}\n", Some(8_192), (40, 4_096));
+    check("limits: {memory_mb: 160}\n", None, (40, usize::MAX));
+    check("limits: {caller_connections: 300}\n", Some(4_100), (32, 300));
+    check("limits: {caller_connections: }\n", Some(1), (32, 1));
+    let none = Settings::parse(&format!("{SETTINGS}limits: {{caller_connections: 0}}\n"));
+    assert!(none.is_err());
+}
