Tell callers that a cold backend server refuses to return when it admits requests again

Cause: refused callers were told to return after a run, but a cold backend server with free slots admits no request until its window has a place. requests_that_can_wait_for_a_place_do_and_others_are_refused_at_once failed (100 ms) and passes.

--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -419,8 +419,10 @@
     /// longest permitted time, the time between is given out once more: told to return then, all
     /// further callers would come at once.
     fn schedule_return(&mut self, now: Millis) -> Millis {
-        // A place in the queue is free again after a run, though the whole queue takes longer.
-        let earliest = now + self.expected_wait(now).min(self.mean_run_time());
+        // A place in the queue is free again after a run, though the whole queue takes longer. A cold
+        // backend server gets no more requests until then, however long they run.
+        let place = self.expected_wait(now).min(self.mean_run_time());
+        let earliest = self.cold_start.nth_start(self.waiting.len(), now).max(now + place);
         let latest = now + Millis(RETRY_AFTER_MS.1);
         let next = self.returns_until.max(earliest);
         let at = if next < latest { next } else { earliest };
