--- a/crates/mesh/src/ownership/evacuation.rs
+++ b/crates/mesh/src/ownership/evacuation.rs
@@ -1,4 +1,5 @@
-//! Evacuation of zones: hosts there hand their keys over and are assigned none.
+//! Zones without keys, because they are evacuated or in a region that the routes to the service don't
+//! allow: hosts there hand their keys over and are assigned none.
 
 use model::{HostAddr, Millis};
 
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -13,8 +13,11 @@
 //! return one after the other, as fast as a part of the slots can serve them. While the backend server is cold, [`ColdStart`]
 //! holds back the start of jobs, which wait like those without a free slot.
 
+mod slot_times;
+
 use model::{Millis, derive_common};
 
+use self::slot_times::SlotTimes;
 use crate::ColdStart;
 
 derive_common! {
@@ -98,25 +101,6 @@
     started_at: Millis,
 }
 
-/// When each slot is expected to be free, in milliseconds from now; never empty.
-struct SlotTimes {
-    free_in: Vec<f64>,
-}
-
-impl SlotTimes {
-    fn earliest(&self) -> Millis {
-        Millis(self.free_in.iter().copied().fold(f64::INFINITY, f64::min).max(0.0) as u64)
-    }
-
-    /// Lets a job take the slot that is free first.
-    fn occupy(&mut self, run_ms: f64) {
-        let first = self.free_in.iter_mut().min_by(|a, b| a.total_cmp(b));
-        if let Some(free_in) = first {
-            *free_in += run_ms;
-        }
-    }
-}
-
 /// The queue of one backend server.
 #[derive(Debug)]
 pub struct RequestQueue {
@@ -217,7 +201,7 @@
             return Millis::ZERO;
         }
         let queued = self.waiting[..ahead].iter().map(|w| self.expected_run_ms(w.job.class));
-        let left: f64 = self.slot_times(now).free_in.iter().sum::<f64>() + queued.sum::<f64>();
+        let left: f64 = self.slot_times(now).total_ms() + queued.sum::<f64>();
         // Free slots work off the queue meanwhile.
         let free = self.slots.saturating_sub(self.running.len()) as f64 * self.overall_mean;
         Millis(((left - free).max(0.0) / self.slots.max(1) as f64) as u64)
@@ -229,11 +213,7 @@
             let run = self.expected_run_ms(r.class);
             (run - now.since(r.started_at).0 as f64).max(run * 0.25)
         };
-        let mut free_in: Vec<f64> = self.running.iter().map(remaining).collect();
-        // After the number of slots was reduced, the jobs that end first free none.
-        free_in.sort_by(|a, b| b.total_cmp(a));
-        free_in.resize(self.slots.max(1), 0.0);
-        SlotTimes { free_in }
+        SlotTimes::new(self.running.iter().map(remaining).collect(), self.slots)
     }
 
     /// Returns the expected run time of a job, in milliseconds.
