--- a/crates/papayarill/tests/sidecar.rs
+++ b/crates/papayarill/tests/sidecar.rs
@@ -729,9 +729,15 @@
     request_until(&a, "/order/x", None, 200).await;
     request_until(&b, "/order/x", None, 200).await;
     let stop = rustix::process::Pid::from_child(&a.child);
-    let served = a.backend.executed().len();
     b.backend.drain();
-    request_until(&b, "/order/x", None, 200).await;
+    // Host a serves once its backend server has sent a heartbeat, and host b has learned of it.
+    loop {
+        request_until(&b, "/order/x", None, 200).await;
+        if !a.backend.executed().is_empty() {
+            break;
+        }
+    }
+    let served = a.backend.executed().len();
 
     rustix::process::kill_process(stop, rustix::process::Signal::TERM).unwrap();
     let mut failed = Vec::new();
