Check the region of a key's owner before each attempt

Cause: the check ran once, so a request that waited while its key moved to a host in another region was sent there. Found by reading; keys of a service are placed only in regions that all of its routes allow, so that no known deployment meets it.

--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -104,12 +104,6 @@
         Failure::NotRun { why: NotRun::Unreachable, after_ms: DEFAULT_RETRY_AFTER_MS };
     let mut progress =
         AttemptState { hosts: Vec::new(), rejections: 0, redirects: 0, arrivals: 0, last_failure };
-    if owner_outside_regions(cx, call) {
-        return Err(Failure::NotRun {
-            why: NotRun::OutsideRegions,
-            after_ms: DEFAULT_RETRY_AFTER_MS,
-        });
-    }
     loop {
         let now = cx.now();
         if now >= call.deadline {
@@ -119,6 +113,14 @@
                 progress.last_failure
             });
         }
+        // Also after each attempt, as the key may have moved.
+        if owner_outside_regions(cx, call) {
+            let (why, after_ms) = (NotRun::OutsideRegions, DEFAULT_RETRY_AFTER_MS);
+            return Err(match progress.arrivals {
+                0 => Failure::NotRun { why, after_ms },
+                _ => progress.last_failure,
+            });
+        }
         let Some(Pick { host, max_wait }) = pick_host(cx, call, &progress.hosts, now) else {
             if call.key.is_some() && wait_for_key(cx, call, UNREACHABLE_WAIT_FRACTION).await {
                 continue;
