--- a/review/stand-ins-2/crowds.rs
+++ b/review/stand-ins-2/crowds.rs
@@ -16,12 +16,16 @@
 
 const MEMORY_MB: u64 = 160;
 
-/// The connections of the crowd: a tenth of those that a process with 4,100 descriptors takes.
+/// The connections of the crowd: an eighth of those that a process with 4,100 descriptors takes.
 const CONNECTIONS: usize = 250;
 
 /// How many requests each of them sends at most.
 const REQUESTS: usize = 6_000;
 
+/// A paced caller sends this many requests at a time.
+const BATCH: usize = 8;
+const BATCH_PAUSE: Duration = Duration::from_millis(100);
+
 /// A caller that reads slowly takes this many bytes at a time.
 const READ_BYTES: usize = 4_096;
 const SLOW_READ_PAUSE: Duration = Duration::from_millis(500);
@@ -30,13 +34,13 @@
 const LONG_HEAD_BYTES: usize = 15_000;
 
 /// The crowd grows by a connection at a time.
-const RAMP_PAUSE: Duration = Duration::from_millis(20);
+const RAMP_PAUSE: Duration = Duration::from_millis(10);
 
 /// The receive buffer of a caller of the crowd.
-const RECEIVE_BYTES: i32 = 32 << 10;
+const RECEIVE_BYTES: i32 = 4 << 10;
 
 const ORDINARY_CALLERS: usize = 24;
-const WATCH_TIME: Duration = Duration::from_secs(75);
+const WATCH_TIME: Duration = Duration::from_secs(40);
 
 /// More than this many requests of kept connections without an answer break the rule.
 const LOST_BOUND: usize = 3;
@@ -48,6 +52,8 @@
 pub struct Crowd {
     pub reads_slowly: bool,
     pub has_long_heads: bool,
+    /// They send at a steady rate, and not as fast as the connection takes it.
+    pub is_paced: bool,
 }
 
 #[derive(Default)]
@@ -185,7 +191,10 @@
     let shared = counts.clone();
     thread::spawn(move || {
         let cookie = "c".repeat(if crowd.has_long_heads { LONG_HEAD_BYTES } else { 16 });
-        for _ in 0..REQUESTS {
+        for number in 0..REQUESTS {
+            if crowd.is_paced && number % BATCH == 0 {
+                thread::sleep(BATCH_PAUSE);
+            }
             let id = format!("crowd-{:08}", shared.next_id.fetch_add(1, Ordering::SeqCst));
             let headers = [
                 ("Host", "status.example"),
--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -91,11 +91,16 @@
 impl Host {
     pub fn start(store: SocketAddr, folder: &Path, plan: Plan) -> Host {
         let Plan { name, zone, service, slots, sharded, memory_mb, stray } = plan;
+        // A service with keys has a region for each zone here, the others one region for all.
+        let regions = match sharded {
+            true => r#"{"a":"ra","b":"rb","c":"rc"}"#,
+            false => r#"{"a":"r","b":"r","c":"r"}"#,
+        };
         let [callers, hosts, ready, control, metrics, server] =
             std::array::from_fn(|_| free_port());
         // What the template of the deploy file renders.
         let text = format!(
-            "host: \"{name}\"\nzone: \"{zone}\"\nregions: {{\"a\":\"r\",\"b\":\"r\",\"c\":\"r\"}}\n\
+            "host: \"{name}\"\nzone: \"{zone}\"\nregions: {regions}\n\
              service: \"{service}\"\nbackend_server: \"{server}\"\nstore: \"{}\"\nlisten:\n  \
              callers: \"{callers}\"\n  hosts: \"{hosts}\"\n  ready: \"{ready}\"\n  \
              backend: \"{control}\"\n  metrics: \"{metrics}\"\ndrain_ms: 2500\nstop_ms: 6000\n\
@@ -138,6 +143,17 @@
         self.child.lock().unwrap().try_wait().is_ok_and(|status| status.is_none())
     }
 
+    /// Sends SIGTERM and waits until the process has ended, for `limit` at most.
+    pub fn stop(&self, limit: Duration) {
+        let id = self.child.lock().unwrap().id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+        let deadline = Instant::now() + limit;
+        while self.is_running() && Instant::now() < deadline {
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.kill();
+    }
+
     /// Kills the process, if it still runs.
     pub fn kill(&self) {
         let mut child = self.child.lock().unwrap();
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -27,6 +28,10 @@
     version: u64,
     /// Watches from before this version get 410.
     history_from: u64,
+    /// How often it came back from a copy, and one.
+    era: u64,
+    /// Rejects all calls with 503.
+    away: bool,
 }
 
 struct Inner {
@@ -35,6 +40,27 @@
     started: Instant,
 }
 
+/// A copy of the rows and the newest version.
+#[derive(Clone)]
+pub struct Copy {
+    rows: BTreeMap<Name, Row>,
+    version: u64,
+}
+
+/// An address of the store for one machine, which it may turn away.
+#[derive(Clone)]
+pub struct Door {
+    pub address: SocketAddr,
+    closed: Arc<AtomicBool>,
+}
+
+impl Door {
+    /// Rejects the calls of this machine with 503, or serves them again.
+    pub fn set_closed(&self, closed: bool) {
+        self.closed.store(closed, Ordering::SeqCst);
+    }
+}
+
 #[derive(Clone)]
 pub struct Store {
     inner: Arc<Inner>,
@@ -45,28 +71,43 @@
     pub fn start() -> Store {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound address");
-        let state = State { rows: BTreeMap::new(), version: 10, history_from: 0 };
-        let inner = Inner {
-            state: Mutex::new(state),
-            changed: Condvar::new(),
-            started: Instant::now(),
-        };
+        let state =
+            State { rows: BTreeMap::new(), version: 10, history_from: 0, era: 1, away: false };
+        let inner =
+            Inner { state: Mutex::new(state), changed: Condvar::new(), started: Instant::now() };
         let store = Store { inner: Arc::new(inner), address };
-        let shared = store.clone();
+        store.listen(listener, Arc::default());
+        store
+    }
+
+    /// Opens an address for one machine.
+    pub fn open_door(&self) -> Door {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let closed = Arc::<AtomicBool>::default();
+        self.listen(listener, closed.clone());
+        Door { address, closed }
+    }
+
+    fn listen(&self, listener: TcpListener, closed: Arc<AtomicBool>) {
+        let shared = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = shared.clone();
-                thread::spawn(move || store.serve(stream));
+                let (store, closed) = (shared.clone(), closed.clone());
+                thread::spawn(move || store.serve(stream, &closed));
             }
         });
-        store
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, closed: &AtomicBool) {
         let _ = stream.set_nodelay(true);
         let mut stream = BufReader::new(stream);
         while let Ok(Some((head, body))) = http::read(&mut stream) {
-            let response = self.respond(&head, &body);
+            let away = self.inner.state.lock().unwrap().away || closed.load(Ordering::SeqCst);
+            let response = match away {
+                true => self.reply("503 Service Unavailable", &Json::Object(Vec::new())),
+                false => self.respond(&head, &body),
+            };
             if stream.get_mut().write_all(&response).is_err() {
                 return;
             }
@@ -74,7 +115,8 @@
     }
 
     fn reply(&self, status: &str, body: &Json) -> Vec<u8> {
-        let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
+        let era = self.inner.state.lock().unwrap().era.to_string();
+        let headers = [("Content-Type", "application/json"), ("Store-Era", &*era)];
         http::response(status, &headers, body.to_string().as_bytes())
     }
 
@@ -141,7 +183,8 @@
     }
 
     fn read(&self, field: &dyn Fn(&str) -> String) -> Vec<u8> {
-        let (table, part, from, to) = (field("table"), field("part"), field("from"), field("target"));
+        let (table, part, from, to) =
+            (field("table"), field("part"), field("from"), field("target"));
         let limit: usize = field("limit").parse().unwrap_or(500).min(500);
         let state = self.inner.state.lock().unwrap();
         let selected = state.rows.iter().filter(|((t, p, k), r)| {
@@ -173,8 +216,9 @@
         let wait = Duration::from_millis(field("wait_ms").parse().unwrap_or(0));
         let deadline = Instant::now() + wait;
         let mut state = self.inner.state.lock().unwrap();
+        let era = state.era;
         loop {
-            if after > state.version || after < state.history_from {
+            if state.era != era || after > state.version || after < state.history_from {
                 drop(state);
                 return self.reply("410 Gone", &Json::Object(Vec::new()));
             }
@@ -214,6 +258,28 @@
         self.inner.changed.notify_all();
     }
 
+    /// Returns a copy of all rows.
+    pub fn copy(&self) -> Copy {
+        let state = self.inner.state.lock().unwrap();
+        Copy { rows: state.rows.clone(), version: state.version }
+    }
+
+    /// Rejects all calls from now on.
+    pub fn go_away(&self) {
+        self.inner.state.lock().unwrap().away = true;
+    }
+
+    /// Comes back from a copy.
+    pub fn come_back(&self, copy: &Copy) {
+        let mut state = self.inner.state.lock().unwrap();
+        state.rows.clone_from(&copy.rows);
+        state.version = copy.version;
+        state.era += 1;
+        state.away = false;
+        drop(state);
+        self.inner.changed.notify_all();
+    }
+
     /// Forgets the history of all changes so far.
     pub fn compact(&self) {
         let mut state = self.inner.state.lock().unwrap();
@@ -222,7 +288,6 @@
         drop(state);
         self.inner.changed.notify_all();
     }
-
 }
 
 fn to_json(name: &Name, row: &Row) -> Json {
--- a/review/stand-ins-2/stray_bytes.rs
+++ b/review/stand-ins-2/stray_bytes.rs
@@ -48,7 +48,8 @@
             Plan { name, zone, service, slots, sharded, memory_mb, stray },
         )
     };
-    let hosts = Arc::new([start("h1", "a", false), start("h2", "b", true), start("h3", "c", false)]);
+    let hosts =
+        Arc::new([start("h1", "a", false), start("h2", "b", true), start("h3", "c", false)]);
     if !hosts.iter().all(|h| h.wait_ready(Duration::from_secs(20))) {
         record.say("the sidecars did not become ready");
         return 2;
--- a/review/stand-ins-2/upstream.rs
+++ b/review/stand-ins-2/upstream.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -19,6 +19,9 @@
 /// The interval while it releases keys.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The sequence number of the last heartbeat, above all others.
+const LAST_SEQ: u64 = 1_000_000;
+
 /// How many requests wait for a slot before others are rejected.
 const QUEUE: usize = 24;
 
@@ -42,6 +45,7 @@
     zone: String,
     slots: usize,
     sharded: bool,
+    silent: AtomicBool,
     born: u64,
     busy: AtomicUsize,
     received: AtomicUsize,
@@ -49,6 +53,8 @@
     released: Mutex<Vec<(u16, u16)>>,
     /// How often each request began to run.
     runs: Mutex<HashMap<String, usize>>,
+    /// The keys of the requests with keys, and when they began to run.
+    begun: Mutex<Vec<(Instant, u16)>>,
     stray: Option<Stray>,
 }
 
@@ -79,12 +85,14 @@
             zone,
             slots,
             sharded,
+            silent: AtomicBool::new(false),
             born,
             busy: AtomicUsize::new(0),
             received: AtomicUsize::new(0),
             held: Mutex::default(),
             released: Mutex::default(),
             runs: Mutex::default(),
+            begun: Mutex::default(),
             stray,
         }));
         let listener = TcpListener::bind(address).expect("the address is free");
@@ -105,6 +113,47 @@
         self.0.runs.lock().unwrap().get(id).copied().unwrap_or(0)
     }
 
+    /// Returns how many requests began to run.
+    pub fn run_count(&self) -> usize {
+        self.0.runs.lock().unwrap().values().sum()
+    }
+
+    /// Sends no more heartbeats, and returns one that is sent now and arrives late.
+    pub fn last_heartbeat(&self) -> Vec<u8> {
+        self.0.silent.store(true, Ordering::SeqCst);
+        thread::sleep(HEARTBEAT_INTERVAL + Duration::from_millis(200));
+        self.registry_call("instances.heartbeat", LAST_SEQ)
+    }
+
+    /// Deregisters. Returns the status of the answer, or 0.
+    pub fn deregister(&self) -> u16 {
+        self.deliver(&self.registry_call("instances.deregister", LAST_SEQ + 1))
+    }
+
+    /// Delivers a call. Returns the status of the answer, or 0.
+    pub fn deliver(&self, call: &[u8]) -> u16 {
+        let answer = http::call(self.0.control, call, Duration::from_secs(1));
+        answer.map_or(0, |(head, _)| head.status())
+    }
+
+    fn registry_call(&self, call: &str, seq: u64) -> Vec<u8> {
+        let b = &self.0;
+        let body = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+             \"slots\":{},\"state\":\"ready\",\"cold_ms\":0,\"seq\":{seq},\"born\":{}}}",
+            b.service, b.address, b.zone, b.slots, b.born
+        );
+        let target = format!("/v1/rpc?call={call}&of={}", b.id);
+        let headers = [("Host", "control"), ("Content-Type", "application/json")];
+        http::request("POST", &target, &headers, body.as_bytes())
+    }
+
+    /// Returns the keys of the requests that began to run since `start`.
+    pub fn begun_since(&self, start: Instant) -> Vec<u16> {
+        let begun = self.0.begun.lock().unwrap();
+        begun.iter().filter(|(at, _)| *at >= start).map(|(_, key)| *key).collect()
+    }
+
     /// Returns the keys that it holds now.
     pub fn held(&self) -> Vec<Held> {
         let now = Instant::now();
@@ -149,6 +198,9 @@
             return http::response("503 Service Unavailable", &headers, b"");
         }
         *b.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
+        if let Some(key) = key {
+            b.begun.lock().unwrap().push((Instant::now(), key));
+        }
         let (work, bytes) = demand(head.target());
         thread::sleep(Duration::from_millis(work));
         let busy = b.busy.fetch_sub(1, Ordering::SeqCst);
@@ -167,7 +219,7 @@
         let mut seq = 0;
         let mut connection: Option<Connection> = None;
         let mut sent_rows = Vec::new();
-        loop {
+        while !b.silent.load(Ordering::SeqCst) {
             seq += 1;
             let rows: Vec<String> =
                 self.held().iter().map(|h| format!("[{},{},{}]", h.from, h.to, h.fence)).collect();
