Show that clients which don't behave exhaust a process

What callers saw: in a trial, clients that read long responses slowly ended a process, and requests of others were cut. The users ask that no process ends or hangs, that each stays within its memory and that ordinary callers still get answers, whatever clients send or don't read.

The tests start processes with 64 MB on loopback and a crowd on one of their addresses, which comes back when it is closed. They check that the process lives, that memory and descriptors stay under a bound and that an ordinary request is answered while the crowd is still there. The bound is the memory in the settings. The crowds and bounds were fixed before the product was changed. The fixture of response_memory.rs moves to a folder that both files use.

--- a/crates/papayarill/tests/response_memory.rs
+++ b/crates/papayarill/tests/response_memory.rs
@@ -1,28 +1,23 @@
 //! Memory and descriptors of sidecars whose callers don't read their responses, or send nothing.
 //! The checks don't depend on the speed of the machine.
 
-use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+#[allow(dead_code)] // Other tests use more of it.
+mod limited_host;
+
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use adapter_stand_in::{BYTES_PATH_PART, Backend, CallerRequest, KeyGrants, Store, send_request};
-use bytes::Bytes;
-use serde_json::json;
+use adapter_stand_in::{BYTES_PATH_PART, Store};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep};
 
-/// Far longer than any step takes, so that a test times out only because of a real fault.
-const WAIT_LIMIT: Duration = Duration::from_secs(60);
+use limited_host::{Host, HostOptions, MEMORY_MB, OTHER_DESCRIPTORS, document};
 
 /// How long memory is watched while callers don't read.
 const WATCH_TIME: Duration = Duration::from_secs(8);
 
-/// The memory of the process in the settings, in MB.
-const MEMORY_MB: u64 = 64;
-
 /// Below the largest response that the settings allow, 1/32 of the memory.
 const RESPONSE_BYTES: usize = 1_500_000;
 
@@ -33,109 +28,9 @@
 /// The maximum number of connections of callers in the settings of the test of descriptors.
 const MAX_CALLER_CONNECTIONS: usize = 40;
 
-/// The descriptors of a process besides the connections of callers: listeners, the store, hosts, the
-/// backend server, logs, and connections that are accepted and not closed yet.
-const OTHER_DESCRIPTORS: usize = 100;
-
 /// The tests of this file run one at a time.
 static RUNNING_TEST: Mutex<()> = Mutex::const_new(());
 
-struct Host {
-    child: Child,
-    settings: PathBuf,
-    callers: SocketAddr,
-    _backend: Backend,
-}
-
-impl Drop for Host {
-    fn drop(&mut self) {
-        // The process may have ended already, but it must be gone before the next test starts.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
-impl Host {
-    async fn start(store: &Store, service: &str, name: &str, limits: &str) -> Self {
-        // All ports are taken at once, so that they differ.
-        let probes: [TcpListener; 6] =
-            std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-        let [callers, hosts, ready, control, metrics, server] =
-            probes.each_ref().map(|l| l.local_addr().unwrap());
-        drop(probes);
-        let text = format!(
-            "host: {name}\nzone: a\nregions: {{a: r}}\nservice: {service}\nbackend_server: '{server}'\n\
-             store: '{}'\nlisten: {{callers: '{callers}', hosts: '{hosts}', ready: '{ready}', \
-             backend: '{control}', metrics: '{metrics}'}}\ndrain_ms: 2500\nstop_ms: 6000\n\
-             hold_max_ms: 10000\nretry: {{ratio: 0.2, slack: 50, window_s: 10}}\n\
-             limits: {{memory_mb: {MEMORY_MB}{limits}}}\n",
-            store.address()
-        );
-        let file = format!("papayarill-memory-{}-{name}.yaml", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        std::fs::write(&settings, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_papayarill"))
-            .args(["sidecar", "--settings"])
-            .arg(&settings)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        let backend = Backend::start(server, control, service, name, KeyGrants::None).await;
-        let host = Self { child, settings, callers, _backend: backend };
-        host.assert_answers("starts").await;
-        host
-    }
-
-    /// Repeats an ordinary request, which may be refused, until it is answered.
-    async fn assert_answers(&self, name: &str) {
-        let deadline = Instant::now() + WAIT_LIMIT;
-        let mut attempts = 0;
-        loop {
-            attempts += 1;
-            let request = CallerRequest {
-                method: "GET",
-                host: "h.example".into(),
-                path: "/browse/x".into(),
-                id: format!("{name}-{attempts}"),
-                key: None,
-                timeout_ms: 10_000,
-                body: Bytes::new(),
-            };
-            let response = send_request(self.callers, &request).await;
-            if response.as_ref().is_some_and(|r| r.status == 200) {
-                return;
-            }
-            assert!(Instant::now() < deadline, "{name}: not answered, the last was {response:?}");
-            sleep(Duration::from_millis(100)).await;
-        }
-    }
-
-    fn assert_alive(&mut self, name: &str) {
-        assert!(self.child.try_wait().unwrap().is_none(), "{name}: the process ended");
-    }
-
-    fn memory_mb(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
-        line.split_whitespace().next().unwrap().parse::<u64>().unwrap() / 1_024
-    }
-
-    fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
-    }
-}
-
-fn document() -> serde_json::Value {
-    let route = |name: &str, service: &str| {
-        json!({"name": name, "host": "h.example", "prefix": format!("/{name}/"), "type": "safe",
-               "timeout_ms": 10_000, "target_latency_ms": 8_000, "priority": 1, "attempts": 1,
-               "service": service})
-    };
-    json!({"version": 1, "routes": [route("browse", "catalog")], "limits": {},
-           "services": [{"name": "catalog", "max_conns": 20}, {"name": "other", "max_conns": 20}]})
-}
-
 /// Requests long responses on one connection and reads at most a byte now and then, until it is
 /// closed.
 async fn request_and_stall(to: SocketAddr, caller: usize, reads: bool) {
@@ -167,9 +62,10 @@
     {
         let store = Store::start().await;
         store.put_config(&document());
-        let mut hosts = vec![Host::start(&store, "catalog", &format!("{name}-a"), "").await];
+        let mut hosts =
+            vec![Host::start(&store, HostOptions::new("catalog", &format!("{name}-a"))).await];
         if far {
-            hosts.push(Host::start(&store, "other", &format!("{name}-b"), "").await);
+            hosts.push(Host::start(&store, HostOptions::new("other", &format!("{name}-b"))).await);
         }
         let entry = hosts.last().unwrap().callers;
 
@@ -203,7 +99,11 @@
         let store = Store::start().await;
         store.put_config(&document());
         let limits = format!(", caller_connections: {MAX_CALLER_CONNECTIONS}");
-        let mut host = Host::start(&store, "catalog", name, &limits).await;
+        let mut host = Host::start(
+            &store,
+            HostOptions { limits: &limits, ..HostOptions::new("catalog", name) },
+        )
+        .await;
 
         let mut idle = Vec::new();
         for _ in 0..300 {
