Cut log lines that callers make long

What callers saw: nothing yet; a process reached 64 of 64 MB after 3 s while nobody read its log and 40 callers sent requests with ids of 60 KB.

Cause: the queue of log lines is bounded in lines, 2,048, and the id of a request is a part of its lines. Evidence: log_lines_that_nobody_reads_take_a_bounded_part_of_the_memory, with standard output unread. Change: a line has 2 KB at most, and says how long it was. The queue takes 4 MB at most.

--- a/crates/sidecar/src/log_writer.rs
+++ b/crates/sidecar/src/log_writer.rs
@@ -9,9 +9,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Lines queued for a slow reader: a few hundred kilobytes.
+/// Lines queued for a slow reader: a few hundred kilobytes, and four megabytes at most.
 const MAX_QUEUED_LINES: usize = 2_048;
 
+/// Longer lines are cut: callers choose the ids of their requests.
+const MAX_LINE_BYTES: usize = 2 << 10;
+
 /// Maximum lines per second. A host with 100 requests per second writes two or three for each.
 const MAX_LINES_PER_S: u32 = 400;
 
@@ -47,6 +50,16 @@
     }
 }
 
+/// Returns a copy of a line that is not too long.
+fn cut(line: &[u8]) -> Vec<u8> {
+    if line.len() <= MAX_LINE_BYTES {
+        return line.to_vec();
+    }
+    let mut cut = line[..MAX_LINE_BYTES].to_vec();
+    cut.extend_from_slice(format!("... cut, {} bytes\n", line.len()).as_bytes());
+    cut
+}
+
 impl Write for LogWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         if self.window_start.elapsed() >= Duration::from_secs(1) {
@@ -61,7 +74,7 @@
         if self.window_lines > MAX_LINES_PER_S {
             self.dropped += 1;
         } else {
-            self.send(line.to_vec());
+            self.send(cut(line));
         }
         Ok(line.len())
     }
