Bound the tables that are keyed by what clients and hosts send

What callers saw: nothing; found by reading each place that grows with what arrives.

Cause: the window of the retry budget kept eight bytes for each request, whatever the rate. A client of the address for hosts could name leases, classes of requests, suspects and evacuated zones without end. Change: requests are counted by millisecond. 8,192 witnessed leases, beyond which a witness neither confirms nor denies: forgetting a denial could give a key two holders. 4,096 classes, 1,024 announcements with 32 digests a message, 1,024 zones from hosts; those of the store are always taken.

--- a/crates/mesh/src/evacuation.rs
+++ b/crates/mesh/src/evacuation.rs
@@ -18,6 +18,9 @@
     pub active: bool,
 }
 
+/// The most zones that are taken from other hosts.
+const MAX_ZONES: usize = 1_024;
+
 /// The evacuated zones, and the zones whose evacuation has ended. There are few zones, so what is
 /// known about one is never discarded.
 #[derive(Clone, Debug, Default)]
@@ -73,8 +76,18 @@
         }
     }
 
-    /// Applies updates from another host.
+    /// Applies updates from another host. Further zones are not taken from hosts once there are many.
     pub fn merge(&mut self, updates: Vec<ZoneEvacuation>) -> Vec<ZoneEvacuation> {
+        let mut changed = Vec::new();
+        for update in updates {
+            if self.zones.len() < MAX_ZONES || self.find(&update.zone).is_ok() {
+                changed.extend(self.update(update));
+            }
+        }
+        changed
+    }
+
+    fn update_all(&mut self, updates: Vec<ZoneEvacuation>) -> Vec<ZoneEvacuation> {
         updates.into_iter().filter_map(|update| self.update(update)).collect()
     }
 
@@ -91,8 +104,8 @@
             .filter(missing)
             .map(|z| ZoneEvacuation { version: read_at, active: false, ..z.clone() })
             .collect();
-        let mut changed = self.merge(missing);
-        changed.extend(self.merge(rows));
+        let mut changed = self.update_all(missing);
+        changed.extend(self.update_all(rows));
         changed
     }
 }
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -87,6 +87,9 @@
 /// callers.
 const RETURN_SHARE: f64 = 0.5;
 
+/// The most classes whose run times are kept. The routes of a configuration are far fewer.
+const MAX_CLASSES: usize = 4_096;
+
 #[derive(Debug)]
 struct Waiting {
     rank: (u8, Millis),
@@ -347,6 +350,9 @@
         self.overall_mean += (run_ms - self.overall_mean) * RUN_TIME_WEIGHT;
         match self.class_means.binary_search_by_key(&run.class, |(c, _)| *c) {
             Ok(i) => self.class_means[i].1 += (run_ms - self.class_means[i].1) * RUN_TIME_WEIGHT,
+            Err(_) if self.class_means.len() >= MAX_CLASSES => {
+                self.class_means = vec![(run.class, run_ms)];
+            }
             Err(i) => self.class_means.insert(i, (run.class, run_ms)),
         }
     }
--- a/crates/mesh/src/response_link.rs
+++ b/crates/mesh/src/response_link.rs
@@ -18,6 +18,9 @@
 /// The weight of one response in the moving average of the sizes of a class.
 const SIZE_WEIGHT: f64 = 0.1;
 
+/// The most classes whose sizes are kept. The routes of a configuration are far fewer.
+const MAX_CLASSES: usize = 4_096;
+
 #[derive(Clone, Copy, Debug)]
 struct Class {
     id: u64,
@@ -101,7 +104,11 @@
     fn class_mut(&mut self, id: u64) -> &mut Class {
         let at = match self.classes.binary_search_by_key(&id, |c| c.id) {
             Ok(at) => at,
-            Err(at) => {
+            Err(mut at) => {
+                if self.classes.len() >= MAX_CLASSES {
+                    self.classes.retain(|c| c.in_progress > 0);
+                    at = self.classes.partition_point(|c| c.id < id);
+                }
                 self.classes.insert(at, Class { id, mean_bytes: 0.0, in_progress: 0 });
                 at
             }
--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -35,41 +35,62 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryBudgetLimits,
-    first_attempts: VecDeque<Millis>,
-    retries: VecDeque<Millis>,
+    first_attempts: Window,
+    retries: Window,
+}
+
+/// Events in the sliding window, counted by millisecond: requests may come at any rate.
+#[derive(Debug, Default)]
+struct Window {
+    counts: VecDeque<(Millis, u64)>,
+    total: u64,
+}
+
+impl Window {
+    fn record(&mut self, now: Millis) {
+        self.total += 1;
+        match self.counts.back_mut() {
+            Some((at, count)) if *at >= now => *count += 1,
+            _ => self.counts.push_back((now, 1)),
+        }
+    }
+
+    fn remove_expired(&mut self, span: Millis, now: Millis) {
+        while let Some((_, count)) = self.counts.front().filter(|(at, _)| now.since(*at) > span) {
+            self.total -= count;
+            self.counts.pop_front();
+        }
+    }
 }
 
 impl RetryBudget {
     /// Creates an unspent budget.
     pub fn new(limits: RetryBudgetLimits) -> Self {
-        Self { limits, first_attempts: VecDeque::new(), retries: VecDeque::new() }
+        Self { limits, first_attempts: Window::default(), retries: Window::default() }
     }
 
     /// Counts a first attempt.
     pub fn record_first_attempt(&mut self, now: Millis) {
         self.remove_expired(now);
-        self.first_attempts.push_back(now);
+        self.first_attempts.record(now);
     }
 
     /// Takes one retry from the budget and returns whether there was one left. The slack is divided
     /// among `processes`.
     pub fn try_take_retry(&mut self, processes: usize, now: Millis) -> bool {
         self.remove_expired(now);
-        let first_attempts = self.first_attempts.len() as f64;
+        let first_attempts = self.first_attempts.total as f64;
         let slack = self.limits.slack / processes.max(1) as f64;
         let allowed = DIRECT_RETRY_SHARE * (self.limits.ratio * first_attempts + slack);
-        if self.retries.len() as f64 + 1.0 > allowed.max(1.0) {
+        if self.retries.total as f64 + 1.0 > allowed.max(1.0) {
             return false;
         }
-        self.retries.push_back(now);
+        self.retries.record(now);
         true
     }
 
     fn remove_expired(&mut self, now: Millis) {
-        for times in [&mut self.first_attempts, &mut self.retries] {
-            while times.front().is_some_and(|&t| now.since(t) > self.limits.window) {
-                times.pop_front();
-            }
-        }
+        self.first_attempts.remove_expired(self.limits.window, now);
+        self.retries.remove_expired(self.limits.window, now);
     }
 }
--- a/crates/mesh/src/suspects.rs
+++ b/crates/mesh/src/suspects.rs
@@ -25,6 +25,9 @@
 /// server runs concurrently.
 const MAX_DIGESTS: usize = 32;
 
+/// The most digests that are announced. Later ones are still applied here.
+const MAX_ANNOUNCEMENTS: usize = 1_024;
+
 derive_common! {
     data
     /// The digests of requests suspected of crashing backend servers, as exchanged between hosts.
@@ -163,12 +166,13 @@
     /// Applies an update received from another host. Returns whether it contained anything new.
     pub fn apply_peer_update(&mut self, update: &SuspectUpdate, now: Millis) -> bool {
         let state = |digest: u64| self.quarantine.status(digest, now).map(|s| s.state);
+        // Hosts send no more than this.
+        let digests = |all: &Vec<u64>| all.iter().copied().take(MAX_DIGESTS).collect::<Vec<_>>();
+        let (suspects, quarantined) = (digests(&update.suspects), digests(&update.quarantined));
         let new = SuspectUpdate {
-            suspects: update.suspects.iter().copied().filter(|d| state(*d).is_none()).collect(),
-            quarantined: update
-                .quarantined
-                .iter()
-                .copied()
+            suspects: suspects.into_iter().filter(|d| state(*d).is_none()).collect(),
+            quarantined: quarantined
+                .into_iter()
                 .filter(|d| state(*d) != Some(QuarantineState::Quarantined))
                 .collect(),
         };
@@ -189,6 +193,7 @@
         let suspects = update.suspects.iter().map(|d| (*d, QuarantineState::Suspect, until));
         let quarantined =
             update.quarantined.iter().map(|d| (*d, QuarantineState::Quarantined, until));
-        self.announcements.extend(suspects.chain(quarantined));
+        let room = MAX_ANNOUNCEMENTS.saturating_sub(self.announcements.len());
+        self.announcements.extend(suspects.chain(quarantined).take(room));
     }
 }
--- a/crates/mesh/src/witness.rs
+++ b/crates/mesh/src/witness.rs
@@ -71,6 +71,10 @@
 /// sends no requests has long lost the lease.
 const RETENTION: Millis = Millis(60_000);
 
+/// The leases about which replies are kept at most. Hosts have one each, with few generations in that
+/// time. Nothing is forgotten for another one: what was denied must not be confirmed.
+const MAX_LEASES: usize = 8_192;
+
 #[derive(Clone, Debug)]
 struct LeaseState {
     holder: std::net::SocketAddr,
@@ -94,7 +98,7 @@
         if request.witness_process != process {
             return WitnessReply::Replaced;
         }
-        let state = self.lease_state(request, now);
+        let Some(state) = self.lease_state(request, now) else { return WitnessReply::Refused };
         match request.question {
             WitnessQuestion::Present => WitnessReply::Refused,
             WitnessQuestion::Confirm if state.denied => WitnessReply::Refused,
@@ -114,15 +118,19 @@
     }
 
     /// Returns the state of the requested lease. Each generation has its own, so that a delayed
-    /// request about another generation has no effect.
-    fn lease_state(&mut self, request: &WitnessRequest, now: Millis) -> &mut LeaseState {
+    /// request about another generation has no effect. `None` if there are too many.
+    fn lease_state(&mut self, request: &WitnessRequest, now: Millis) -> Option<&mut LeaseState> {
         self.leases.retain(|l| now.since(l.last_used) < RETENTION);
         let same = |l: &LeaseState| {
             l.holder == request.holder
                 && l.process == request.process
                 && l.generation == request.generation
         };
-        let at = self.leases.iter().position(same).unwrap_or_else(|| {
+        let known = self.leases.iter().position(same);
+        if known.is_none() && self.leases.len() >= MAX_LEASES {
+            return None;
+        }
+        let at = known.unwrap_or_else(|| {
             let (holder, process, generation) =
                 (request.holder, request.process, request.generation);
             let (last_confirmed, denied) = (None, false);
@@ -137,7 +145,7 @@
             self.leases.len() - 1
         });
         self.leases[at].last_used = now;
-        &mut self.leases[at]
+        Some(&mut self.leases[at])
     }
 }
 
