--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -20,7 +20,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use model::{Clock, Millis, is_final_status};
 use snafu::{Snafu, ensure};
@@ -32,6 +32,10 @@
 /// and a server that sends one may not send a final response at all.
 const INTERIM: [StatusCode; 2] = [StatusCode::CONTINUE, StatusCode::EARLY_HINTS];
 
+/// What a connection buffers of a response that is not read yet, which is also the longest head of a
+/// response, in bytes.
+pub const MAX_BUFFER_BYTES: usize = 128 << 10;
+
 /// Why a request got no response.
 #[derive(Debug, Snafu)]
 pub enum SendError {
@@ -69,16 +73,21 @@
     },
 }
 
-/// Memory for a response, which is asked for before the response is read.
-pub trait ResponseRoom {
+/// Memory for a message, which is asked for before the message is read.
+pub trait BodyRoom {
     /// Waits for room for `bytes` more. Returns false if there is none in time.
     fn reserve(&mut self, bytes: usize) -> impl Future<Output = bool>;
+
+    /// Records that some of them have arrived.
+    fn received(&mut self, bytes: usize) {
+        let _ = bytes;
+    }
 }
 
 /// Room without a limit.
 struct Unlimited;
 
-impl ResponseRoom for Unlimited {
+impl BodyRoom for Unlimited {
     async fn reserve(&mut self, _bytes: usize) -> bool {
         true
     }
@@ -175,7 +184,7 @@
     pub async fn send_with_room(
         &self,
         req: Request<Full<Bytes>>,
-        room: &mut impl ResponseRoom,
+        room: &mut impl BodyRoom,
     ) -> Result<Response<Bytes>, SendError> {
         self.exchange(req, || true, room).await
     }
@@ -184,7 +193,7 @@
         &self,
         mut req: Request<Full<Bytes>>,
         may_open: impl Fn() -> bool,
-        room: &mut impl ResponseRoom,
+        room: &mut impl BodyRoom,
     ) -> Result<Response<Bytes>, SendError> {
         // An idle connection may turn out to be closed before anything is written. The request is
         // then retried on the next idle connection, and finally on a new one.
@@ -233,14 +242,18 @@
         &self,
         tx: SendRequest<Full<Bytes>>,
         response: Response<hyper::body::Incoming>,
-        room: &mut impl ResponseRoom,
+        room: &mut impl BodyRoom,
     ) -> Result<Response<Bytes>, SendError> {
         let (head, body) = response.into_parts();
         if !is_final_status(head.status.as_u16()) {
             let reason = format!("status {} is not one of a response", head.status.as_u16());
             return UnknownSnafu { reason }.fail();
         }
-        let body = read_body_with_room(body, self.settings.max_response_bytes, room).await;
+        let has_room = room.reserve(server::response_head_bytes(&head.headers)).await;
+        let body = match has_room {
+            true => read_body_with_room(body, self.settings.max_response_bytes, room).await,
+            false => NoRoomSnafu.fail(),
+        };
         let body = body.map_err(|e| SendError::Unknown { reason: e.to_string() })?;
         self.keep_idle(tx, &head);
         Ok(Response::from_parts(head, body))
@@ -279,8 +292,11 @@
         };
         set_liveness_options(&stream, self.settings.tcp_user_timeout, self.settings.keepalive_idle)
             .map_err(|e| not_sent(e.to_string()))?;
-        let (tx, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(e.to_string()))?;
+        let (tx, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| not_sent(e.to_string()))?;
         actix_rt::spawn(async move {
             // An error of the connection is reported by the request in flight, if any.
             let _ = connection.await;
@@ -305,7 +321,7 @@
 pub async fn read_body_with_room<B>(
     body: B,
     max_bytes: usize,
-    room: &mut impl ResponseRoom,
+    room: &mut impl BodyRoom,
 ) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
@@ -332,11 +348,10 @@
             let enlarged = length.max(reserved * 2).min(max_bytes);
             ensure!(room.reserve(enlarged - reserved).await, NoRoomSnafu);
             reserved = enlarged;
-            let mut buffer = BytesMut::with_capacity(reserved);
-            buffer.extend_from_slice(&read);
-            read = buffer;
+            read.reserve(reserved - read.len());
         }
         read.extend_from_slice(&data);
+        room.received(data.len());
     }
     Ok(read.freeze())
 }
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -13,7 +13,7 @@
 mod pending;
 
 use std::future::poll_fn;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::task::Poll;
 
 use bytes::Bytes;
@@ -25,6 +25,7 @@
 
 pub use body::{RequestBody, RequestBodyError};
 use connection::{Connection, Step};
+pub(crate) use head::response_head_bytes;
 
 /// Limits and timeouts of a connection.
 #[derive(Clone, Copy, Debug)]
@@ -68,8 +69,16 @@
     pub unwritten: usize,
     /// Bytes of requests that are not processed yet.
     pub unread: usize,
+    /// What the connection itself has allocated: buffers, requests in progress without what their
+    /// handlers hold, and all of its responses but the bodies that are written as they are.
+    pub allocated: usize,
+    /// The part of it that waits for the caller: to send the rest of a request, or to read.
+    pub awaiting_caller: usize,
 }
 
+/// Completes when memory may have been freed.
+pub type MemoryFreed = Pin<Box<dyn Future<Output = ()>>>;
+
 /// Decisions about a connection that are made outside of it.
 pub trait Policy {
     /// Returns whether a request may start before all earlier responses of its connection are
@@ -85,6 +94,19 @@
     fn record_held_bytes(&self, held: HeldBytes) {
         let _ = held;
     }
+
+    /// Asks for room for `bytes` in addition to what the connection has allocated, before input is
+    /// read into them. The next record contains them. If there is no room, nothing is read until
+    /// the returned future completes.
+    fn reserve(&self, bytes: usize) -> Result<(), MemoryFreed> {
+        let _ = bytes;
+        Ok(())
+    }
+
+    /// Returns whether memory is so short that a connection takes one request at a time.
+    fn is_memory_short(&self) -> bool {
+        false
+    }
 }
 
 /// Serves a connection until it ends.
--- a/crates/http1/src/server/body.rs
+++ b/crates/http1/src/server/body.rs
@@ -39,13 +39,14 @@
 pub(super) struct BodyWriter(Rc<RefCell<BodyState>>);
 
 impl BodyWriter {
-    /// Appends decoded bytes, or drops them if nobody reads them.
-    pub(super) fn push(&self, data: BytesMut) {
+    /// Appends decoded bytes, or drops them if nobody reads them. They are a part of a buffer of
+    /// `allocated` bytes, from which few are copied, since it would stay allocated with them.
+    pub(super) fn push(&self, data: BytesMut, allocated: usize) {
         let mut state = self.0.borrow_mut();
         if state.reader_gone {
             return;
         }
-        match state.unread.is_empty() {
+        match state.unread.is_empty() && data.len() >= allocated / 2 {
             true => state.unread = data,
             false => state.unread.extend_from_slice(&data),
         }
@@ -101,6 +102,11 @@
     pub(super) fn unread_bytes(&self) -> usize {
         self.unread.len()
     }
+
+    /// Returns what they take in memory.
+    pub(super) fn allocated_bytes(&self) -> usize {
+        self.unread.capacity()
+    }
 }
 
 fn wake(waker: Option<Waker>) {
--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -20,11 +20,16 @@
 use super::head::{Head, take_head};
 use super::output::Output;
 use super::pending::{Answer, Pending, State};
-use super::{HeldBytes, Policy, Settings};
+use super::{HeldBytes, MemoryFreed, Policy, Settings};
 
 /// The free space for a read, in bytes. Most requests are shorter.
 const MIN_READ_BYTES: usize = 4 << 10;
 
+/// The buffer for a head that is longer, in bytes: above the usual limit of 16 KiB. One that exceeds
+/// this gets a buffer for the longest head at once, since buffers that grow step by step leave holes
+/// between those of other connections.
+const LONG_HEAD_BYTES: usize = 24 << 10;
+
 /// The free space for a read of a body of unknown length, in bytes.
 const CHUNKED_READ_BYTES: usize = 16 << 10;
 
@@ -73,6 +78,10 @@
     phase: Phase,
     lost_caller: bool,
     input: BytesMut,
+    /// What the buffer of `input` takes in memory.
+    input_allocated: usize,
+    /// Set while there is no room for more input.
+    memory_freed: Option<MemoryFreed>,
     /// The number of bytes of `input` that are known to contain no end of a head.
     searched: usize,
     /// Whether further requests are read.
@@ -85,7 +94,8 @@
     pending: VecDeque<Pending<G>>,
     /// The number of the first pending request.
     first: u64,
-    running: FuturesUnordered<F>,
+    /// Boxed, because the collection itself takes as much memory as one future.
+    running: FuturesUnordered<Pin<Box<F>>>,
     output: Output,
     /// The guards of encoded responses, and the position in the output where these end.
     guards: VecDeque<(u64, G)>,
@@ -118,6 +128,8 @@
             phase: Phase::Open,
             lost_caller: false,
             input: BytesMut::new(),
+            input_allocated: 0,
+            memory_freed: None,
             searched: 0,
             accepts_heads: true,
             closes_after_next: false,
@@ -157,7 +169,7 @@
 
     /// Returns whether more is to be read from the socket.
     pub(super) fn wants_input(&self) -> bool {
-        if self.lost_caller {
+        if self.lost_caller || self.memory_freed.is_some() {
             return false;
         }
         match (self.phase, &self.body) {
@@ -179,6 +191,11 @@
         writer: &mut WriteHalf<'_>,
     ) -> Poll<Step> {
         self.set_body_waker(None);
+        if let Some(freed) = &mut self.memory_freed
+            && freed.as_mut().poll(cx).is_ready()
+        {
+            self.memory_freed = None;
+        }
         let mut socket_empty = false;
         loop {
             let mut progress = false;
@@ -188,7 +205,11 @@
             {
                 match self.poll_read(cx, reader) {
                     Poll::Ready(Ok(0)) => self.caller_left(),
-                    Poll::Ready(Ok(_)) => progress = true,
+                    Poll::Ready(Ok(_)) => {
+                        // Replaces what was reserved for this read.
+                        self.record_held_bytes();
+                        progress = true;
+                    }
                     Poll::Ready(Err(_)) => return Poll::Ready(Step::End),
                     Poll::Pending => socket_empty = true,
                 }
@@ -211,16 +232,19 @@
             }
         }
         if let Some(expired) = self.poll_timer(cx) {
-            if expired != Purpose::Discard {
-                return Poll::Ready(Step::End);
+            match expired {
+                Purpose::Discard => {
+                    self.begin_closing();
+                    self.lingers = false;
+                }
+                Purpose::Head { .. } | Purpose::Linger => return Poll::Ready(Step::End),
             }
-            self.begin_closing();
-            self.lingers = false;
             return Poll::Ready(Step::Continue);
         }
         if self.input.is_empty() {
             // An idle connection holds no buffer.
             self.input = BytesMut::new();
+            self.input_allocated = 0;
         }
         self.record_held_bytes();
         self.set_body_waker(Some(cx.waker()));
@@ -241,9 +265,24 @@
             Some(body) => body.decoder.bytes_left().map_or(CHUNKED_READ_BYTES, |left| {
                 usize::try_from(left).unwrap_or(usize::MAX).min(self.settings.max_unread_bytes)
             }),
-            None => 0,
+            None if self.input.len() < MIN_READ_BYTES / 2 => 0,
+            None if self.input.len() < LONG_HEAD_BYTES / 2 => LONG_HEAD_BYTES - self.input.len(),
+            None => self.settings.max_head_bytes.saturating_sub(self.input.len()),
         };
-        self.input.reserve(expected.max(MIN_READ_BYTES));
+        let expected = expected.max(MIN_READ_BYTES);
+        if self.input.capacity() - self.input.len() < MIN_READ_BYTES / 2 {
+            // A buffer that grows is copied, and its size may double.
+            let enlarged = (self.input.len() + expected).max(2 * self.input.capacity());
+            if let Err(mut freed) = self.policy.reserve(enlarged) {
+                match freed.as_mut().poll(cx) {
+                    Poll::Pending => self.memory_freed = Some(freed),
+                    Poll::Ready(()) => cx.waker().wake_by_ref(),
+                }
+                return Poll::Pending;
+            }
+            self.input.reserve(expected);
+            self.input_allocated = self.input_allocated.max(self.input.capacity());
+        }
         let n = ready!(pin!(reader.read_buf(&mut self.input)).poll(cx))?;
         if self.phase != Phase::Open {
             self.discarded += n as u64;
@@ -254,6 +293,7 @@
 
     fn can_take_head(&self) -> bool {
         self.accepts_heads
+            && (self.pending.is_empty() && self.output.is_empty() || !self.policy.is_memory_short())
             && self.pending.len() < self.settings.max_requests
             && self.pending.iter().map(Pending::unread_bytes).sum::<usize>()
                 < self.settings.max_unread_bytes
@@ -302,7 +342,7 @@
         self.caller_closes = !head.keep_alive;
         self.discarded = 0;
         let state = self.body.as_ref().map(|b| b.writer.state());
-        self.pending.push_back(Pending::new(head.parts, body, state));
+        self.pending.push_back(Pending::new(head.parts, head.bytes, body, state));
     }
 
     /// Returns whether any input was processed.
@@ -315,7 +355,7 @@
                 if body.writer.is_reader_gone() {
                     self.discarded += data.len() as u64;
                 }
-                body.writer.push(data);
+                body.writer.push(data, self.input_allocated);
                 if self.discarded > self.settings.max_discarded_bytes {
                     self.accepts_heads = false;
                     self.body = None;
@@ -349,7 +389,7 @@
                 }
             }
             if let Some(started) = self.pending[i].start() {
-                self.running.push((self.handler)(self.first + i as u64, started));
+                self.running.push(Box::pin((self.handler)(self.first + i as u64, started)));
             }
         }
     }
@@ -386,8 +426,29 @@
         self.input.len() + pending + answered
     }
 
+    /// Returns what the connection has allocated for its caller.
+    fn allocated_bytes(&self) -> usize {
+        let pending: usize = self.pending.iter().map(Pending::allocated_bytes).sum();
+        let answered = self.body.as_ref().filter(|b| b.answered);
+        let answered = answered.map_or(0, |b| b.writer.state().borrow().allocated_bytes());
+        let handlers = self.running.len() * size_of::<F>();
+        self.input_allocated + pending + answered + handlers + self.output.allocated_bytes()
+    }
+
+    /// Input counts also while nothing is read: the caller has sent more than is served at a time.
+    fn bytes_awaiting_caller(&self) -> usize {
+        let body = self.body.as_ref().filter(|_| self.wants_input());
+        let unread = body.map_or(0, |b| b.writer.state().borrow().allocated_bytes());
+        self.output.allocated_bytes() + self.input_allocated + unread
+    }
+
     fn record_held_bytes(&mut self) {
-        let held = HeldBytes { unwritten: self.unwritten_bytes(), unread: self.unread_bytes() };
+        let held = HeldBytes {
+            unwritten: self.unwritten_bytes(),
+            unread: self.unread_bytes(),
+            allocated: self.allocated_bytes(),
+            awaiting_caller: self.bytes_awaiting_caller(),
+        };
         if held != self.held {
             self.held = held;
             self.policy.record_held_bytes(held);
--- a/crates/http1/src/server/head.rs
+++ b/crates/http1/src/server/head.rs
@@ -10,10 +10,15 @@
 /// The maximum number of header fields.
 const MAX_FIELDS: usize = 100;
 
+/// What a header map takes for each field besides its name and value, in bytes.
+const FIELD_BYTES: usize = 160;
+
 /// The head of a request and what it says about the connection.
 #[derive(Debug)]
 pub(super) struct Head {
     pub(super) parts: request::Parts,
+    /// What it takes in memory.
+    pub(super) bytes: usize,
     /// Decodes the body, if there is one.
     pub(super) body: Option<Decoder>,
     pub(super) keep_alive: bool,
@@ -103,7 +108,18 @@
     parts.uri = uri;
     parts.version = if is_http_10 { Version::HTTP_10 } else { Version::HTTP_11 };
     parts.headers = headers;
-    Ok(Head { parts, body, keep_alive, expects_continue })
+    let bytes = bytes.len() + allocated_bytes(&parts.headers);
+    Ok(Head { parts, bytes, body, keep_alive, expects_continue })
+}
+
+/// Returns about how much memory a header map takes besides the values.
+fn allocated_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, _)| name.as_str().len() + FIELD_BYTES).sum()
+}
+
+/// Returns about how much memory the headers of a response take.
+pub(crate) fn response_head_bytes(headers: &HeaderMap) -> usize {
+    allocated_bytes(headers) + headers.values().map(HeaderValue::len).sum::<usize>()
 }
 
 /// Returns how the body ends. Only one of length and transfer coding may tell, and only once, since
--- a/crates/http1/src/server/output.rs
+++ b/crates/http1/src/server/output.rs
@@ -20,6 +20,9 @@
 /// Most heads of responses are shorter.
 const TYPICAL_HEAD_BYTES: usize = 512;
 
+/// What a segment takes in memory besides its bytes.
+const SEGMENT_BYTES: usize = 96;
+
 /// The maximum number of buffers for one system call.
 const MAX_SLICES: usize = 32;
 
@@ -36,10 +39,13 @@
 /// The bytes to be written.
 #[derive(Debug, Default)]
 pub(super) struct Output {
-    segments: VecDeque<Bytes>,
+    /// Each with what it takes in memory besides the body of a response.
+    segments: VecDeque<(Bytes, usize)>,
     /// The last segment, to which more can be appended.
     tail: BytesMut,
     unwritten: usize,
+    /// What all segments but the last one take in memory.
+    allocated: usize,
     /// The number of bytes that were ever written.
     written: u64,
 }
@@ -50,6 +56,11 @@
         self.unwritten
     }
 
+    /// Returns what it takes in memory, without the bodies that are written as they are.
+    pub(super) fn allocated_bytes(&self) -> usize {
+        self.allocated + self.tail.capacity()
+    }
+
     /// Returns whether everything was written.
     pub(super) fn is_empty(&self) -> bool {
         self.unwritten == 0
@@ -120,7 +131,7 @@
         }
         self.finish_tail();
         self.unwritten += body.len();
-        self.segments.push_back(body);
+        self.push_segment(body, 0);
     }
 
     fn append(&mut self, bytes: &[u8]) {
@@ -130,10 +141,18 @@
 
     fn finish_tail(&mut self) {
         if !self.tail.is_empty() {
-            self.segments.push_back(std::mem::take(&mut self.tail).freeze());
+            let tail = std::mem::take(&mut self.tail);
+            let allocated = tail.capacity();
+            self.push_segment(tail.freeze(), allocated);
         }
     }
 
+    fn push_segment(&mut self, segment: Bytes, allocated: usize) {
+        let allocated = allocated + SEGMENT_BYTES;
+        self.allocated += allocated;
+        self.segments.push_back((segment, allocated));
+    }
+
     /// Writes as much as the socket takes.
     pub(super) fn poll_write(
         &mut self,
@@ -143,7 +162,7 @@
         self.finish_tail();
         let mut slices = [IoSlice::new(&[]); MAX_SLICES];
         let count = self.segments.len().min(MAX_SLICES);
-        for (slice, segment) in slices.iter_mut().zip(&self.segments) {
+        for (slice, (segment, _)) in slices.iter_mut().zip(&self.segments) {
             *slice = IoSlice::new(segment);
         }
         let n = ready!(Pin::new(socket).poll_write_vectored(cx, &slices[..count]))?;
@@ -153,12 +172,13 @@
         self.unwritten -= n;
         self.written += n as u64;
         let mut left = n;
-        while let Some(first) = self.segments.front_mut() {
+        while let Some((first, allocated)) = self.segments.front_mut() {
             if left < first.len() {
                 first.advance(left);
                 break;
             }
             left -= first.len();
+            self.allocated -= *allocated;
             self.segments.pop_front();
         }
         Poll::Ready(Ok(()))
--- a/crates/http1/src/server/pending.rs
+++ b/crates/http1/src/server/pending.rs
@@ -12,7 +12,7 @@
 use hyper::body::Body;
 
 use super::body::{BodyState, RequestBody};
-use super::head::HeadError;
+use super::head::{HeadError, response_head_bytes};
 use crate::has_token;
 
 /// A request whose response is not encoded yet.
@@ -23,6 +23,8 @@
     pub(super) must_wait: bool,
     pub(super) body: Option<Rc<RefCell<BodyState>>>,
     pub(super) state: State<G>,
+    /// What its head takes in memory, also while its handler has it.
+    head_bytes: usize,
 }
 
 /// How far a request is.
@@ -48,6 +50,7 @@
     /// Creates a request whose handler is not started.
     pub(super) fn new(
         head: request::Parts,
+        head_bytes: usize,
         body: RequestBody,
         body_state: Option<Rc<RefCell<BodyState>>>,
     ) -> Self {
@@ -57,6 +60,7 @@
             must_wait: false,
             body: body_state,
             state: State::Waiting(head, body),
+            head_bytes,
         }
     }
 
@@ -73,6 +77,7 @@
             must_wait: false,
             body: None,
             state: State::Done(answer),
+            head_bytes: 0,
         }
     }
 
@@ -81,6 +86,16 @@
         self.body.as_ref().map_or(0, |b| b.borrow().unread_bytes())
     }
 
+    /// Returns what it takes in memory, without what its handler holds and the body of its response.
+    pub(super) fn allocated_bytes(&self) -> usize {
+        let head = match &self.state {
+            State::Waiting(..) | State::Running => self.head_bytes,
+            State::Done(answer) => response_head_bytes(&answer.head.headers),
+        };
+        let body = self.body.as_ref().map_or(0, |b| b.borrow().allocated_bytes());
+        size_of::<Self>() + head + body
+    }
+
     /// Returns the number of bytes of its response.
     pub(super) fn unwritten_bytes(&self) -> usize {
         match &self.state {
--- a/crates/http1/tests/response_room.rs
+++ b/crates/http1/tests/response_room.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, Full, StreamBody};
-use http1::{BodyError, ResponseRoom, read_body_with_room};
+use http1::{BodyError, BodyRoom, read_body_with_room};
 use hyper::body::{Body, Frame};
 
 const MAX_BYTES: usize = 1_000;
@@ -14,7 +14,7 @@
     asked: Vec<usize>,
 }
 
-impl ResponseRoom for Room {
+impl BodyRoom for Room {
     async fn reserve(&mut self, bytes: usize) -> bool {
         self.asked.push(bytes);
         let fits = bytes <= self.left;
--- a/crates/http1/tests/server/limits.rs
+++ b/crates/http1/tests/server/limits.rs
@@ -192,3 +192,113 @@
         assert_eq!(Rc::strong_count(&record.guards), 1, "{name}");
     }
 }
+
+/// Guards against memory that is taken and not counted: heads of requests that wait or run, responses
+/// with their heads, and buffers.
+#[actix_rt::test]
+async fn all_that_a_connection_allocates_is_counted() {
+    const LENGTH: usize = 10_000;
+    let long = "c".repeat(LENGTH);
+    let rows = [
+        ("half a head", format!("GET /a HTTP/1.1\r\nCookie: {long}"), LENGTH),
+        ("running", format!("GET /wait HTTP/1.1\r\nCookie: {long}\r\n\r\n").repeat(4), 4 * LENGTH),
+        (
+            "waiting",
+            "GET /wait HTTP/1.1\r\n\r\n".to_owned()
+                + &format!("POST /p HTTP/1.1\r\nCookie: {long}\r\n\r\n").repeat(4),
+            4 * LENGTH,
+        ),
+        (
+            "body behind a request",
+            format!(
+                "GET /wait HTTP/1.1\r\n\r\nPOST /p HTTP/1.1\r\nContent-Length: 20000\r\n\r\n{long}"
+            ),
+            LENGTH,
+        ),
+        ("short fields", format!("GET /wait HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(90)), 90 * 100),
+    ];
+    for (name, text, bytes) in rows {
+        let (mut stream, record) = connect(Settings::default(), None).await;
+        send(&mut stream, &text).await;
+
+        let counted = || record.held.get().allocated >= bytes;
+        wait_until(&format!("{name}: not counted"), counted).await;
+
+        drop(stream);
+        wait_until(name, || record.ended.get()).await;
+        assert_eq!(record.held.get(), HeldBytes::default(), "{name}");
+    }
+}
+
+/// Guards against unread responses that aren't counted because they were copied, and against blaming
+/// a caller for requests that wait for their responses.
+#[actix_rt::test]
+async fn what_waits_for_the_caller_is_told_apart() {
+    let (mut stream, record) = connect(Settings::default(), None).await;
+    send(&mut stream, "GET /wait HTTP/1.1\r\n\r\n").await;
+    started(&record, 1).await;
+    let running = record.held.get();
+    send(&mut stream, "GET /half HTTP/1.1\r\n").await;
+    sleep(SETTLE).await;
+    let half = record.held.get();
+    drop(stream);
+
+    let (mut stream, unread) = connect(Settings::default(), Some(4 << 10)).await;
+    let requests = "GET /a HTTP/1.1\r\n\r\n".repeat(1_000);
+    while unread.held.get().unwritten < 100_000 {
+        send(&mut stream, &requests).await;
+    }
+
+    assert!(running.allocated > 0 && running.awaiting_caller == 0, "{running:?}");
+    assert!(half.awaiting_caller >= 20, "{half:?}");
+    let held = unread.held.get();
+    assert!(held.awaiting_caller >= 100_000, "{held:?}");
+    assert!(held.allocated >= held.awaiting_caller, "{held:?}");
+}
+
+/// Guards against input that is read without room for it, and a connection that stays asleep.
+#[actix_rt::test]
+async fn nothing_is_read_until_there_is_room() {
+    let (mut stream, record) = connect(Settings::default(), None).await;
+    record.full.set(true);
+
+    send(&mut stream, "GET /a HTTP/1.1\r\n\r\n").await;
+    started(&record, 0).await;
+    record.freed.notify_one();
+    started(&record, 0).await;
+    record.full.set(false);
+    record.freed.notify_one();
+
+    started(&record, 1).await;
+}
+
+/// Guards against a connection that waits for room and isn't closed when its caller leaves.
+#[actix_rt::test]
+async fn a_caller_that_leaves_ends_the_wait_for_room() {
+    let (mut stream, record) = connect(Settings::default(), None).await;
+    record.full.set(true);
+    send(&mut stream, "GET /a HTTP/1.1\r\n\r\n").await;
+    sleep(SETTLE).await;
+
+    drop(stream);
+
+    wait_until("the connection goes on", || record.ended.get()).await;
+}
+
+/// Guards against callers that pipeline while memory is short.
+#[actix_rt::test]
+async fn one_request_is_taken_at_a_time_while_memory_is_short() {
+    let (mut stream, record) = connect(Settings::default(), None).await;
+    record.short.set(true);
+    for i in 0..3 {
+        send(&mut stream, &format!("GET /wait-{i} HTTP/1.1\r\n\r\n")).await;
+    }
+    started(&record, 1).await;
+
+    record.release("/wait-0");
+    started(&record, 2).await;
+    record.short.set(false);
+    record.release("/wait-1");
+
+    started(&record, 3).await;
+}
--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full};
-use http1::server::{HeldBytes, Policy, RequestBody, Settings, serve};
+use http1::server::{HeldBytes, MemoryFreed, Policy, RequestBody, Settings, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
@@ -34,6 +34,10 @@
     /// The number of guards that exist.
     pub guards: Rc<Cell<usize>>,
     pub stopping: Cell<bool>,
+    /// Whether memory is short, and whether there is none for input.
+    pub short: Cell<bool>,
+    pub full: Cell<bool>,
+    pub freed: Notify,
     pub close: Notify,
     pub ended: Cell<bool>,
     released: RefCell<Vec<String>>,
@@ -65,8 +69,22 @@
         self.0.most_held.set(HeldBytes {
             unwritten: most.unwritten.max(held.unwritten),
             unread: most.unread.max(held.unread),
+            allocated: most.allocated.max(held.allocated),
+            awaiting_caller: most.awaiting_caller.max(held.awaiting_caller),
         });
     }
+
+    fn reserve(&self, _: usize) -> Result<(), MemoryFreed> {
+        if !self.0.full.get() {
+            return Ok(());
+        }
+        let record = self.0.clone();
+        Err(Box::pin(async move { record.freed.notified().await }))
+    }
+
+    fn is_memory_short(&self) -> bool {
+        self.0.short.get()
+    }
 }
 
 struct CancelGuard(Rc<Record>, Option<String>);
--- a/crates/mesh/src/connection_limit.rs
+++ b/crates/mesh/src/connection_limit.rs
@@ -1,4 +1,7 @@
-//! The number of connections of callers, and which one is closed when it is exceeded.
+//! The number of connections to an address, and which one is closed when it is exceeded.
+//!
+//! Connections that never had a request go first: clients that open connections and send nothing
+//! don't displace those that wait between two requests.
 
 use model::Millis;
 
@@ -9,10 +12,12 @@
     id: HolderId,
     /// The requests whose responses are not written.
     requests: usize,
+    /// Whether it ever had a request.
+    used: bool,
     idle_since: Millis,
 }
 
-/// The connections of callers.
+/// The connections to an address.
 #[derive(Debug)]
 pub struct ConnectionLimit {
     limit: usize,
@@ -30,16 +35,18 @@
         self.connections.len() < self.limit
     }
 
-    /// Returns the connection that has been without a request for longest, and since when.
+    /// Returns the connection that has been without a request for longest, and since when. Those that
+    /// never had one precede the others.
     pub fn longest_idle(&self) -> Option<(HolderId, Millis)> {
         let idle = self.connections.iter().filter(|c| c.requests == 0);
-        idle.min_by_key(|c| c.idle_since).map(|c| (c.id, c.idle_since))
+        idle.min_by_key(|c| (c.used, c.idle_since)).map(|c| (c.id, c.idle_since))
     }
 
     /// Adds a connection without requests.
     pub fn add(&mut self, id: HolderId, now: Millis) {
         if let Err(at) = self.connections.binary_search_by_key(&id, |c| c.id) {
-            self.connections.insert(at, Connection { id, requests: 0, idle_since: now });
+            self.connections
+                .insert(at, Connection { id, requests: 0, used: false, idle_since: now });
         }
     }
 
@@ -52,6 +59,7 @@
     pub fn request_started(&mut self, id: HolderId) {
         if let Ok(at) = self.connections.binary_search_by_key(&id, |c| c.id) {
             self.connections[at].requests += 1;
+            self.connections[at].used = true;
         }
     }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -44,7 +44,7 @@
 pub use load_balancer::{
     AttemptResult, ClassLoad, Distance, LoadBalancer, LoadReport, Peer, Pick, PickRequest,
 };
-pub use memory_budget::{HolderId, MemoryBudget, StalledHolder};
+pub use memory_budget::{HolderId, HolderKind, MemoryBudget, Purpose, StalledHolder};
 pub use ownership::{
     BackendHeartbeat, ConditionalWrite, Grant, GrantCall, GrantCallId, GrantCallOutcome,
     HeartbeatAction, HeartbeatReply, HeldRange, KeyOwnership, KeyRejection, LeaseReader,
--- a/crates/mesh/tests/response_memory.rs
+++ b/crates/mesh/tests/response_memory.rs
@@ -1,6 +1,6 @@
-//! The memory of responses and the connections of callers: which holder is closed, and when.
+//! The memory that is held for clients and their connections: which holder is closed, and when.
 
-use mesh::{ConnectionLimit, HolderId, MemoryBudget, StalledHolder};
+use mesh::{ConnectionLimit, HolderId, HolderKind, MemoryBudget, Purpose, StalledHolder};
 use model::Millis;
 
 const LIMIT: u64 = 1_000;
@@ -9,25 +9,40 @@
 enum Event {
     Reserve(usize, u64),
     Grow(usize, u64),
+    /// Bytes that wait for no client.
+    Use(u64),
     Progress(usize, u64),
     Release(usize, u64),
+    /// Bytes no longer wait for the client.
+    Unassign(usize, u64),
     Remove(usize),
 }
-use Event::{Grow, Progress, Release, Remove, Reserve};
+use Event::{Grow, Progress, Release, Remove, Reserve, Unassign, Use};
 
-/// Two holders that can be closed, and one that can't.
+/// Two clients and another host.
 fn replay(events: &[(u64, Event)]) -> (MemoryBudget, [HolderId; 3]) {
     let mut budget = MemoryBudget::new(LIMIT);
-    let ids = [true, true, false].map(|closable| budget.add_holder(closable, Millis(0)));
+    let kinds = [HolderKind::Client, HolderKind::Client, HolderKind::Host];
+    let ids = kinds.map(|kind| budget.add_holder(kind, Millis(0)));
     for (at, event) in events {
         let now = Millis(*at);
         match *event {
             Reserve(i, bytes) => {
-                budget.reserve(ids[i], bytes, now);
+                if budget.try_use(Purpose::Response, bytes) {
+                    budget.assign(ids[i], bytes, now);
+                }
             }
-            Grow(i, bytes) => budget.grow(ids[i], bytes, now),
+            Grow(i, bytes) => {
+                budget.use_anyway(bytes);
+                budget.assign(ids[i], bytes, now);
+            }
+            Use(bytes) => budget.use_anyway(bytes),
             Progress(i, bytes) => budget.progress(ids[i], bytes, now),
-            Release(i, bytes) => budget.release(ids[i], bytes),
+            Release(i, bytes) => {
+                budget.unassign(ids[i], bytes);
+                budget.free(bytes);
+            }
+            Unassign(i, bytes) => budget.unassign(ids[i], bytes),
             Remove(i) => budget.remove_holder(ids[i]),
         }
     }
@@ -38,21 +53,28 @@
 /// caller while there is room.
 #[test]
 fn the_holder_with_most_bytes_for_longest_is_closed() {
-    let check =
-        |name: &str, events: &[(u64, Event)], needed, expected: Option<(usize, u64, u64)>| {
+    let check_all =
+        |name: &str, events: &[(u64, Event)], needed, expected: &[(usize, u64, u64)]| {
             let (budget, ids) = replay(events);
-            let expected = expected.map(|(i, bytes, ms)| StalledHolder {
-                id: ids[i],
-                bytes,
-                stalled_for: Millis(ms),
-            });
-            assert_eq!(budget.holder_to_close(needed, Millis(10_000)), expected, "{name}");
+            let expected: Vec<_> = expected
+                .iter()
+                .map(|(i, bytes, ms)| StalledHolder {
+                    id: ids[*i],
+                    bytes: *bytes,
+                    stalled_for: Millis(*ms),
+                })
+                .collect();
+            let to_close = budget.holders_to_close(Purpose::Response, needed, Millis(10_000));
+            assert_eq!(to_close, expected, "{name}");
         };
+    let check = |name: &str, events: &[(u64, Event)], needed, expected: Option<_>| {
+        check_all(name, events, needed, expected.as_slice());
+    };
     check("nothing held", &[], LIMIT + 1, None);
     check("there is room", &[(0, Reserve(0, 600))], 400, None);
     check("no room", &[(0, Reserve(0, 600))], 401, Some((0, 600, 10_000)));
-    check("nearly full", &[(0, Reserve(0, 875))], 0, Some((0, 875, 10_000)));
-    check("not yet nearly full", &[(0, Reserve(0, 874))], 0, None);
+    check("nearly full", &[(0, Reserve(0, 938))], 0, Some((0, 938, 10_000)));
+    check("not yet nearly full", &[(0, Reserve(0, 936))], 0, None);
     check("more bytes", &[(0, Reserve(0, 400)), (0, Reserve(1, 500))], 101, Some((1, 500, 10_000)));
     check("longer", &[(0, Reserve(0, 400)), (5_000, Reserve(1, 500))], 101, Some((0, 400, 10_000)));
     check(
@@ -74,8 +96,49 @@
         101,
         None,
     );
-    check("another host", &[(0, Reserve(2, 1_000))], 1, None);
+    check("another host", &[(5_001, Reserve(2, 1_000))], 1, None);
+    check(
+        "another host that has given up",
+        &[(5_000, Reserve(2, 1_000))],
+        1,
+        Some((2, 1_000, 5_000)),
+    );
     check("removed", &[(0, Reserve(0, 1_000)), (1, Remove(0))], 1, None);
+    check(
+        "enough is about to be freed",
+        &[(0, Reserve(0, 500)), (0, Reserve(1, 500)), (1, Remove(0))],
+        1,
+        None,
+    );
+    check(
+        "bytes that wait for no client",
+        &[(0, Use(950)), (0, Reserve(0, 50))],
+        0,
+        Some((0, 50, 10_000)),
+    );
+    check("a request that is complete", &[(0, Reserve(0, 990)), (1, Unassign(0, 990))], 100, None);
+    check("new bytes have not waited", &[(0, Reserve(0, 90)), (9_900, Reserve(0, 900))], 100, None);
+    let three = [(0, Reserve(0, 300)), (0, Reserve(1, 400)), (0, Reserve(2, 250))];
+    check_all("down to three quarters", &three, 0, &[(1, 400, 10_000)]);
+    check_all("more are needed", &three, 500, &[(1, 400, 10_000), (0, 300, 10_000)]);
+}
+
+/// Guards against uploads that leave no room for other requests, and requests that leave none for the
+/// responses of those that run.
+#[test]
+fn what_has_not_begun_finds_no_room_first() {
+    let check = |purpose, used: u64, expected: bool| {
+        let (mut budget, _) = replay(&[(0, Use(used))]);
+        assert_eq!(budget.try_use(purpose, 1), expected, "{purpose:?} at {used}");
+    };
+    check(Purpose::Body, 874, true);
+    check(Purpose::Body, 875, false);
+    check(Purpose::Request, 936, true);
+    check(Purpose::Request, 937, false);
+    check(Purpose::Response, 999, true);
+    check(Purpose::Response, 1_000, false);
+    check(Purpose::Control, 999, true);
+    check(Purpose::Control, 1_000, false);
 }
 
 /// Guards against bytes beyond the limit, and against bytes that count forever.
@@ -110,7 +173,7 @@
     use Step::{Close, End, Start};
     let check = |name: &str, steps: &[(u64, Step)], expected: Option<(usize, u64)>, has_room| {
         let mut budget = MemoryBudget::new(LIMIT);
-        let ids = [0, 1, 2].map(|at| budget.add_holder(true, Millis(at)));
+        let ids = [0, 1, 2].map(|at| budget.add_holder(HolderKind::Client, Millis(at)));
         let mut limit = ConnectionLimit::new(3);
         for (at, id) in (0..).zip(ids) {
             limit.add(id, Millis(at));
@@ -136,4 +199,10 @@
         false,
     );
     check("closed", &[(5, Close(0))], Some((1, 1)), true);
+    check(
+        "never had a request",
+        &[(5, Start(0)), (6, End(0)), (7, Start(1)), (8, End(1))],
+        Some((2, 2)),
+        false,
+    );
 }
--- a/crates/papayarill/src/check/settings.rs
+++ b/crates/papayarill/src/check/settings.rs
@@ -107,7 +107,7 @@
     parsed: &adapter::ParsedConfig,
 ) {
     let body = u64::try_from(parsed.config.limits.max_body_bytes).unwrap_or(u64::MAX);
-    let memory = settings.limits.caller_body_bytes();
+    let memory = settings.limits.max_body_bytes();
     if body > memory {
         let text = format!(
             "bodies may take {memory} bytes, but the configuration allows one of {body} bytes"
--- a/crates/sidecar/src/attempts.rs
+++ b/crates/sidecar/src/attempts.rs
@@ -73,7 +73,7 @@
 pub(crate) async fn execute(
     cx: &Rc<Cx>,
     holder: HolderId,
-    call: &Call,
+    call: &mut Call,
 ) -> Result<(ForwardReply, Bytes), Failure> {
     let mut server_error = None;
     let result = run_attempts(cx, holder, call, &mut server_error).await;
@@ -93,7 +93,7 @@
 async fn run_attempts(
     cx: &Rc<Cx>,
     holder: HolderId,
-    call: &Call,
+    call: &mut Call,
     server_error: &mut Option<(ForwardReply, Bytes)>,
 ) -> Result<(ForwardReply, Bytes), Failure> {
     cx.state
@@ -327,24 +327,25 @@
 async fn send(
     cx: &Rc<Cx>,
     holder: HolderId,
-    call: &Call,
+    call: &mut Call,
     host: HostAddr,
     max_wait: Option<Millis>,
     now: Millis,
 ) -> Result<(ForwardReply, Bytes), tokio::time::error::Elapsed> {
+    let margin = if is_cross_region(cx, host) { CROSS_REGION_MARGIN } else { SAME_REGION_MARGIN };
+    let left = call.deadline.since(now);
+    let saturating_ms = |m: Millis| u32::try_from(m.0).unwrap_or(u32::MAX);
+    call.forward.target_ms = saturating_ms(call.target_deadline.since(now));
+    call.forward.limit_ms = saturating_ms(left.since(margin));
+    call.forward.caller_ms = saturating_ms(call.caller_deadline.since(now));
+    call.forward.suspects = cx.suspect_update();
+    let call = &*call;
     let service = &call.service;
     cx.state.borrow_mut().load_balancer(service).attempt_started(host, large_body_bytes(call));
     let body_bytes = large_body_bytes(call);
     let end = AttemptResult::Abandoned;
     let mut guard = SendGuard { cx, service, host, body_bytes, end, report: None };
-    let left = call.deadline.since(now);
-    let saturating_ms = |m: Millis| u32::try_from(m.0).unwrap_or(u32::MAX);
-    let margin = if is_cross_region(cx, host) { CROSS_REGION_MARGIN } else { SAME_REGION_MARGIN };
-    let mut forward = call.forward.clone();
-    forward.target_ms = saturating_ms(call.target_deadline.since(now));
-    forward.limit_ms = saturating_ms(left.since(margin));
-    forward.caller_ms = saturating_ms(call.caller_deadline.since(now));
-    forward.suspects = cx.suspect_update();
+    let forward = &call.forward;
     let extension = ForwardExtension {
         max_wait_ms: max_wait.map(saturating_ms),
         latency_target_ms: saturating_ms(call.target_deadline.since(call.received_at)),
@@ -352,11 +353,11 @@
     let exchange = async {
         if host == cx.me {
             let origin = Origin::ThisHost(extension);
-            let (reply, body) = backend::run(cx, holder, &forward, origin, call.body.clone()).await;
-            cx.record_class_load(host, &forward, cx.class_load(forward.class));
+            let (reply, body) = backend::run(cx, holder, forward, origin, call.body.clone()).await;
+            cx.record_class_load(host, forward, cx.class_load(forward.class));
             return (reply, body);
         }
-        rpc::forward(cx, holder, host, &forward, extension, &call.body).await
+        rpc::forward(cx, holder, host, forward, extension, &call.body).await
     };
     let result = timeout(Duration::from(left), exchange).await;
     let Ok((reply, body)) = result else {
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -24,6 +24,10 @@
 /// second; a caller that has to retry loses more time than that.
 const GRANT_WAIT_FRACTION: f64 = 0.6;
 
+/// How long a response is not read for lack of memory. A backend server aborts a response that stays
+/// unread for some seconds.
+pub(crate) const RESPONSE_WAIT: Duration = Duration::from_millis(2_500);
+
 /// Pause after a failed connection attempt before requests are sent to the backend server again.
 const RECONNECT_BACKOFF: Millis = Millis(200);
 
@@ -392,12 +396,12 @@
             return not_run(NotRun::Malformed);
         }
     };
-    if !cx.response_memory.admits_request() {
+    let Some(_memory) = cx.memory.admit_request(http1::MAX_BUFFER_BYTES as u64) else {
         guard.take_back();
         return not_run(NotRun::NoRoom);
-    }
+    };
     let run = RunGuard::start(cx, forward.digest);
-    let mut room = cx.response_memory.reservation(holder);
+    let mut room = cx.memory.response(holder, RESPONSE_WAIT);
     let sent = cx.backend.send_with_room(req, &mut room);
     let response = match timeout(Duration::from(left), sent).await {
         Err(_) => return (Outcome::Unknown { why: "timeout".into() }, true, Bytes::new()),
--- a/crates/sidecar/src/bodies.rs
+++ b/crates/sidecar/src/bodies.rs
@@ -1,23 +1,19 @@
-//! Bodies of requests: the memory that those of callers may take, and the transfer of large ones to
-//! other hosts, which are asked before anything is sent.
+//! Bodies of requests: those of callers, and the transfer of large ones to other hosts, which are
+//! asked before anything is sent.
 
-use std::cell::Cell;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http::HeaderMap;
-use http::header::CONTENT_LENGTH;
-use http_body_util::BodyExt;
-use hyper::body::Body;
+use bytes::Bytes;
+use http1::BodyError;
+use http1::server::RequestBody;
 use log::info;
-use mesh::{TransferDecision, TransferId};
+use mesh::{HolderId, Purpose, TransferDecision, TransferId};
 use model::{HostAddr, Millis};
-use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::oneshot;
 
 use crate::backend::check_runnable;
+use crate::memory::Charge;
 use crate::rpc;
 use crate::state::Cx;
 use crate::wire::{AnnounceReply, AnnounceRequest, Forward, ForwardReply, NotRun, Outcome};
@@ -28,108 +24,17 @@
 /// How long a caller is held back while other bodies take the memory.
 const MEMORY_WAIT: Duration = Duration::from_millis(200);
 
-/// The memory that the bodies of callers take, which all together may not exceed a limit.
-pub struct BodyMemory {
-    limit: u64,
-    used: Cell<u64>,
-    freed: Notify,
-}
-
-impl BodyMemory {
-    /// Creates an unused memory of `limit` bytes.
-    pub fn new(limit: u64) -> Self {
-        Self { limit, used: Cell::new(0), freed: Notify::new() }
-    }
-
-    fn try_reserve(&self, bytes: u64) -> bool {
-        let used = self.used.get().saturating_add(bytes);
-        if used <= self.limit {
-            self.used.set(used);
-        }
-        used <= self.limit
-    }
-}
-
-/// A part of the memory, which is freed on drop.
-pub struct MemoryGuard {
-    cx: Rc<Cx>,
-    bytes: u64,
-}
-
-impl MemoryGuard {
-    /// Reserves more memory, after a wait if there is none.
-    async fn reserve<E>(&mut self, bytes: u64) -> Result<(), BodyError<E>> {
-        let memory = &self.cx.body_memory;
-        let deadline = Instant::now() + MEMORY_WAIT;
-        loop {
-            let freed = memory.freed.notified();
-            if memory.try_reserve(bytes) {
-                self.bytes += bytes;
-                return Ok(());
-            }
-            if timeout_at(deadline, freed).await.is_err() {
-                return Err(BodyError::NoMemory);
-            }
-        }
-    }
-}
-
-impl Drop for MemoryGuard {
-    fn drop(&mut self) {
-        let memory = &self.cx.body_memory;
-        memory.used.set(memory.used.get().saturating_sub(self.bytes));
-        memory.freed.notify_waiters();
-    }
-}
-
-/// Why a body could not be read.
-#[derive(Debug)]
-pub enum BodyError<E> {
-    /// It exceeds the limit on a single body.
-    TooLong,
-    /// Other bodies take the memory.
-    NoMemory,
-    /// The connection broke, or a chunk is malformed.
-    Cut(E),
-}
-
-/// Reads the body of a caller's request. The memory counts as used until the guard is dropped.
+/// Reads the body of a caller's request. The memory counts as used until the charge is dropped.
 /// The connection discards the rest of a refused body.
-pub async fn read<B: Body<Data = Bytes>>(
+pub async fn read(
     cx: &Rc<Cx>,
-    headers: &HeaderMap,
-    body: B,
-    max_bytes: usize,
-) -> Result<(Bytes, MemoryGuard), BodyError<B::Error>> {
-    let mut guard = MemoryGuard { cx: cx.clone(), bytes: 0 };
-    let bytes = read_frames(headers, body, max_bytes, &mut guard).await?;
-    Ok((bytes, guard))
-}
-
-async fn read_frames<B: Body<Data = Bytes>>(
-    headers: &HeaderMap,
-    body: B,
+    holder: HolderId,
+    body: RequestBody,
     max_bytes: usize,
-    guard: &mut MemoryGuard,
-) -> Result<Bytes, BodyError<B::Error>> {
-    let mut body = pin!(body);
-    let announced = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
-    let announced: u64 = announced.unwrap_or(0);
-    if announced > max_bytes as u64 {
-        return Err(BodyError::TooLong);
-    }
-    guard.reserve(announced).await?;
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(BodyError::Cut)?.into_data() else { continue };
-        if read.len() + data.len() > max_bytes {
-            return Err(BodyError::TooLong);
-        }
-        let missing = ((read.len() + data.len()) as u64).saturating_sub(guard.bytes);
-        guard.reserve(missing).await?;
-        read.extend_from_slice(&data);
-    }
-    Ok(read.freeze())
+) -> Result<(Bytes, Charge), BodyError> {
+    let mut room = cx.memory.request(holder, Purpose::Body, MEMORY_WAIT);
+    let read = http1::read_body_with_room(body, max_bytes, &mut room).await?;
+    Ok((read, room.arrived()))
 }
 
 /// Asks a host whether a large body may be sent to it. Nothing was sent if it may not.
@@ -243,7 +148,9 @@
         if now + wait > latest_end {
             return Err(refusal(wait));
         }
-        match state.bodies.submit(request.bytes, target_end, latest_end, now) {
+        // Shorter ones aren't announced, and would have no bound on their number.
+        let bytes = request.bytes.max(LARGE_BODY_BYTES as u64);
+        match state.bodies.submit(bytes, target_end, latest_end, now) {
             TransferDecision::Start(id) => return Ok(id.0),
             TransferDecision::Refused(after) => return Err(refusal(after)),
             TransferDecision::Wait(id) => {
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
+use http1::BodyError;
 use http1::server::RequestBody;
 use log::info;
 use mesh::{Config, HolderId, RetrySafety, SuspectUpdate};
@@ -14,7 +15,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::attempts::execute;
-use crate::bodies::{self, BodyError};
+use crate::bodies;
 use crate::response::{DEFAULT_RETRY_AFTER_MS, caller_response, retry_after};
 use crate::state::{ActiveConfig, Cx};
 use crate::wire::{Forward, NotRun};
@@ -22,6 +23,10 @@
 /// How long a caller waits that sends no deadline.
 const DEFAULT_CALLER_TIMEOUT: Millis = Millis(60_000);
 
+/// How many copies of a request's head are in memory at most while it is served: as it is forwarded,
+/// as it is encoded, and in the buffers that it is written from.
+const HEAD_COPIES: usize = 4;
+
 /// A request of a caller together with its route and deadlines.
 pub(crate) struct Call {
     pub(crate) received_at: Millis,
@@ -73,7 +78,7 @@
     // The request may have waited for the responses before it on the same connection.
     let received_at = cx.now().since(Millis::from(body.age()));
     match adapter::parse_request_head(&head) {
-        Ok(request_head) => serve(&cx, holder, received_at, &head, request_head, body).await,
+        Ok(request_head) => serve(&cx, holder, received_at, head, request_head, body).await,
         Err(e) => {
             info!("event=refused id=- why={e:?}");
             error_response(ErrorResponse::BadRequest, None)
@@ -85,7 +90,7 @@
     cx: &Rc<Cx>,
     holder: HolderId,
     received_at: Millis,
-    head: &http::request::Parts,
+    head: http::request::Parts,
     request_head: RequestHead,
     body: RequestBody,
 ) -> Response<Full<Bytes>> {
@@ -97,11 +102,14 @@
             Some(&id),
         );
     }
-    if !cx.response_memory.admits_request() {
-        info!("event=refused id={id} why=response-memory");
+    let head_bytes: usize = head.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
+    let copies = HEAD_COPIES * (head_bytes + head.uri.path().len());
+    // The memory counts as used until the request has ended.
+    let Some(_memory) = cx.memory.admit_request(copies as u64) else {
+        info!("event=refused id={id} why=memory");
         let after = retry_after(DEFAULT_RETRY_AFTER_MS);
         return error_response(ErrorResponse::NotRun(after), Some(&id));
-    }
+    };
     let config = cx.state.borrow().config.clone();
     let Some(ActiveConfig { config, .. }) = config else {
         info!("event=refused id={id} why=no-configuration");
@@ -110,34 +118,33 @@
             Some(&id),
         );
     };
-    let head_bytes: usize = head.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
     if head_bytes > config.limits.max_header_bytes {
         info!("event=refused id={id} why=head-too-long limit={}", config.limits.max_header_bytes);
         return error_response(ErrorResponse::HeadersTooLarge, Some(&id));
     }
     let max_bytes = config.limits.max_body_bytes;
-    // The memory counts as used until the request has ended.
-    let (body, _memory) = match bodies::read(cx, &head.headers, body, max_bytes).await {
+    let (body, _body_memory) = match bodies::read(cx, holder, body, max_bytes).await {
         Ok(read) => read,
-        Err(BodyError::TooLong) => {
+        Err(BodyError::TooLong { .. }) => {
             info!("event=refused id={id} why=body-too-long limit={max_bytes}");
             return error_response(ErrorResponse::BodyTooLarge, Some(&id));
         }
-        Err(BodyError::NoMemory) => {
+        Err(BodyError::NoRoom) => {
             info!("event=refused id={id} why=no-memory");
             let after = retry_after(DEFAULT_RETRY_AFTER_MS);
             return error_response(ErrorResponse::NotRun(after), Some(&id));
         }
-        Err(BodyError::Cut(e)) => {
+        Err(BodyError::Incomplete { reason: e }) => {
             info!("event=refused id={id} why=body-cut error={e:?}");
             return error_response(ErrorResponse::BadRequest, Some(&id));
         }
     };
-    let Some(call) = build_call(cx, received_at, head, request_head, body, &config) else {
+    let Some(mut call) = build_call(cx, received_at, &head, request_head, body, &config) else {
         info!("event=refused id={id} why=no-route version={}", config.version);
         return error_response(ErrorResponse::NoRoute, Some(&id));
     };
-    let result = execute(cx, holder, &call).await;
+    drop(head);
+    let result = execute(cx, holder, &mut call).await;
     caller_response(cx, &call, &config, result)
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,7 +7,6 @@
 mod attempts;
 mod backend;
 mod bodies;
-mod callers;
 mod cold_start;
 mod departures;
 mod dependency;
--- a/crates/sidecar/src/lifecycle.rs
+++ b/crates/sidecar/src/lifecycle.rs
@@ -14,8 +14,8 @@
 use crate::settings::{Settings, SettingsError};
 use crate::state::Cx;
 use crate::{
-    callers, cold_start, departures, grant_calls, key_ownership, listeners, relay, renewals,
-    rollback, rpc, store_watch,
+    cold_start, departures, grant_calls, key_ownership, listeners, relay, renewals, rollback, rpc,
+    store_watch,
 };
 
 /// The platform checks readiness every second and assigns a process no new work after two failed
@@ -95,17 +95,18 @@
         env!("CARGO_PKG_VERSION")
     );
     actix_rt::spawn(maintain_metrics(handle.clone(), METRICS_UPKEEP_INTERVAL));
-    actix_rt::spawn(callers::listen(cx.clone(), caller_listener));
-    actix_rt::spawn(listeners::listen(cx.clone(), "ready", ready, listeners::handle_ready));
+    actix_rt::spawn(cx.memory.clone().close_stalled_holders());
+    actix_rt::spawn(listeners::listen_for_callers(cx.clone(), caller_listener));
+    actix_rt::spawn(listeners::listen(cx.clone(), |c| &c.ready, ready, listeners::handle_ready));
     actix_rt::spawn(listeners::listen(
         cx.clone(),
-        "backend",
+        |c| &c.backend,
         backend,
         listeners::handle_registry_call,
     ));
     actix_rt::spawn(listeners::listen(
         cx.clone(),
-        "metrics",
+        |c| &c.metrics,
         metrics,
         listeners::metrics_handler(handle),
     ));
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -1,27 +1,30 @@
-//! HTTP/1.1 listeners for the backend server, readiness checks and metrics.
+//! The HTTP/1.1 listeners: for callers, who may pipeline their requests, for the backend server, for
+//! readiness checks and for metrics.
 
-use std::cell::Cell;
-use std::convert::Infallible;
+use std::future::Ready;
 use std::rc::Rc;
 use std::time::Duration;
 
 use adapter::{RegistryCall, encode_heartbeat_reply, parse_registry_call, text_response};
 use bytes::Bytes;
-use futures_util::future::{Either, select};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use http1::BodyError;
+use http1::server::{self, HeldBytes, MemoryFreed, Policy, RequestBody};
 use log::{info, warn};
-use mesh::{BackendHeartbeat, GrantDelivery, HeartbeatAction, HeartbeatReply, Incarnation};
+use mesh::{
+    BackendHeartbeat, GrantDelivery, HeartbeatAction, HeartbeatReply, HolderId, Incarnation,
+    Purpose, RetrySafety,
+};
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::Millis;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::state::{Cx, WritingGuard};
-use crate::{cold_start, departures};
+use crate::memory::{Connection, ConnectionGroup};
+use crate::state::{Connections, Cx, WritingGuard};
+use crate::{cold_start, departures, ingress};
 
 /// The largest heartbeat, in bytes: all keys of a service in short ranges.
 const MAX_HEARTBEAT_BYTES: usize = 1 << 20;
@@ -31,7 +34,7 @@
 const HEARTBEAT_HOLD: Millis = Millis(600);
 
 /// Clients must acknowledge written bytes within this time.
-pub const TCP_USER_TIMEOUT: Millis = Millis(10_000);
+const TCP_USER_TIMEOUT: Millis = Millis(10_000);
 
 /// Idle accepted connections are probed after this time.
 const KEEPALIVE_IDLE: Millis = Millis(20_000);
@@ -39,22 +42,111 @@
 /// Delay after a failed `accept`, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// The largest request head, in bytes; hyper's smallest buffer is 8 KiB.
-pub const MAX_HEAD_BYTES: usize = 64 << 10;
+/// The largest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// The result of a request handler, which cannot fail.
-pub type HandlerResult = Result<Response<Full<Bytes>>, Infallible>;
+/// Serves callers until the process ends. Once the process stops, each connection closes after the
+/// responses to the requests that it has read.
+pub async fn listen_for_callers(cx: Rc<Cx>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener, cx.accepted.callers.name(), TCP_USER_TIMEOUT).await;
+        let Some(connection) = cx.accepted.callers.add() else { continue };
+        let policy = ConnectionPolicy { connection, routes: Some(cx.clone()) };
+        let settings = server::Settings::default();
+        cx.memory.spawn(serve(cx.clone(), stream, settings, policy, ingress::handle));
+    }
+}
 
-/// Serves requests on a listener with `handler` until the process ends. Once the process stops,
-/// each connection closes after the response in progress.
-pub async fn listen<F, R>(cx: Rc<Cx>, name: &'static str, listener: TcpListener, handler: F)
-where
-    F: Fn(Rc<Cx>, Request<Incoming>) -> R + Clone + 'static,
-    R: Future<Output = HandlerResult> + 'static,
+/// Serves requests to one of the other addresses with `handler` until the process ends. Once the process
+/// stops, each connection closes after the response in progress.
+pub async fn listen<F, R>(
+    cx: Rc<Cx>,
+    group: fn(&Connections) -> &ConnectionGroup,
+    listener: TcpListener,
+    handler: F,
+) where
+    F: Fn(Rc<Cx>, HolderId, Request<RequestBody>) -> R + Clone + 'static,
+    R: Future<Output = Response<Full<Bytes>>> + 'static,
 {
+    let settings = server::Settings { max_requests: 1, ..server::Settings::default() };
     loop {
-        let stream = accept(&listener, name, TCP_USER_TIMEOUT).await;
-        actix_rt::spawn(serve(cx.clone(), stream, handler.clone()));
+        let stream = accept(&listener, group(&cx.accepted).name(), TCP_USER_TIMEOUT).await;
+        let Some(connection) = group(&cx.accepted).add() else { continue };
+        let policy = ConnectionPolicy { connection, routes: None };
+        cx.memory.spawn(serve(cx.clone(), stream, settings, policy, handler.clone()));
+    }
+}
+
+/// Serves a connection. The head of the next request must arrive before the idle timeout.
+pub async fn serve<F, R>(
+    cx: Rc<Cx>,
+    stream: TcpStream,
+    settings: server::Settings,
+    policy: ConnectionPolicy,
+    handler: F,
+) where
+    F: Fn(Rc<Cx>, HolderId, Request<RequestBody>) -> R + 'static,
+    R: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    let limits = cx.state.borrow().config.as_ref().map(|c| c.config.limits).unwrap_or_default();
+    let settings = server::Settings {
+        max_head_bytes: MAX_HEAD_BYTES,
+        head_timeout: limits.idle_timeout,
+        ..settings
+    };
+    let shared = cx.clone();
+    let (holder, closed) = (policy.connection.id(), policy.connection.closed());
+    let requests = policy.connection.requests();
+    let handler = move |req| {
+        let cx = shared.clone();
+        let request = requests.start();
+        let handled = handler(cx.clone(), holder, req);
+        async move {
+            // Callers that repeat refused requests don't keep a stopping process from its end.
+            let accepted = !cx.rejecting.get();
+            let response = handled.await;
+            (response, (request, accepted.then(|| WritingGuard::new(&cx.writing))))
+        }
+    };
+    let served = server::serve(stream, settings, handler, policy, cx.close_connections.notified());
+    tokio::select! {
+        () = served => {}
+        () = closed => {}
+    }
+}
+
+/// What decides about a connection.
+pub struct ConnectionPolicy {
+    /// The connection.
+    pub connection: Connection,
+    /// Set if its requests are those of callers, which may start early as their routes say.
+    pub routes: Option<Rc<Cx>>,
+}
+
+impl Policy for ConnectionPolicy {
+    fn may_start_early(&self, head: &http::request::Parts) -> bool {
+        let Some(cx) = &self.routes else { return false };
+        let state = cx.state.borrow();
+        let Some(active) = &state.config else { return false };
+        let Some(host) = adapter::request_host(head) else { return false };
+        let route = active.config.find_route(host, head.uri.path());
+        route.is_some_and(|r| r.retry_safety == RetrySafety::Idempotent)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.routes.as_ref().is_some_and(|cx| cx.stopping.get())
+    }
+
+    fn record_held_bytes(&self, held: HeldBytes) {
+        self.connection.record_held(held);
+    }
+
+    fn reserve(&self, bytes: usize) -> Result<(), MemoryFreed> {
+        self.connection.reserve_input(bytes)
+    }
+
+    fn is_memory_short(&self) -> bool {
+        self.connection.is_memory_short()
     }
 }
 
@@ -76,76 +168,51 @@
     }
 }
 
-async fn serve<F, R>(cx: Rc<Cx>, stream: TcpStream, handler: F)
-where
-    F: Fn(Rc<Cx>, Request<Incoming>) -> R + 'static,
-    R: Future<Output = HandlerResult> + 'static,
-{
-    // The head of the next request must arrive before the idle timeout.
-    let limits = cx.state.borrow().config.as_ref().map(|c| c.config.limits).unwrap_or_default();
-    let shared = cx.clone();
-    // The response was written when the next request is read or the connection ends.
-    let writing = Rc::new(Cell::new(None));
-    let service = hyper::service::service_fn(move |req| {
-        writing.take();
-        let (cx, writing) = (shared.clone(), writing.clone());
-        let handled = handler(shared.clone(), req);
-        async move {
-            let response = handled.await;
-            // Callers that repeat refused requests don't keep a stopping process from its end.
-            if !cx.rejecting.get() {
-                writing.set(Some(WritingGuard::new(&cx.writing)));
-            }
-            response
-        }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from(limits.idle_timeout))
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    let connection = std::pin::pin!(connection);
-    // A broken connection drops its request; the caller notices that by itself.
-    let stopped = std::pin::pin!(cx.close_connections.notified());
-    if let Either::Right((_, mut connection)) = select(connection, stopped).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
-    }
-}
-
 /// Handles readiness checks.
-pub async fn handle_ready(cx: Rc<Cx>, _req: Request<Incoming>) -> HandlerResult {
+pub async fn handle_ready(
+    cx: Rc<Cx>,
+    _: HolderId,
+    _: Request<RequestBody>,
+) -> Response<Full<Bytes>> {
     let ready = cx.state.borrow().config.is_some() && !cx.stopping.get();
     let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    Ok(text_response(status, Bytes::new()))
+    text_response(status, Bytes::new())
 }
 
 /// Handles registry calls (heartbeat, deregistration) of this host's backend server.
-pub async fn handle_registry_call(cx: Rc<Cx>, req: Request<Incoming>) -> HandlerResult {
+pub async fn handle_registry_call(
+    cx: Rc<Cx>,
+    holder: HolderId,
+    req: Request<RequestBody>,
+) -> Response<Full<Bytes>> {
     let (head, body) = req.into_parts();
     let target = head.uri.path_and_query().map_or("", |t| t.as_str()).to_owned();
-    let body = match http1::read_body(body, MAX_HEARTBEAT_BYTES).await {
+    // Heartbeats matter more than new requests.
+    let mut room = cx.memory.request(holder, Purpose::Control, Duration::ZERO);
+    let body = match http1::read_body_with_room(body, MAX_HEARTBEAT_BYTES, &mut room).await {
         Ok(body) => body,
         Err(e) => {
             warn!("event=heartbeat-rejected error={:?}", e.to_string());
-            return Ok(text_response(
-                StatusCode::BAD_REQUEST,
-                Bytes::from_static(b"body cut or too long"),
-            ));
+            let (status, text): (_, &[u8]) = match e {
+                BodyError::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, b"no memory"),
+                _ => (StatusCode::BAD_REQUEST, b"body cut or too long"),
+            };
+            return text_response(status, Bytes::from_static(text));
         }
     };
+    let _memory = room.arrived();
     match parse_registry_call(&target, &body) {
-        Ok(RegistryCall::Heartbeat(heartbeat)) => Ok(handle_heartbeat(&cx, &heartbeat).await),
+        Ok(RegistryCall::Heartbeat(heartbeat)) => handle_heartbeat(&cx, &heartbeat).await,
         Ok(RegistryCall::Deregister { id, started_at }) => {
             handle_deregister(&cx, &id, started_at);
-            Ok(match departures::wait_until_recorded(&cx).await {
+            match departures::wait_until_recorded(&cx).await {
                 true => json_response(Bytes::from_static(b"{}")),
                 false => not_recorded(),
-            })
+            }
         }
         Err(e) => {
             warn!("event=heartbeat-rejected error={:?}", e.to_string());
-            Ok(text_response(StatusCode::BAD_REQUEST, Bytes::from(e.to_string())))
+            text_response(StatusCode::BAD_REQUEST, Bytes::from(e.to_string()))
         }
     }
 }
@@ -274,17 +341,19 @@
 /// Returns a handler that renders the metrics.
 pub fn metrics_handler(
     handle: PrometheusHandle,
-) -> impl Fn(Rc<Cx>, Request<Incoming>) -> std::future::Ready<HandlerResult> + Clone + 'static {
-    move |cx, _| {
+) -> impl Fn(Rc<Cx>, HolderId, Request<RequestBody>) -> Ready<Response<Full<Bytes>>> + Clone + 'static
+{
+    move |cx, holder, _| {
         // Set on read, because quarantines and cold periods expire without an event that could update the gauge.
         metrics::gauge!("papayarill_crashing_requests").set(cx.quarantined_count() as f64);
         let cold = cx.state.borrow().queue.cold_start().cold_until(cx.now());
         metrics::gauge!("papayarill_backend_cold").set(f64::from(u8::from(cold.is_some())));
         let evacuated = cx.state.borrow().evacuations.active().count();
         metrics::gauge!("papayarill_evacuated_zones").set(evacuated as f64);
-        let held = cx.response_memory.used();
-        metrics::gauge!("papayarill_held_response_bytes").set(held as f64);
-        let text = Bytes::from(handle.render());
-        std::future::ready(Ok(text_response(StatusCode::OK, text)))
+        metrics::gauge!("papayarill_held_bytes").set(cx.memory.used() as f64);
+        let responses = cx.memory.response_bytes();
+        metrics::gauge!("papayarill_held_response_bytes").set(responses as f64);
+        let text = cx.memory.hold(holder, Bytes::from(handle.render()));
+        std::future::ready(text_response(StatusCode::OK, text))
     }
 }
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -10,24 +10,25 @@
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use http::{Request, Response};
-use http_body_util::Full;
+use http1::BodyError;
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
 use hyper::rt::Executor;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
-use mesh::{HolderId, TransferId, WitnessReply, WitnessRequest};
+use mesh::{HolderId, Purpose, TransferId, WitnessReply, WitnessRequest};
 use model::{HostAddr, Millis};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
 use tokio::time::{sleep, timeout};
 
-use crate::backend::Origin;
+use crate::backend::{Origin, RESPONSE_WAIT};
 use crate::bodies::TransferGuard;
+use crate::memory::Connection;
 use crate::state::{Cx, WritingGuard};
 use crate::wire::{
-    Forward, ForwardExtension, ForwardReply, ForwardReplyExtension, NotRun, Outcome, decode,
-    decode_extended, encode, encode_extended,
+    Forward, ForwardExtension, ForwardReply, ForwardReplyExtension, Message, NotRun, Outcome,
+    decode, decode_extended, encode, encode_extended,
 };
 use crate::{backend, bodies, key_ownership, listeners, relay, renewals};
 
@@ -66,6 +67,13 @@
 /// Path of requests for changes in the store.
 pub const CHANGES_PATH: &str = "/news";
 
+/// What a request of another host takes besides the copies of its head, in bytes.
+const REQUEST_BYTES: usize = 8 << 10;
+
+/// How many copies of its head are in memory at most besides the message: as it was decoded, and as
+/// it is written to the backend server.
+const HEAD_COPIES: usize = 2;
+
 /// The largest reply between hosts, in bytes.
 const MAX_REPLY_BYTES: usize = 80 << 20;
 
@@ -89,7 +97,7 @@
 
 #[derive(Default)]
 struct HostConnection {
-    tx: Mutex<Option<SendRequest<Full<Bytes>>>>,
+    tx: Mutex<Option<SendRequest<Message>>>,
     /// When the last attempt to connect failed.
     failed_at: Cell<Option<Millis>>,
 }
@@ -153,13 +161,13 @@
             Err(reply) => return (reply, Bytes::new()),
         }
     }
-    let message = encode_extended(forward, &extension, body);
+    let message = Message::new(forward, &extension, body);
     // A connection that turns out to be closed before anything was written is replaced once.
     for _ in 0..2 {
         let Some(mut tx) = connect(cx, host).await else {
             return (not_run(NotRun::Unreachable), Bytes::new());
         };
-        let req = Request::post(uri(&path)).body(Full::new(message.clone()));
+        let req = Request::post(uri(&path)).body(message.clone());
         let Ok(req) = req else { return (not_run(NotRun::Malformed), Bytes::new()) };
         let response = match tx.try_send_request(req).await {
             Ok(response) => response,
@@ -171,7 +179,7 @@
                 return (unknown(e.into_error().to_string()), Bytes::new());
             }
         };
-        let mut room = cx.response_memory.reservation(holder);
+        let mut room = cx.memory.response(holder, RESPONSE_WAIT);
         let read =
             http1::read_body_with_room(response.into_body(), MAX_REPLY_BYTES, &mut room).await;
         let body = match read {
@@ -192,7 +200,7 @@
     (not_run(NotRun::Unreachable), Bytes::new())
 }
 
-async fn connect(cx: &Cx, host: HostAddr) -> Option<SendRequest<Full<Bytes>>> {
+async fn connect(cx: &Cx, host: HostAddr) -> Option<SendRequest<Message>> {
     let connection = cx.host_connections.get(host);
     let mut open = connection.tx.lock().await;
     if let Some(tx) = open.as_ref().filter(|tx| !tx.is_closed()) {
@@ -228,7 +236,7 @@
     }
 }
 
-async fn open_connection(host: HostAddr) -> Result<SendRequest<Full<Bytes>>, String> {
+async fn open_connection(host: HostAddr) -> Result<SendRequest<Message>, String> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(host.0)).await {
         Ok(stream) => stream.map_err(|e| e.to_string())?,
         Err(_) => return Err(format!("no connection within {CONNECT_TIMEOUT:?}")),
@@ -279,8 +287,8 @@
 ) -> Option<(R, E)> {
     let exchange = async {
         let mut tx = connect(cx, host).await?;
-        let message = encode_extended(message, extension, &[]);
-        let req = Request::post(uri(path)).body(Full::new(message)).ok()?;
+        let message = Message::from(encode_extended(message, extension, &[]));
+        let req = Request::post(uri(path)).body(message).ok()?;
         let response = tx.send_request(req).await.ok()?;
         let body = http1::read_body(response.into_body(), MAX_REPLY_BYTES).await.ok()?;
         decode_extended::<R, E>(body).ok().map(|(reply, extension, _)| (reply, extension))
@@ -292,9 +300,12 @@
 /// its request did not run.
 pub async fn listen(cx: Rc<Cx>, listener: TcpListener) {
     loop {
-        let accepted = listeners::accept(&listener, "hosts", TCP_USER_TIMEOUT);
+        let accepted = listeners::accept(&listener, cx.accepted.hosts.name(), TCP_USER_TIMEOUT);
         match select(pin!(accepted), pin!(cx.close_connections.notified())).await {
-            Either::Left((stream, _)) => actix_rt::spawn(serve_connection(cx.clone(), stream)),
+            Either::Left((stream, _)) => {
+                let Some(connection) = cx.accepted.hosts.add() else { continue };
+                cx.memory.spawn(serve_connection(cx.clone(), stream, connection));
+            }
             Either::Right(_) => return,
         };
     }
@@ -302,21 +313,35 @@
 
 /// Serves a connection of another host. Once the process stops, it sends a GOAWAY first: if a
 /// request were on its way while the connection closes, its sender could not tell whether it ran.
-async fn serve_connection(cx: Rc<Cx>, stream: TcpStream) {
-    let holder = cx.response_memory.add_host();
-    let service = hyper::service::service_fn(|req| handle(cx.clone(), holder.id(), req));
+async fn serve_connection(cx: Rc<Cx>, stream: TcpStream, accepted: Connection) {
+    let (holder, requests) = (accepted.id(), accepted.requests());
+    let service = hyper::service::service_fn(|req| {
+        let request = requests.start();
+        let handled = handle(cx.clone(), holder, req);
+        async move {
+            let _request = request;
+            handled.await
+        }
+    });
     let connection = hyper::server::conn::http2::Builder::new(LocalExecutor)
         .timer(TokioTimer::new())
         .initial_stream_window_size(1 << 20)
         .initial_connection_window_size(4 << 20)
         .serve_connection(TokioIo::new(stream), service);
-    let connection = pin!(connection);
+    let mut connection = pin!(connection);
+    let mut closed = pin!(accepted.closed());
     let stopped = pin!(cx.close_connections.notified());
     // A broken connection reaches its requests as an error.
-    if let Either::Right((_, mut connection)) = select(connection, stopped).await {
-        let _writing = WritingGuard::new(&cx.writing);
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    tokio::select! {
+        _ = &mut connection => return,
+        () = &mut closed => return,
+        () = stopped => {}
+    }
+    let _writing = WritingGuard::new(&cx.writing);
+    connection.as_mut().graceful_shutdown();
+    tokio::select! {
+        _ = connection => {}
+        () = closed => {}
     }
 }
 
@@ -324,19 +349,30 @@
     cx: Rc<Cx>,
     holder: HolderId,
     req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<Message>, Infallible> {
     let path = req.uri().path().to_owned();
     let transfer = path.strip_prefix(RUN_PATH).and_then(|p| p.strip_prefix('/')?.parse().ok());
     let transfer = transfer.map(|id| TransferGuard::new(&cx, TransferId(id)));
     let announced = transfer.as_ref().map_or(0, TransferGuard::admitted_bytes);
     let limit = MAX_MESSAGE_BYTES + announced;
-    let message = match http1::read_body(req.into_body(), limit).await {
+    // Hosts have to agree on who owns a key also while there is no memory for new requests.
+    let purpose = if path.starts_with(RUN_PATH) { Purpose::Body } else { Purpose::Control };
+    // What waits for room stays in the buffers of the connection, so nothing does.
+    let mut room = cx.memory.request(holder, purpose, Duration::ZERO);
+    let message = match http1::read_body_with_room(req.into_body(), limit, &mut room).await {
         Ok(message) => message,
+        Err(BodyError::NoRoom) => {
+            warn!("event=message-refused path={path} why=memory");
+            metrics::counter!("papayarill_refused_requests", "why" => "memory").increment(1);
+            return Ok(reply(encode(&not_run(NotRun::NoRoom), &[])));
+        }
         Err(e) => {
             warn!("event=message-truncated path={path} error={:?}", e.to_string());
             return Ok(malformed_reply());
         }
     };
+    let _memory = room.arrived();
+    let received_bytes = message.len();
     if let Some(transfer) = transfer {
         transfer.arrived();
     }
@@ -363,13 +399,19 @@
         },
         _ => match decode_extended(message) {
             Ok((forward, extension, body)) => {
-                Ok(handle_forward(&cx, holder, &forward, extension, body).await)
+                let head_bytes = received_bytes - body.len();
+                let bytes = REQUEST_BYTES + HEAD_COPIES * head_bytes;
+                let Some(_memory) = cx.memory.admit_request(bytes as u64) else {
+                    return Ok(reply(encode(&not_run(NotRun::NoRoom), &[])));
+                };
+                let message = handle_forward(&cx, holder, &forward, extension, body).await;
+                return Ok(Response::new(message));
             }
             Err(e) => Err(e),
         },
     };
     Ok(match handled {
-        Ok(message) => Response::new(Full::new(message)),
+        Ok(message) => reply(cx.memory.hold(holder, message)),
         Err(e) => {
             warn!("event=message-rejected path={path} error={e:?}");
             malformed_reply()
@@ -377,8 +419,12 @@
     })
 }
 
-fn malformed_reply() -> Response<Full<Bytes>> {
-    Response::new(Full::new(encode(&not_run(NotRun::Malformed), &[])))
+fn reply(message: Bytes) -> Response<Message> {
+    Response::new(message.into())
+}
+
+fn malformed_reply() -> Response<Message> {
+    reply(encode(&not_run(NotRun::Malformed), &[]))
 }
 
 async fn handle_forward(
@@ -387,7 +433,7 @@
     forward: &Forward,
     extension: ForwardExtension,
     body: Bytes,
-) -> Bytes {
+) -> Message {
     cx.observe_config_version(forward.version);
     cx.merge_suspects(&forward.suspects);
     let (mut reply, body) =
@@ -399,9 +445,7 @@
         sleep(Duration::from(wait)).await;
     }
     let extension = ForwardReplyExtension { class: cx.class_load(forward.class) };
-    let message = encode_extended(&reply, &extension, &body);
-    drop(body);
-    cx.response_memory.hold(holder, message)
+    Message::new(&reply, &extension, &body).map_copied(|copied| cx.memory.hold(holder, copied))
 }
 
 fn handle_witness(cx: &Cx, request: &WitnessRequest) -> WitnessReply {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -72,33 +72,45 @@
     pub link_mbps: f64,
     /// The maximum number of connections of callers. By default a share of the descriptors.
     pub caller_connections: Option<usize>,
+    /// The maximum number of connections of other hosts. By default a share of the descriptors.
+    pub host_connections: Option<usize>,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { memory_mb: 128.0, link_mbps: 100.0, caller_connections: None }
+        let (caller_connections, host_connections) = (None, None);
+        Self { memory_mb: 128.0, link_mbps: 100.0, caller_connections, host_connections }
     }
 }
 
-/// The fraction of the memory that the bodies of callers may take. Each is copied once when it is
-/// sent to another host.
-const CALLER_BODY_SHARE: f64 = 1.0 / 6.0;
+/// The fraction of the memory that everything that is held for callers and other hosts may take. The
+/// rest is for the configuration, the state of the fleet, and what the allocator can't reuse.
+const HELD_SHARE: f64 = 0.5;
 
-/// The fraction of the memory that the bodies sent by other hosts may take.
+/// The fraction of the memory that the bodies which other hosts are sending may take at once, unless
+/// there is only one.
 const PEER_BODY_SHARE: f64 = 1.0 / 8.0;
 
+/// The fraction of the memory that a single body may take, below what all bodies may take. On a host
+/// of 160 MB, it may have the standard `max_body_bytes`, 64 MB.
+const MAX_BODY_SHARE: f64 = 0.43;
+
 /// The fraction of the memory that the response to one request may take. A backend server runs few
 /// requests at once, and responses are far smaller unless a backend server misbehaves.
 const RESPONSE_SHARE: f64 = 1.0 / 32.0;
 
-/// The fraction of the memory that all responses together may take. On a host of 160 MB, that is
-/// more than 70 of the largest responses of the known deployments (540 KB) at the same time.
-const ALL_RESPONSES_SHARE: f64 = 1.0 / 4.0;
-
 /// The fraction of the descriptors that connections of callers may take. The rest is for the backend
 /// server, for other hosts and the store.
 const CALLER_DESCRIPTOR_SHARE: f64 = 0.5;
 
+/// The fraction of the descriptors that connections of other hosts may take.
+const HOST_DESCRIPTOR_SHARE: f64 = 0.25;
+
+/// The fraction of the descriptors that connections to each of the other addresses may take, and the
+/// bounds on their number. A few clients send a request a second there.
+const OTHER_DESCRIPTOR_SHARE: f64 = 1.0 / 32.0;
+const OTHER_CONNECTIONS: (usize, usize) = (4, 32);
+
 /// The bodies on the link at once take about this long to arrive, longer than a round trip between
 /// regions, so that the link stays busy.
 const LINK_FILL_MS: f64 = 100.0;
@@ -108,9 +120,14 @@
         (self.memory_mb * share * 1_048_576.0) as u64
     }
 
-    /// Returns the memory that the bodies of callers may take.
-    pub fn caller_body_bytes(&self) -> u64 {
-        self.memory_bytes(CALLER_BODY_SHARE)
+    /// Returns the memory that everything that is held for callers and other hosts may take.
+    pub fn held_bytes(&self) -> u64 {
+        self.memory_bytes(HELD_SHARE)
+    }
+
+    /// Returns the largest body of a request that can be served if nothing else is held.
+    pub fn max_body_bytes(&self) -> u64 {
+        self.memory_bytes(MAX_BODY_SHARE)
     }
 
     /// Returns the largest response of a backend server.
@@ -118,11 +135,6 @@
         usize::try_from(self.memory_bytes(RESPONSE_SHARE)).unwrap_or(usize::MAX)
     }
 
-    /// Returns the memory that all responses together may take.
-    pub fn response_bytes(&self) -> u64 {
-        self.memory_bytes(ALL_RESPONSES_SHARE)
-    }
-
     /// Returns the maximum number of connections of callers of a process that may have
     /// `descriptors`, if these are limited.
     pub fn max_caller_connections(&self, descriptors: Option<u64>) -> usize {
@@ -130,6 +142,19 @@
         self.caller_connections.or(share).unwrap_or(usize::MAX).max(1)
     }
 
+    /// Returns the same for connections of other hosts.
+    pub fn max_host_connections(&self, descriptors: Option<u64>) -> usize {
+        let share = descriptors.map(|n| (n as f64 * HOST_DESCRIPTOR_SHARE) as usize);
+        self.host_connections.or(share).unwrap_or(usize::MAX).max(1)
+    }
+
+    /// Returns the same for connections to each of the other addresses.
+    pub fn max_other_connections(descriptors: Option<u64>) -> usize {
+        let (min, max) = OTHER_CONNECTIONS;
+        let share = descriptors.map(|n| (n as f64 * OTHER_DESCRIPTOR_SHARE) as usize);
+        share.unwrap_or(max).clamp(min, max)
+    }
+
     /// Returns what the link carries, in bytes per millisecond.
     pub fn link_bytes_per_ms(&self) -> f64 {
         self.link_mbps * 1_000_000.0 / 8.0 / 1_000.0
@@ -138,9 +163,9 @@
     /// Returns the limits on bodies that other hosts send.
     pub fn bodies(&self) -> BodyLimits {
         let bytes_per_ms = self.link_bytes_per_ms();
-        let max_body = self.memory_bytes(PEER_BODY_SHARE);
-        let max_in_flight = ((bytes_per_ms * LINK_FILL_MS) as u64).min(max_body);
-        BodyLimits { bytes_per_ms, max_in_flight, max_body }
+        let peer_bodies = self.memory_bytes(PEER_BODY_SHARE);
+        let max_in_flight = ((bytes_per_ms * LINK_FILL_MS) as u64).min(peer_bodies);
+        BodyLimits { bytes_per_ms, max_in_flight, max_body: self.max_body_bytes() }
     }
 }
 
@@ -202,12 +227,16 @@
         ensure!(window_s > 0.0, range("retry.window_s", window_s, "more than 0"));
         let hold = settings.hold_max_ms as f64;
         ensure!(hold >= 1_000.0, range("hold_max_ms", hold, "1000 or more"));
-        let Limits { memory_mb, link_mbps, caller_connections } = settings.limits;
+        let Limits { memory_mb, link_mbps, caller_connections, host_connections } = settings.limits;
         ensure!(memory_mb >= 16.0, range("limits.memory_mb", memory_mb, "16 or more"));
         ensure!(link_mbps >= 0.1, range("limits.link_mbps", link_mbps, "0.1 or more"));
-        let connections = caller_connections.unwrap_or(1) as f64;
-        let expected = "1 or more";
-        ensure!(connections >= 1.0, range("limits.caller_connections", connections, expected));
+        for (field, connections) in [
+            ("limits.caller_connections", caller_connections),
+            ("limits.host_connections", host_connections),
+        ] {
+            let connections = connections.unwrap_or(1) as f64;
+            ensure!(connections >= 1.0, range(field, connections, "1 or more"));
+        }
         let ColdBounds { overage, slack } = settings.cold;
         let (overage, slack) = (overage.unwrap_or(0.0), slack.unwrap_or(0.0));
         ensure!(overage >= 0.0, range("cold.overage", overage, "0 or more"));
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -8,7 +8,7 @@
 use log::info;
 use mesh::{
     BodyAdmission, ClassLoad, ColdStart, Config, CrashSuspects, DepartureLog, Distance,
-    Evacuations, GrantDelivery, HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts,
+    Evacuations, GrantDelivery, HolderKind, HostDirectory, KeyMap, KeyOwnership, KeyRequestCounts,
     LoadBalancer, LoadReport, OwnershipTiming, PeerHost, QueueLimits, RenewalWriterSelector,
     RequestQueue, ResponseLink, RetryBudget, Service, SuspectUpdate, TransferId,
     UpdateSourceCandidates, UpdateSourceSelector, Witness,
@@ -17,11 +17,10 @@
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::bodies::BodyMemory;
-use crate::memory::ResponseMemory;
+use crate::memory::{ConnectionGroup, MemoryAccount};
 use crate::renewals::Renewals;
 use crate::rpc::HostConnections;
-use crate::settings::Settings;
+use crate::settings::{Limits, Settings};
 use crate::wire::Forward;
 
 /// The mutable state of the process.
@@ -158,10 +157,10 @@
     pub backend: http1::Client,
     /// Connections to the backend server for calls that grant keys, to one incarnation only.
     pub grant_client: http1::Client,
-    /// The memory that the bodies of callers take.
-    pub body_memory: BodyMemory,
-    /// The memory that responses take.
-    pub response_memory: Rc<ResponseMemory>,
+    /// The account of the memory that is held for callers and other hosts.
+    pub memory: Rc<MemoryAccount>,
+    /// The connections that were accepted.
+    pub accepted: Connections,
     /// Connections to other hosts.
     pub host_connections: HostConnections,
     /// The client of the store.
@@ -196,6 +195,38 @@
     pub writing: Rc<Cell<usize>>,
 }
 
+/// The connections to each address of the process.
+pub struct Connections {
+    /// Of callers.
+    pub callers: ConnectionGroup,
+    /// Of other hosts.
+    pub hosts: ConnectionGroup,
+    /// Of readiness checks.
+    pub ready: ConnectionGroup,
+    /// Of the backend server on this host.
+    pub backend: ConnectionGroup,
+    /// Of readers of the metrics.
+    pub metrics: ConnectionGroup,
+}
+
+impl Connections {
+    fn new(limits: &Limits, memory: &Rc<MemoryAccount>) -> Self {
+        let descriptors = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let group = |name, kind, max| ConnectionGroup::new(memory, name, kind, max);
+        let max_others = Limits::max_other_connections(descriptors);
+        let other = |name| group(name, HolderKind::Client, max_others);
+        let max_callers = limits.max_caller_connections(descriptors);
+        let max_hosts = limits.max_host_connections(descriptors);
+        Self {
+            callers: group("callers", HolderKind::Client, max_callers),
+            hosts: group("hosts", HolderKind::Host, max_hosts),
+            ready: other("ready"),
+            backend: other("backend"),
+            metrics: other("metrics"),
+        }
+    }
+}
+
 /// Counts a connection that may still have to write a response, until it is dropped.
 pub struct WritingGuard(Rc<Cell<usize>>);
 
@@ -258,19 +289,15 @@
         let backend = http1::Client::new(settings.backend_server, client_settings, clock.clone());
         let grant_client =
             http1::Client::new(settings.backend_server, http1::Settings::default(), clock.clone());
-        let descriptors = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
-        let response_memory = ResponseMemory::new(
-            settings.limits.response_bytes(),
-            settings.limits.max_caller_connections(descriptors),
-            clock.clone(),
-        );
+        let memory = MemoryAccount::new(settings.limits.held_bytes(), clock.clone());
+        let accepted = Connections::new(&settings.limits, &memory);
         Rc::new(Self {
             me,
             state: RefCell::new(state),
             backend,
             grant_client,
-            body_memory: BodyMemory::new(settings.limits.caller_body_bytes()),
-            response_memory,
+            memory,
+            accepted,
             host_connections: HostConnections::default(),
             store: adapter::StoreClient::new(settings.store, clock.clone()),
             process,
--- a/crates/sidecar/src/wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -1,8 +1,13 @@
 //! Messages between hosts: a bincode head, followed by the raw body.
 
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
 use adapter::HostRow;
 use bincode::{Decode, Encode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use hyper::body::{Body, Frame, SizeHint};
 use mesh::{
     ClassLoad, HostUpdate, LoadReport, Member, Renewal, RowName, SuspectUpdate, WriteOutcome,
     ZoneEvacuation,
@@ -471,6 +476,58 @@
     buf.freeze()
 }
 
+/// A body up to this size is copied behind its head, so that both take one buffer.
+const MAX_COPIED_BYTES: usize = 16 << 10;
+
+/// An encoded message.
+#[derive(Clone, Debug)]
+pub struct Message {
+    parts: [Bytes; 2],
+}
+
+impl Message {
+    /// Encodes a message whose long body isn't copied.
+    pub fn new(head: &impl Encode, extension: &impl Encode, body: &Bytes) -> Self {
+        if body.len() <= MAX_COPIED_BYTES {
+            return encode_extended(head, extension, body).into();
+        }
+        Self { parts: [encode_extended(head, extension, &[]), body.clone()] }
+    }
+
+    /// Replaces the encoded head, and the body if it was copied, by what `f` makes of them.
+    pub fn map_copied(self, f: impl FnOnce(Bytes) -> Bytes) -> Self {
+        let [first, body] = self.parts;
+        Self { parts: [f(first), body] }
+    }
+}
+
+impl From<Bytes> for Message {
+    fn from(encoded: Bytes) -> Self {
+        Self { parts: [encoded, Bytes::new()] }
+    }
+}
+
+impl Body for Message {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let next = self.parts.iter_mut().find(|part| !part.is_empty());
+        Poll::Ready(next.map(|part| Ok(Frame::data(std::mem::take(part)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.parts.iter().all(Bytes::is_empty)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.parts.iter().map(|part| part.len() as u64).sum())
+    }
+}
+
 /// Decodes the head of a message and returns it with the body.
 pub fn decode<T: Decode<()>>(bytes: Bytes) -> Result<(T, Bytes), WireError> {
     decode_extended::<T, ()>(bytes).map(|(head, _, body)| (head, body))
--- a/crates/sidecar/tests/settings.rs
+++ b/crates/sidecar/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use mesh::{ColdLimits, GrantDelivery, Service};
 use model::{Millis, ServiceName};
-use sidecar::Settings;
+use sidecar::{Limits, Settings};
 
 const SETTINGS: &str = "host: a\nzone: z\nregions: {z: r}\nservice: orders\n\
     backend_server: 127.0.0.1:1\nstore: 127.0.0.1:2\n\
@@ -54,18 +54,38 @@
 /// Guards against limits below what callers inside them need, and against connections that take all
 /// descriptors.
 #[test]
-fn responses_and_connections_of_callers_take_a_share_of_the_host() {
-    let check = |limits: &str, descriptors: Option<u64>, expected: (u64, usize)| {
+fn what_is_held_and_the_connections_take_a_share_of_the_host() {
+    let check = |limits: &str, descriptors: Option<u64>, expected: (u64, usize, usize, usize)| {
         let settings = Settings::parse(&format!("{SETTINGS}{limits}"));
         let limits = settings.unwrap_or_else(|e| panic!("{limits:?}: {e}")).limits;
-        let found = (limits.response_bytes() >> 20, limits.max_caller_connections(descriptors));
+        let found = (
+            limits.held_bytes() >> 20,
+            limits.max_caller_connections(descriptors),
+            limits.max_host_connections(descriptors),
+            Limits::max_other_connections(descriptors),
+        );
         assert_eq!(found, expected, "{limits:?}, {descriptors:?}");
     };
-    check("", Some(4_100), (32, 2_050));
-    check("limits: {memory_mb: 160}\n", Some(8_192), (40, 4_096));
-    check("limits: {memory_mb: 160}\n", None, (40, usize::MAX));
-    check("limits: {caller_connections: 300}\n", Some(4_100), (32, 300));
-    check("limits: {caller_connections: }\n", Some(1), (32, 1));
-    let none = Settings::parse(&format!("{SETTINGS}limits: {{caller_connections: 0}}\n"));
-    assert!(none.is_err());
+    check("", Some(4_100), (64, 2_050, 1_025, 32));
+    check("limits: {memory_mb: 160}\n", Some(8_192), (80, 4_096, 2_048, 32));
+    check("limits: {memory_mb: 160}\n", None, (80, usize::MAX, usize::MAX, 32));
+    check("limits: {caller_connections: 300}\n", Some(400), (64, 300, 100, 12));
+    check("limits: {host_connections: 300}\n", Some(400), (64, 200, 300, 12));
+    check("limits: {caller_connections: , host_connections: }\n", Some(1), (64, 1, 1, 4));
+    for limit in ["caller_connections", "host_connections"] {
+        let none = Settings::parse(&format!("{SETTINGS}limits: {{{limit}: 0}}\n"));
+        assert!(none.is_err(), "{limit}");
+    }
+}
+
+/// Guards against a limit that refuses the longest body which the standard configuration allows, on
+/// the smallest machine that the users name.
+#[test]
+fn a_body_of_the_standard_limit_fits_into_160_mb() {
+    let settings = Settings::parse(&format!("{SETTINGS}limits: {{memory_mb: 160}}\n")).unwrap();
+
+    let longest = settings.limits.max_body_bytes();
+
+    assert!(longest >= 64 << 20, "{longest} bytes");
+    assert!(settings.limits.bodies().max_body >= 64 << 20);
 }
