Slow down connections whose requests nobody serves

What callers saw: with the memory bounded, an ordinary request was still not answered within 60 s beside 250 callers that pipeline lookups and go on while they are refused.

Cause: refusals cost processor time. Callers that send the next request at once kept the process busy with refusals, so that runs took seconds, the queue expected to miss every deadline, and its few places went to the requests that came most often.

Change: a connection with 16 refusals in a row reads the next request after a pause of 50 ms, doubled up to 2 s, one at a time. A request that is served, or 3 s of silence, ends that. What such a connection has sent meanwhile waits for its caller, in the account. Callers that wait as they are told, and those that share a connection on which some are refused, don't meet it.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -10,6 +10,7 @@
 mod decoder;
 mod head;
 mod output;
+mod pace;
 mod pending;
 
 use std::future::poll_fn;
@@ -76,6 +77,11 @@
     pub awaiting_caller: usize,
 }
 
+/// Marks a response, as an extension, whose request nobody has served. A connection with many of
+/// them in a row is slowed down.
+#[derive(Clone, Copy, Debug)]
+pub struct Unserved;
+
 /// Completes when memory may have been freed.
 pub type MemoryFreed = Pin<Box<dyn Future<Output = ()>>>;
 
--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -19,6 +19,7 @@
 use super::decoder::{Decoded, Decoder};
 use super::head::{Head, take_head};
 use super::output::Output;
+use super::pace::Pace;
 use super::pending::{Answer, Pending, State};
 use super::{HeldBytes, MemoryFreed, Policy, Settings};
 
@@ -52,9 +53,10 @@
     Lingering,
 }
 
-/// What the timer limits. Another number of requests restarts it.
+/// What the timer limits. Another number of requests or refusals restarts it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
+    Pause { refusals: u32 },
     Head { requests: u64 },
     Discard,
     Linger,
@@ -99,6 +101,7 @@
     output: Output,
     /// The guards of encoded responses, and the position in the output where these end.
     guards: VecDeque<(u64, G)>,
+    pace: Pace,
     holds_guards: bool,
     lingers: bool,
     timer: Pin<Box<Sleep>>,
@@ -141,6 +144,7 @@
             running: FuturesUnordered::new(),
             output: Output::default(),
             guards: VecDeque::new(),
+            pace: Pace::default(),
             holds_guards: false,
             lingers: false,
             timer: Box::pin(sleep_until(Instant::now())),
@@ -233,6 +237,7 @@
         }
         if let Some(expired) = self.poll_timer(cx) {
             match expired {
+                Purpose::Pause { .. } => self.pace.resume(),
                 Purpose::Discard => {
                     self.begin_closing();
                     self.lingers = false;
@@ -293,7 +298,9 @@
 
     fn can_take_head(&self) -> bool {
         self.accepts_heads
-            && (self.pending.is_empty() && self.output.is_empty() || !self.policy.is_memory_short())
+            && !self.pace.is_paused()
+            && (self.pending.is_empty() && self.output.is_empty()
+                || !self.pace.is_slow() && !self.policy.is_memory_short())
             && self.pending.len() < self.settings.max_requests
             && self.pending.iter().map(Pending::unread_bytes).sum::<usize>()
                 < self.settings.max_unread_bytes
@@ -338,6 +345,7 @@
                 body
             }
         };
+        self.pace.head_arrived(now);
         self.accepts_heads = head.keep_alive && !self.closes_after_next;
         self.caller_closes = !head.keep_alive;
         self.discarded = 0;
--- a/crates/http1/src/server/connection/responses.rs
+++ b/crates/http1/src/server/connection/responses.rs
@@ -13,10 +13,10 @@
 use tokio::time::Instant;
 
 use super::{Connection, CurrentBody, Phase, Purpose};
-use crate::server::Policy;
 use crate::server::body::RequestBody;
 use crate::server::output::ResponseFormat;
 use crate::server::pending::{Pending, State};
+use crate::server::{Policy, Unserved};
 
 impl<H, F, G, P> Connection<H, F, G, P>
 where
@@ -51,6 +51,7 @@
                     && (!self.accepts_heads || self.body.as_ref().is_some_and(|b| self.is_lost(b)));
             let format =
                 ResponseFormat { is_http_10: request.is_http_10, is_head: request.is_head, close };
+            self.pace.answered(answer.head.extensions.get::<Unserved>().is_some(), Instant::now());
             self.output.push(format, &answer.head, answer.body);
             self.guards.extend(answer.guard.map(|guard| (self.output.end(), guard)));
             if close {
@@ -127,6 +128,7 @@
         if purpose != self.purpose {
             self.purpose = purpose;
             let limit = match purpose? {
+                Purpose::Pause { .. } => self.pace.pause(),
                 Purpose::Head { .. } => self.settings.head_timeout,
                 Purpose::Discard | Purpose::Linger => self.settings.discard_timeout,
             };
@@ -138,6 +140,9 @@
     fn timer_purpose(&self) -> Option<Purpose> {
         match (self.phase, &self.body) {
             (Phase::Lingering, _) => Some(Purpose::Linger),
+            (Phase::Open, None) if self.pace.is_paused() => {
+                Some(Purpose::Pause { refusals: self.pace.refusals() })
+            }
             (Phase::Open, Some(body)) if body.answered && body.writer.is_reader_gone() => {
                 Some(Purpose::Discard)
             }
--- a/crates/http1/tests/server/limits.rs
+++ b/crates/http1/tests/server/limits.rs
@@ -302,3 +302,26 @@
 
     started(&record, 3).await;
 }
+
+/// Guards against a caller that keeps the process busy with requests that nobody serves, and against
+/// slowing down one whose requests are served in between.
+#[actix_rt::test]
+async fn requests_that_nobody_serves_are_taken_slowly() {
+    let unserved = "GET /unserved HTTP/1.1\r\n\r\n";
+    let served = "GET /a HTTP/1.1\r\n\r\n";
+    let rows = [
+        ("unserved", unserved.repeat(200), 16..=24),
+        ("served", served.repeat(200), 200..=200),
+        ("in between", (unserved.repeat(10) + served).repeat(18), 198..=198),
+    ];
+    for (name, text, expected) in rows {
+        let (mut stream, record) = connect(Settings::default(), None).await;
+
+        send(&mut stream, &text).await;
+        wait_until(name, || record.started.borrow().len() >= *expected.start()).await;
+        sleep(SETTLE).await;
+
+        let count = record.started.borrow().len();
+        assert!(expected.contains(&count), "{name}: {count} requests were taken");
+    }
+}
--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full};
-use http1::server::{HeldBytes, MemoryFreed, Policy, RequestBody, Settings, serve};
+use http1::server::{HeldBytes, MemoryFreed, Policy, RequestBody, Settings, Unserved, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
@@ -135,6 +135,9 @@
     } else {
         *response.body_mut() = Full::new(Bytes::from(path.clone()));
     }
+    if path.ends_with("/unserved") {
+        response.extensions_mut().insert(Unserved);
+    }
     if path.ends_with("/closing") {
         response.headers_mut().insert("connection", "close".parse().unwrap());
     }
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use adapter::{ErrorResponse, RequestHead, error_response};
+use adapter::{ErrorResponse, RequestHead};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -16,7 +16,7 @@
 
 use crate::attempts::execute;
 use crate::bodies;
-use crate::response::{DEFAULT_RETRY_AFTER_MS, caller_response, retry_after};
+use crate::response::{DEFAULT_RETRY_AFTER_MS, caller_response, retry_after, unserved_response};
 use crate::state::{ActiveConfig, Cx};
 use crate::wire::{Forward, NotRun};
 
@@ -81,7 +81,7 @@
         Ok(request_head) => serve(&cx, holder, received_at, head, request_head, body).await,
         Err(e) => {
             info!("event=refused id=- why={e:?}");
-            error_response(ErrorResponse::BadRequest, None)
+            unserved_response(ErrorResponse::BadRequest, None)
         }
     }
 }
@@ -97,7 +97,7 @@
     let id = request_head.id.clone();
     if cx.rejecting.get() {
         info!("event=refused id={id} why=stopping");
-        return error_response(
+        return unserved_response(
             ErrorResponse::NotRun(retry_after(DEFAULT_RETRY_AFTER_MS)),
             Some(&id),
         );
@@ -108,40 +108,40 @@
     let Some(_memory) = cx.memory.admit_request(copies as u64) else {
         info!("event=refused id={id} why=memory");
         let after = retry_after(DEFAULT_RETRY_AFTER_MS);
-        return error_response(ErrorResponse::NotRun(after), Some(&id));
+        return unserved_response(ErrorResponse::NotRun(after), Some(&id));
     };
     let config = cx.state.borrow().config.clone();
     let Some(ActiveConfig { config, .. }) = config else {
         info!("event=refused id={id} why=no-configuration");
-        return error_response(
+        return unserved_response(
             ErrorResponse::NotRun(retry_after(DEFAULT_RETRY_AFTER_MS)),
             Some(&id),
         );
     };
     if head_bytes > config.limits.max_header_bytes {
         info!("event=refused id={id} why=head-too-long limit={}", config.limits.max_header_bytes);
-        return error_response(ErrorResponse::HeadersTooLarge, Some(&id));
+        return unserved_response(ErrorResponse::HeadersTooLarge, Some(&id));
     }
     let max_bytes = config.limits.max_body_bytes;
     let (body, _body_memory) = match bodies::read(cx, holder, body, max_bytes).await {
         Ok(read) => read,
         Err(BodyError::TooLong { .. }) => {
             info!("event=refused id={id} why=body-too-long limit={max_bytes}");
-            return error_response(ErrorResponse::BodyTooLarge, Some(&id));
+            return unserved_response(ErrorResponse::BodyTooLarge, Some(&id));
         }
         Err(BodyError::NoRoom) => {
             info!("event=refused id={id} why=no-memory");
             let after = retry_after(DEFAULT_RETRY_AFTER_MS);
-            return error_response(ErrorResponse::NotRun(after), Some(&id));
+            return unserved_response(ErrorResponse::NotRun(after), Some(&id));
         }
         Err(BodyError::Incomplete { reason: e }) => {
             info!("event=refused id={id} why=body-cut error={e:?}");
-            return error_response(ErrorResponse::BadRequest, Some(&id));
+            return unserved_response(ErrorResponse::BadRequest, Some(&id));
         }
     };
     let Some(mut call) = build_call(cx, received_at, &head, request_head, body, &config) else {
         info!("event=refused id={id} why=no-route version={}", config.version);
-        return error_response(ErrorResponse::NoRoute, Some(&id));
+        return unserved_response(ErrorResponse::NoRoute, Some(&id));
     };
     drop(head);
     let result = execute(cx, holder, &mut call).await;
--- a/crates/sidecar/src/response.rs
+++ b/crates/sidecar/src/response.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
+use http1::server::Unserved;
 use log::{info, warn};
 use mesh::Config;
 use model::Millis;
@@ -24,6 +25,13 @@
     Millis((after_ms.max(50) as f64 * spread) as u64)
 }
 
+/// Builds the response to a request that no backend server has run.
+pub(crate) fn unserved_response(error: ErrorResponse, id: Option<&str>) -> Response<Full<Bytes>> {
+    let mut response = error_response(error, id);
+    response.extensions_mut().insert(Unserved);
+    response
+}
+
 /// Builds the response to a caller.
 pub(crate) fn caller_response(
     cx: &Cx,
@@ -59,7 +67,7 @@
                  key={:?} after_ms={after} took_ms={took}",
                 call.key
             );
-            error_response(ErrorResponse::NotRun(after), Some(id))
+            unserved_response(ErrorResponse::NotRun(after), Some(id))
         }
         Err(Failure::Unknown(why)) => {
             count("unknown");
