Wake all connections that wait for room once memory is not short

What callers saw: nothing; found by reading. Cause: a connection that is woken wakes the next one when it reads. One that has nothing to read by then wakes none, so that others could wait until something else is freed. Change: all are woken at the end of a shortage.

--- a/crates/sidecar/src/memory.rs
+++ b/crates/sidecar/src/memory.rs
@@ -149,7 +149,8 @@
                 sleep(CHECK_INTERVAL).await;
                 self.shared.input_freed.notify_one();
             }
-            self.shared.input_freed.notify_one();
+            // A connection that was woken and reads nothing wakes no other one.
+            self.shared.input_freed.notify_waiters();
         }
     }
 
