--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -84,7 +84,7 @@
 }
 
 /// The fraction of the memory that everything that is held for callers and other hosts may take. The
-/// rest is for the configuration, the state of the fleet, and what the allocator can't reuse.
+/// rest is for the configuration, the state of the fleet, and holes between buffers.
 const HELD_SHARE: f64 = 0.5;
 
 /// The fraction of the memory that the bodies which other hosts are sending may take at once, unless
