Correct two rows in the test of the memory budget

In the row of new bytes, 90 bytes that waited 9,900 ms and 900 new ones have waited 1,000 ms on average at the time of the check, the least for which a holder is closed; with 50 ms less they have not. The row of the removed holder used 900 of 1,000 bytes, which was nearly full at 7/8 and isn't at 15/16; it uses 940.

--- a/crates/mesh/tests/response_memory.rs
+++ b/crates/mesh/tests/response_memory.rs
@@ -117,7 +117,7 @@
         Some((0, 50, 10_000)),
     );
     check("a request that is complete", &[(0, Reserve(0, 990)), (1, Unassign(0, 990))], 100, None);
-    check("new bytes have not waited", &[(0, Reserve(0, 90)), (9_900, Reserve(0, 900))], 100, None);
+    check("new bytes have not waited", &[(0, Reserve(0, 90)), (9_950, Reserve(0, 900))], 100, None);
     let three = [(0, Reserve(0, 300)), (0, Reserve(1, 400)), (0, Reserve(2, 250))];
     check_all("down to three quarters", &three, 0, &[(1, 400, 10_000)]);
     check_all("more are needed", &three, 500, &[(1, 400, 10_000), (0, 300, 10_000)]);
@@ -153,7 +153,7 @@
     check("not reserved", &[(0, Reserve(0, 600)), (0, Reserve(1, 401))], 600, false);
     check("held already", &[(0, Reserve(0, 600)), (0, Grow(1, 900))], 1_500, true);
     check("released", &[(0, Reserve(0, 600)), (1, Release(0, 500))], 100, false);
-    check("holder removed", &[(0, Reserve(0, 900)), (1, Remove(0))], 900, true);
+    check("holder removed", &[(0, Reserve(0, 940)), (1, Remove(0))], 940, true);
     check(
         "released after the holder was removed",
         &[(0, Reserve(0, 900)), (1, Remove(0)), (2, Release(0, 900))],
