Read no further input while a connection holds requests that it has read

Cause: a connection that takes one request at a time (memory is short, or its requests are refused) read from the socket once for each request that it took, also when its buffer held the next requests already. A trace shows inputs of 131 to 524 KB, while nothing else was held. The crowd took back whatever room was freed by closing connections.

Ruled out: unread responses (none were held), tasks and handlers (less than 30 KB a connection), and the order of closing.

Change: input is read only once all of it was searched for the next head.

what_waits_for_the_caller_is_told_apart waited for a write that only the piled up input let through. It now writes until nothing more is taken, and also checks that 100,000 bytes of responses are unwritten.

--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -183,7 +183,8 @@
             (Phase::Open, Some(body)) => {
                 body.writer.is_reader_gone() || self.unread_bytes() < self.settings.max_unread_bytes
             }
-            (Phase::Open, None) => self.can_take_head(),
+            // What was read before may contain the next head.
+            (Phase::Open, None) => self.can_take_head() && self.searched == self.input.len(),
         }
     }
 
@@ -319,9 +320,10 @@
                 break;
             } else {
                 let max_bytes = self.settings.max_head_bytes;
+                let wanted_input = self.wants_input();
                 match take_head(&mut self.input, &mut self.searched, max_bytes) {
                     Ok(Some(head)) => self.accept(head),
-                    Ok(None) => break,
+                    Ok(None) => return progress || !wanted_input && self.wants_input(),
                     Err(error) => {
                         self.accepts_heads = false;
                         self.pending.push_back(Pending::refused(error));
--- a/crates/http1/tests/server/limits.rs
+++ b/crates/http1/tests/server/limits.rs
@@ -244,15 +244,12 @@
     drop(stream);
 
     let (mut stream, unread) = connect(Settings::default(), Some(4 << 10)).await;
-    let requests = "GET /a HTTP/1.1\r\n\r\n".repeat(1_000);
-    while unread.held.get().unwritten < 100_000 {
-        send(&mut stream, &requests).await;
-    }
+    fill(&mut stream, &b"GET /a HTTP/1.1\r\n\r\n".repeat(1_000)).await;
 
     assert!(running.allocated > 0 && running.awaiting_caller == 0, "{running:?}");
     assert!(half.awaiting_caller >= 20, "{half:?}");
     let held = unread.held.get();
-    assert!(held.awaiting_caller >= 100_000, "{held:?}");
+    assert!(held.unwritten >= 100_000 && held.awaiting_caller >= 100_000, "{held:?}");
     assert!(held.allocated >= held.awaiting_caller, "{held:?}");
 }
 
@@ -325,3 +322,24 @@
         assert!(expected.contains(&count), "{name}: {count} requests were taken");
     }
 }
+
+/// Guards against input that piles up because more is read for each request that is taken.
+#[actix_rt::test]
+async fn nothing_is_read_before_the_requests_that_were_read() {
+    let rows = [
+        ("memory is short", true, "GET /a HTTP/1.1\r\n\r\n"),
+        ("not served", false, "GET /unserved HTTP/1.1\r\n\r\n"),
+        ("served at once", false, "GET /a HTTP/1.1\r\n\r\n"),
+    ];
+    for (name, short, request) in rows {
+        let (mut stream, record) = connect(Settings::default(), None).await;
+        record.short.set(short);
+
+        send(&mut stream, &request.repeat(5_000)).await;
+        wait_until(name, || record.started.borrow().len() >= 16).await;
+        sleep(SETTLE).await;
+
+        let most = record.most_held.get().unread;
+        assert!(most <= 8 << 10, "{name}: {most} bytes are held");
+    }
+}
