Count what arrives of another host's reply before there is room for it

Seen: 200 callers that request long responses from 16 other hosts and read nothing bring a process with 64 MB to 66 MB within seconds.

Cause: replies of other hosts were counted as they were read from their streams. Up to 1 MB of each, 4 MB of each connection, had arrived by then, and stayed there for as long as there was no room.

Change: the window of a stream is 128 KB, and a request to another host counts as much before it is sent; without room it is refused as not run. A host on a link of 10 Mbit/s sends less than the window during a round trip between regions.

--- a/crates/papayarill/tests/misbehaving_clients/main.rs
+++ b/crates/papayarill/tests/misbehaving_clients/main.rs
@@ -32,6 +32,9 @@
 /// More connections than that.
 const SILENT_CLIENTS: usize = 600;
 
+/// Hosts whose connections to one process could hold more than its memory.
+const FAR_HOSTS: usize = 16;
+
 /// The tests of this file run one at a time.
 static RUNNING_TEST: Mutex<()> = Mutex::const_new(());
 
@@ -304,6 +307,37 @@
     }
 }
 
+/// Pipelines lookups with long responses and reads nothing.
+fn long_responses(stream: TcpStream, n: usize) -> LocalBoxFuture<'static, ()> {
+    let line = format!("GET /browse{BYTES_PATH_PART}1900000");
+    let text = request(&line, &format!("long-{n}"), 0).repeat(16);
+    Box::pin(async move { send_and_stall(stream, text.as_bytes()).await })
+}
+
+/// Guards against replies that pile up in the connections to many hosts, while there is no room for
+/// them.
+#[actix_rt::test]
+async fn replies_of_many_hosts_that_are_not_read() {
+    let _lock = RUNNING_TEST.lock().await;
+    let name = "replies of many hosts";
+    let store = Store::start().await;
+    store.put_config(&document());
+    let mut hosts = Vec::new();
+    for i in 0..FAR_HOSTS {
+        hosts.push(Host::start(&store, HostOptions::new("catalog", &format!("many-{i}"))).await);
+    }
+    hosts.push(Host::start(&store, HostOptions::new("other", "many-entry")).await);
+    let entry = hosts[FAR_HOSTS].callers;
+
+    let _crowd = Crowd::start(entry, 200, long_responses);
+    watch(&mut hosts, name).await;
+
+    for host in &mut hosts {
+        host.assert_answers(name).await;
+        host.assert_alive(name);
+    }
+}
+
 /// The start of a request whose id fills most of the longest head.
 fn long_id(stream: TcpStream, n: usize) -> LocalBoxFuture<'static, ()> {
     let text = request("GET /browse/x", &format!("{n}-{}", "i".repeat(60_000)), 0);
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -74,6 +74,10 @@
 /// it is written to the backend server.
 const HEAD_COPIES: usize = 2;
 
+/// The part of a reply, in bytes, that arrives before there is room for it. A host on a link of
+/// 10 Mbit/s sends less during a round trip between regions.
+const REPLY_WINDOW_BYTES: u32 = 128 << 10;
+
 /// The largest reply between hosts, in bytes.
 const MAX_REPLY_BYTES: usize = 80 << 20;
 
@@ -154,6 +158,10 @@
     extension: ForwardExtension,
     body: &Bytes,
 ) -> (ForwardReply, Bytes) {
+    // There must be room for the part of the reply that nobody asks about.
+    let Some(_window) = cx.memory.admit_request(REPLY_WINDOW_BYTES.into()) else {
+        return (not_run(NotRun::NoRoom), Bytes::new());
+    };
     let mut path = RUN_PATH.to_owned();
     if body.len() >= bodies::LARGE_BODY_BYTES {
         match bodies::announce(cx, host, forward, body.len()).await {
@@ -247,7 +255,7 @@
         .timer(TokioTimer::new())
         .keep_alive_interval(KEEPALIVE.0)
         .keep_alive_timeout(KEEPALIVE.1)
-        .initial_stream_window_size(1 << 20)
+        .initial_stream_window_size(REPLY_WINDOW_BYTES)
         .initial_connection_window_size(4 << 20)
         .handshake(TokioIo::new(stream))
         .await
