Keep output that a caller doesn't read out of the kernel

Seen: of a response of 3.1 MB that nobody reads, 338,001 bytes were counted. The kernel had taken the rest, 2.8 MB a connection, for as many connections as callers may open.

Cause: the send buffer of a socket grows to megabytes while the caller reads, and takes all that fits. The account counts what is not written.

Change: TCP_NOTSENT_LOWAT of 32 KB for connections of HTTP/1.1 clients. What the caller's window has room for is still sent at once.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -21,6 +21,7 @@
 use http::{Request, Response, request};
 use http_body_util::Full;
 use model::Millis;
+use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
@@ -28,6 +29,10 @@
 use connection::{Connection, Step};
 pub(crate) use head::response_head_bytes;
 
+/// The system takes no more output than this beyond what it can send. What a caller doesn't read
+/// stays with the connection, which counts it.
+const MAX_UNSENT_BYTES: u32 = 32 << 10;
+
 /// Limits and timeouts of a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -130,6 +135,8 @@
     H: Fn(Request<RequestBody>) -> R,
     R: Future<Output = (Response<Full<Bytes>>, G)>,
 {
+    // Without the option, the system only holds more.
+    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     let numbered = |number: u64, request| {
         let response = handler(request);
         async move { (number, response.await) }
--- a/crates/http1/tests/server/limits.rs
+++ b/crates/http1/tests/server/limits.rs
@@ -343,3 +343,18 @@
         assert!(most <= 8 << 10, "{name}: {most} bytes are held");
     }
 }
+
+/// Guards against responses that nobody reads and that nobody counts, since the system has taken
+/// them.
+#[actix_rt::test]
+async fn a_response_that_is_not_read_stays_with_the_connection() {
+    let (mut stream, record) = connect(Settings::default(), Some(4 << 10)).await;
+
+    send(&mut stream, "GET /big HTTP/1.1\r\n\r\n").await;
+    started(&record, 1).await;
+    wait_until("the response is written", || record.held.get().unwritten > 0).await;
+    sleep(SETTLE).await;
+
+    let held = record.held.get();
+    assert!(held.unwritten >= BIG_BYTES - (128 << 10), "{held:?} of {BIG_BYTES}");
+}
