Show that uploads exhaust a process of papayarill serve

Seen: 300 callers that send all of an upload of 1 MB but its last byte bring `papayarill serve` to 208 MB within a second, 128 allowed.

Cause, as far as traced: bodies are bounded one by one, not together, and a connection buffers input that nobody reads.

Tried and reverted: MemoryBudget for all bodies of callers, with stalled uploads aborted first.

--- a/crates/papayarill/tests/misbehaving_clients/main.rs
+++ b/crates/papayarill/tests/misbehaving_clients/main.rs
@@ -7,6 +7,7 @@
 mod host_streams;
 #[path = "../limited_host/mod.rs"]
 mod limited_host;
+mod serve;
 
 use std::net::SocketAddr;
 use std::process::Stdio;
