Expect an ordinary order to be answered beside every crowd

The check after each crowd sent a lookup only. It now sends an order with a body of 1,000 bytes as well, for which the account has less room. A crowd of 1,000 half uploads of 100 KB joins those of 4 MB.

--- a/crates/papayarill/tests/limited_host/mod.rs
+++ b/crates/papayarill/tests/limited_host/mod.rs
@@ -16,6 +16,9 @@
 /// How long one attempt of an ordinary request waits, longer than the time limit of its route.
 const ATTEMPT_LIMIT: Duration = Duration::from_secs(15);
 
+/// The body of an ordinary order.
+const ORDER_BYTES: usize = 1_000;
+
 /// The memory of the process in the settings, in MB.
 pub const MEMORY_MB: u64 = 64;
 
@@ -101,27 +104,43 @@
         host
     }
 
-    /// Repeats an ordinary request, which may be refused, until it is answered.
+    /// Repeats an ordinary lookup, which may be refused, until it is answered, and then an ordinary
+    /// order with a body.
     pub async fn assert_answers(&self, name: &str) {
+        self.assert_answers_request(name, "GET", "/browse/x", Bytes::new()).await;
+        let body = Bytes::from(vec![b'o'; ORDER_BYTES]);
+        self.assert_answers_request(name, "POST", "/order/x", body).await;
+    }
+
+    async fn assert_answers_request(
+        &self,
+        name: &str,
+        method: &'static str,
+        path: &str,
+        body: Bytes,
+    ) {
         let deadline = Instant::now() + WAIT_LIMIT;
         let mut attempts = 0;
         loop {
             attempts += 1;
             let request = CallerRequest {
-                method: "GET",
+                method,
                 host: "h.example".into(),
-                path: "/browse/x".into(),
-                id: format!("{name}-{attempts}"),
+                path: path.into(),
+                id: format!("{name}-{method}-{attempts}"),
                 key: None,
                 timeout_ms: 10_000,
-                body: Bytes::new(),
+                body: body.clone(),
             };
             let response = timeout(ATTEMPT_LIMIT, send_request(self.callers, &request)).await;
             let response = response.ok().flatten();
             if response.as_ref().is_some_and(|r| r.status == 200) {
                 return;
             }
-            assert!(Instant::now() < deadline, "{name}: not answered, the last was {response:?}");
+            assert!(
+                Instant::now() < deadline,
+                "{name}: {method} not answered, the last was {response:?}"
+            );
             sleep(Duration::from_millis(100)).await;
         }
     }
--- a/crates/papayarill/tests/misbehaving_clients/main.rs
+++ b/crates/papayarill/tests/misbehaving_clients/main.rs
@@ -150,6 +150,16 @@
     Box::pin(async move { send_and_stall(stream, text.as_bytes()).await })
 }
 
+/// Sends a part of a short body.
+fn half_short_upload(stream: TcpStream, n: usize) -> LocalBoxFuture<'static, ()> {
+    let text = format!(
+        "POST /order/x HTTP/1.1\r\nhost: h.example\r\nattempt-id: short-{n}\r\n\
+         content-length: 100000\r\n\r\n{}",
+        "u".repeat(50_000)
+    );
+    Box::pin(async move { send_and_stall(stream, text.as_bytes()).await })
+}
+
 /// Sends long bodies of unknown length again and again.
 fn chunked_uploads(stream: TcpStream, n: usize) -> LocalBoxFuture<'static, ()> {
     let head = format!(
@@ -238,6 +248,7 @@
     requests_behind_unread_responses: case(250, queued_requests);
     uploads_behind_unread_responses: case(400, queued_upload);
     half_uploads: case(200, half_upload);
+    half_short_uploads: case(1_000, half_short_upload);
     chunked_uploads_without_length: case(100, chunked_uploads);
     chunk_extensions_without_end: case(100, chunk_extensions);
     trailers_without_end: case(100, trailers);
