Let the kernel take what is left of responses when connections close

Seen: a_planned_stop_writes_long_responses_to_their_end failed in 3 of 3 runs: of 8 MB to each of three callers that read 1.4 MB/s, 6,338,677 bytes came. The process ended after its stop time with writing=3.

Change: the limit is lifted when connections close for a stop. The responses have been read by then, and no new request is served, so the kernel takes over bytes that the process holds already.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -135,8 +135,7 @@
     H: Fn(Request<RequestBody>) -> R,
     R: Future<Output = (Response<Full<Bytes>>, G)>,
 {
-    // Without the option, the system only holds more.
-    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+    limit_unsent_bytes(&stream, MAX_UNSENT_BYTES);
     let numbered = |number: u64, request| {
         let response = handler(request);
         async move { (number, response.await) }
@@ -150,6 +149,8 @@
             poll_fn(|cx| {
                 if !closing && close.as_mut().poll(cx).is_ready() {
                     closing = true;
+                    // What the system holds is still sent after the process has ended.
+                    limit_unsent_bytes(writer.as_ref(), u32::MAX);
                     connection.close();
                 }
                 connection.poll(cx, Some(&mut reader), &mut writer)
@@ -162,6 +163,8 @@
             poll_fn(|cx| {
                 if !closing && close.as_mut().poll(cx).is_ready() {
                     closing = true;
+                    // What the system holds is still sent after the process has ended.
+                    limit_unsent_bytes(writer.as_ref(), u32::MAX);
                     connection.close();
                 }
                 if left.as_mut().poll(cx).is_ready() {
@@ -177,3 +180,9 @@
         }
     }
 }
+
+/// Limits how much output the system takes beyond what it can send.
+fn limit_unsent_bytes(stream: &TcpStream, max_bytes: u32) {
+    // Without the option, the system only holds more.
+    let _ = SockRef::from(stream).set_tcp_notsent_lowat(max_bytes);
+}
