Stream response bodies on the HTTP/1.1 server connections

The connections that count what they hold could only write complete responses. papayarill serve passes responses on as streams, so its callers were served by another HTTP server, which buffers what nobody counts.

Change: a response body may be a stream. A body that breaks off, or differs from its length, ends without its end; towards a caller of HTTP/1.0, whose body ends with the connection, that is reset.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -12,14 +12,14 @@
 mod output;
 mod pace;
 mod pending;
+mod response_body;
 
 use std::future::poll_fn;
 use std::pin::{Pin, pin};
 use std::task::Poll;
+use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, Response, request};
-use http_body_util::Full;
 use model::Millis;
 use socket2::SockRef;
 use tokio::io::Interest;
@@ -28,6 +28,7 @@
 pub use body::{RequestBody, RequestBodyError};
 use connection::{Connection, Step};
 pub(crate) use head::response_head_bytes;
+pub use response_body::{BrokenOff, Chunks, ResponseBody};
 
 /// The system takes no more output than this beyond what it can send. What a caller doesn't read
 /// stays with the connection, which counts it.
@@ -125,7 +126,7 @@
 /// The handler returns a response and a guard, which is dropped once the response is written or the
 /// connection has ended. After `close` has completed, no further request is read besides the first
 /// one, and the connection closes after the responses to those that were read.
-pub async fn serve<H, R, G>(
+pub async fn serve<H, R, B, G>(
     mut stream: TcpStream,
     settings: Settings,
     handler: H,
@@ -133,12 +134,16 @@
     close: impl Future<Output = ()>,
 ) where
     H: Fn(Request<RequestBody>) -> R,
-    R: Future<Output = (Response<Full<Bytes>>, G)>,
+    R: Future<Output = (Response<B>, G)>,
+    B: Into<ResponseBody>,
 {
     limit_unsent_bytes(&stream, MAX_UNSENT_BYTES);
     let numbered = |number: u64, request| {
         let response = handler(request);
-        async move { (number, response.await) }
+        async move {
+            let (response, guard) = response.await;
+            (number, (response.map(Into::into), guard))
+        }
     };
     let mut connection = Connection::new(settings, numbered, policy);
     let (mut reader, mut writer) = stream.split();
@@ -176,6 +181,10 @@
             .await
         };
         if step == Step::End {
+            if connection.resets() {
+                // Otherwise a response without a length would seem complete.
+                let _ = SockRef::from(writer.as_ref()).set_linger(Some(Duration::ZERO));
+            }
             return;
         }
     }
--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -1,16 +1,16 @@
 //! The state of a connection: the requests in progress, and what is read and written for them.
 
 mod responses;
+mod streaming;
 
 use std::collections::VecDeque;
 use std::io;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, Waker, ready};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures_util::stream::{FuturesUnordered, Stream};
 use http::{Request, Response};
-use http_body_util::Full;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -21,7 +21,9 @@
 use super::output::Output;
 use super::pace::Pace;
 use super::pending::{Answer, Pending, State};
+use super::response_body::ResponseBody;
 use super::{HeldBytes, MemoryFreed, Policy, Settings};
+use streaming::Streaming;
 
 /// The free space for a read, in bytes. Most requests are shorter.
 const MIN_READ_BYTES: usize = 4 << 10;
@@ -99,6 +101,9 @@
     /// Boxed, because the collection itself takes as much memory as one future.
     running: FuturesUnordered<Pin<Box<F>>>,
     output: Output,
+    streaming: Option<Streaming<G>>,
+    /// Whether the connection is reset at its end, which would mark the end of a response.
+    resets: bool,
     /// The guards of encoded responses, and the position in the output where these end.
     guards: VecDeque<(u64, G)>,
     pace: Pace,
@@ -120,7 +125,7 @@
 impl<H, F, G, P> Connection<H, F, G, P>
 where
     H: Fn(u64, Request<RequestBody>) -> F,
-    F: Future<Output = (u64, (Response<Full<Bytes>>, G))>,
+    F: Future<Output = (u64, (Response<ResponseBody>, G))>,
     P: Policy,
 {
     pub(super) fn new(settings: Settings, handler: H, policy: P) -> Self {
@@ -143,6 +148,8 @@
             first: 0,
             running: FuturesUnordered::new(),
             output: Output::default(),
+            streaming: None,
+            resets: false,
             guards: VecDeque::new(),
             pace: Pace::default(),
             holds_guards: false,
@@ -171,6 +178,11 @@
         self.lost_caller
     }
 
+    /// Returns whether the connection is to be reset.
+    pub(super) fn resets(&self) -> bool {
+        self.resets
+    }
+
     /// Returns whether more is to be read from the socket.
     pub(super) fn wants_input(&self) -> bool {
         if self.lost_caller || self.memory_freed.is_some() {
@@ -224,6 +236,7 @@
             progress |= self.poll_handlers(cx);
             self.ask_for_body();
             self.encode();
+            progress |= self.poll_stream(cx);
             match self.poll_write(cx, writer) {
                 Poll::Ready(Ok(wrote)) => progress |= wrote,
                 Poll::Ready(Err(_)) => return Poll::Ready(Step::End),
@@ -297,11 +310,15 @@
         Poll::Ready(Ok(n))
     }
 
+    /// Returns whether all requests are answered.
+    fn is_idle(&self) -> bool {
+        self.pending.is_empty() && self.output.is_empty() && self.streaming.is_none()
+    }
+
     fn can_take_head(&self) -> bool {
         self.accepts_heads
             && !self.pace.is_paused()
-            && (self.pending.is_empty() && self.output.is_empty()
-                || !self.pace.is_slow() && !self.policy.is_memory_short())
+            && (self.is_idle() || !self.pace.is_slow() && !self.policy.is_memory_short())
             && self.pending.len() < self.settings.max_requests
             && self.pending.iter().map(Pending::unread_bytes).sum::<usize>()
                 < self.settings.max_unread_bytes
@@ -320,6 +337,7 @@
                 break;
             } else {
                 let max_bytes = self.settings.max_head_bytes;
+                // Input may be wanted once all of it was searched.
                 let wanted_input = self.wants_input();
                 match take_head(&mut self.input, &mut self.searched, max_bytes) {
                     Ok(Some(head)) => self.accept(head),
@@ -387,7 +405,7 @@
     /// Starts the requests that need not wait for earlier responses.
     fn start_handlers(&mut self) {
         for i in 0..self.pending.len() {
-            let is_next = i == 0 && self.output.is_empty();
+            let is_next = i == 0 && self.output.is_empty() && self.streaming.is_none();
             let State::Waiting(head, _) = &self.pending[i].state else { continue };
             if !is_next {
                 if self.unwritten_bytes() >= self.settings.max_unwritten_bytes {
--- a/crates/http1/src/server/connection/responses.rs
+++ b/crates/http1/src/server/connection/responses.rs
@@ -5,23 +5,23 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
-use http_body_util::Full;
 use tokio::io::AsyncWrite;
 use tokio::net::tcp::WriteHalf;
 use tokio::time::Instant;
 
+use super::streaming::Streaming;
 use super::{Connection, CurrentBody, Phase, Purpose};
 use crate::server::body::RequestBody;
 use crate::server::output::ResponseFormat;
 use crate::server::pending::{Pending, State};
+use crate::server::response_body::ResponseBody;
 use crate::server::{Policy, Unserved};
 
 impl<H, F, G, P> Connection<H, F, G, P>
 where
     H: Fn(u64, http::Request<RequestBody>) -> F,
-    F: Future<Output = (u64, (Response<Full<Bytes>>, G))>,
+    F: Future<Output = (u64, (Response<ResponseBody>, G))>,
     P: Policy,
 {
     /// Asks the caller for the body that it holds back, once all earlier responses are encoded.
@@ -38,7 +38,8 @@
 
     /// Moves completed responses to the output, in the order of the requests.
     pub(super) fn encode(&mut self) {
-        while let Some(Pending { state: State::Done(_), .. }) = self.pending.front()
+        while self.streaming.is_none()
+            && let Some(Pending { state: State::Done(_), .. }) = self.pending.front()
             && let Some(request) = self.pending.pop_front()
             && let State::Done(answer) = request.state
         {
@@ -46,21 +47,30 @@
             // A stopping process still answers the requests that were read.
             self.accepts_heads &= !self.policy.is_stopping();
             let is_last = self.pending.is_empty();
+            let until_close = request.is_http_10 && answer.body.length().is_none();
             let close = answer.close
+                || until_close
                 || is_last
                     && (!self.accepts_heads || self.body.as_ref().is_some_and(|b| self.is_lost(b)));
             let format =
                 ResponseFormat { is_http_10: request.is_http_10, is_head: request.is_head, close };
             self.pace.answered(answer.head.extensions.get::<Unserved>().is_some(), Instant::now());
-            self.output.push(format, &answer.head, answer.body);
-            self.guards.extend(answer.guard.map(|guard| (self.output.end(), guard)));
-            if close {
-                self.begin_closing();
-            } else if let Some(body) = self.body.as_mut().filter(|_| is_last) {
+            let streamed = self.output.push(format, &answer.head, answer.body);
+            self.accepts_heads &= !close;
+            if let Some((chunks, framing)) = streamed {
+                self.streaming = Some(Streaming { chunks, framing, close, guard: answer.guard });
+            } else {
+                self.guards.extend(answer.guard.map(|guard| (self.output.end(), guard)));
+                if close {
+                    self.begin_closing();
+                }
+            }
+            if !close && let Some(body) = self.body.as_mut().filter(|_| is_last) {
                 body.answered = true;
             }
         }
-        if self.phase == Phase::Open && !self.accepts_heads && self.pending.is_empty() {
+        let answered_all = self.pending.is_empty() && self.streaming.is_none();
+        if self.phase == Phase::Open && !self.accepts_heads && answered_all {
             self.begin_closing();
         }
     }
@@ -82,6 +92,7 @@
         self.accepts_heads = false;
         self.running.clear();
         self.pending.clear();
+        self.streaming = None;
         // A caller that asked for the end sends nothing more.
         self.lingers = !self.caller_closes || !self.input.is_empty() || self.body.is_some();
         self.holds_guards = self.body.is_some();
@@ -112,7 +123,7 @@
     /// Closes the sending side once everything is written. Returns whether the connection has ended.
     pub(super) fn poll_closed(&mut self, cx: &mut Context<'_>, writer: &mut WriteHalf<'_>) -> bool {
         if self.phase == Phase::Closing && self.output.is_empty() {
-            if self.lost_caller || !self.lingers {
+            if self.lost_caller || self.resets || !self.lingers {
                 return true;
             }
             // Shutting down a TCP socket takes no time; an error shows when it is read.
@@ -143,12 +154,12 @@
             (Phase::Open, None) if self.pace.is_paused() => {
                 Some(Purpose::Pause { refusals: self.pace.refusals() })
             }
-            (Phase::Open, Some(body)) if body.answered && body.writer.is_reader_gone() => {
+            (Phase::Open, Some(body))
+                if body.answered && body.writer.is_reader_gone() && self.streaming.is_none() =>
+            {
                 Some(Purpose::Discard)
             }
-            (Phase::Open, None) if self.pending.is_empty() && self.output.is_empty() => {
-                Some(Purpose::Head { requests: self.first })
-            }
+            (Phase::Open, None) if self.is_idle() => Some(Purpose::Head { requests: self.first }),
             _ => None,
         }
     }
--- a/crates/http1/src/server/output.rs
+++ b/crates/http1/src/server/output.rs
@@ -14,6 +14,8 @@
 use tokio::io::AsyncWrite;
 use tokio::net::tcp::WriteHalf;
 
+use super::response_body::{Chunks, ResponseBody};
+
 /// A body up to this size is copied behind its head, so that both take one buffer.
 const MAX_COPIED_BYTES: usize = 2 << 10;
 
@@ -36,6 +38,17 @@
     pub(super) close: bool,
 }
 
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// By its length. This number of bytes is left.
+    Length(u64),
+    /// By a last chunk.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
 /// The bytes to be written.
 #[derive(Debug, Default)]
 pub(super) struct Output {
@@ -81,8 +94,13 @@
         self.append(b"HTTP/1.1 100 Continue\r\n\r\n");
     }
 
-    /// Appends a response.
-    pub(super) fn push(&mut self, format: ResponseFormat, head: &response::Parts, body: Bytes) {
+    /// Appends a response. Returns the body if that is read while it is written.
+    pub(super) fn push(
+        &mut self,
+        format: ResponseFormat,
+        head: &response::Parts,
+        body: ResponseBody,
+    ) -> Option<(Chunks, Framing)> {
         self.tail.reserve(TYPICAL_HEAD_BYTES);
         self.append(if format.is_http_10 { b"HTTP/1.0 " } else { b"HTTP/1.1 " });
         self.append(head.status.as_str().as_bytes());
@@ -98,10 +116,16 @@
         // Without a body, the length is that of the response to a GET request.
         let announced = head.headers.get(CONTENT_LENGTH);
         let omits_body = format.is_head || head.status == StatusCode::NOT_MODIFIED;
-        if let Some(length) = announced.filter(|_| omits_body && body.is_empty()) {
+        let length = body.length();
+        let has_length = length.is_some_and(|n| n > 0);
+        if let Some(length) = announced.filter(|_| omits_body && !has_length) {
             self.push_field("content-length", length.as_bytes());
-        } else if !(has_no_body || format.is_head && body.is_empty()) {
-            self.push_field("content-length", body.len().to_string().as_bytes());
+        } else if !(has_no_body || format.is_head && !has_length) {
+            match length {
+                Some(n) => self.push_field("content-length", n.to_string().as_bytes()),
+                None if format.is_http_10 => {}
+                None => self.push_field("transfer-encoding", b"chunked"),
+            }
         }
         if format.close {
             self.push_field("connection", b"close");
@@ -112,9 +136,49 @@
             with_date(|date| self.push_field("date", date.as_bytes()));
         }
         self.append(b"\r\n");
-        if !(format.is_head || has_no_body) {
-            self.push_body(body);
+        match body {
+            _ if format.is_head || has_no_body => None,
+            ResponseBody::Full(body) => {
+                self.push_body(body, 0);
+                None
+            }
+            ResponseBody::Stream { length, chunks } => {
+                let unknown =
+                    if format.is_http_10 { Framing::UntilClose } else { Framing::Chunked };
+                Some((chunks, length.map_or(unknown, Framing::Length)))
+            }
+        }
+    }
+
+    /// Appends a part of a body. Returns `false` if the body has become longer than announced.
+    pub(super) fn push_chunk(&mut self, framing: &mut Framing, chunk: Bytes) -> bool {
+        let allocated = chunk.len();
+        match framing {
+            Framing::Length(left) => {
+                let Some(rest) = left.checked_sub(allocated as u64) else { return false };
+                *left = rest;
+                self.push_body(chunk, allocated);
+            }
+            // An empty chunk is the last one.
+            Framing::Chunked if chunk.is_empty() => {}
+            Framing::Chunked => {
+                self.append(format!("{allocated:x}\r\n").as_bytes());
+                self.push_body(chunk, allocated);
+                self.append(b"\r\n");
+            }
+            Framing::UntilClose => self.push_body(chunk, allocated),
+        }
+        true
+    }
+
+    /// Appends the end of a body. Returns `false` if the body is shorter than announced.
+    pub(super) fn push_end(&mut self, framing: &Framing) -> bool {
+        match framing {
+            Framing::Length(left) => return *left == 0,
+            Framing::Chunked => self.append(b"0\r\n\r\n"),
+            Framing::UntilClose => {}
         }
+        true
     }
 
     fn push_field(&mut self, name: &str, value: &[u8]) {
@@ -124,14 +188,15 @@
         self.append(b"\r\n");
     }
 
-    fn push_body(&mut self, body: Bytes) {
+    /// Appends bytes of a body that count as `allocated` unless they are copied.
+    fn push_body(&mut self, body: Bytes, allocated: usize) {
         if body.len() <= MAX_COPIED_BYTES {
             self.append(&body);
             return;
         }
         self.finish_tail();
         self.unwritten += body.len();
-        self.push_segment(body, 0);
+        self.push_segment(body, allocated);
     }
 
     fn append(&mut self, bytes: &[u8]) {
--- a/crates/http1/src/server/pending.rs
+++ b/crates/http1/src/server/pending.rs
@@ -1,18 +1,15 @@
 //! A request whose response is not encoded yet.
 
 use std::cell::RefCell;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{Method, Request, Response, StatusCode, Version, request, response};
-use http_body_util::Full;
-use hyper::body::Body;
 
 use super::body::{BodyState, RequestBody};
 use super::head::{HeadError, response_head_bytes};
+use super::response_body::ResponseBody;
 use crate::has_token;
 
 /// A request whose response is not encoded yet.
@@ -33,14 +30,14 @@
     Waiting(request::Parts, RequestBody),
     /// Its handler runs.
     Running,
-    /// Its response is complete.
+    /// Its response is complete, or its body is read while it is written.
     Done(Answer<G>),
 }
 
 /// A response to be written.
 pub(super) struct Answer<G> {
     pub(super) head: response::Parts,
-    pub(super) body: Bytes,
+    pub(super) body: ResponseBody,
     /// Whether the connection closes after it.
     pub(super) close: bool,
     pub(super) guard: Option<G>,
@@ -96,7 +93,7 @@
         size_of::<Self>() + head + body
     }
 
-    /// Returns the number of bytes of its response.
+    /// Returns the number of bytes of its response that are in memory.
     pub(super) fn unwritten_bytes(&self) -> usize {
         match &self.state {
             State::Done(answer) => answer.body.len(),
@@ -118,7 +115,7 @@
 
 impl<G> Answer<G> {
     /// Creates the answer with the response of a handler.
-    pub(super) fn new(response: Response<Full<Bytes>>, guard: G) -> Self {
+    pub(super) fn new(response: Response<ResponseBody>, guard: G) -> Self {
         let (head, body) = response.into_parts();
         if head.status.is_informational() {
             // The caller would wait for another response.
@@ -126,20 +123,12 @@
             return Self { close: true, guard: Some(guard), ..answer };
         }
         let close = has_token(&head.headers, CONNECTION, "close");
-        Self { head, body: into_bytes(body), close, guard: Some(guard) }
+        Self { head, body, close, guard: Some(guard) }
     }
 
     fn empty(status: StatusCode) -> Self {
         let (mut head, ()) = Response::new(()).into_parts();
         head.status = status;
-        Self { head, body: Bytes::new(), close: false, guard: None }
-    }
-}
-
-/// Returns the only frame of a body.
-fn into_bytes(mut body: Full<Bytes>) -> Bytes {
-    match Pin::new(&mut body).poll_frame(&mut Context::from_waker(Waker::noop())) {
-        Poll::Ready(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-        Poll::Ready(_) | Poll::Pending => Bytes::new(),
+        Self { head, body: ResponseBody::Full(Bytes::new()), close: false, guard: None }
     }
 }
--- a/crates/http1/tests/server/limits.rs
+++ b/crates/http1/tests/server/limits.rs
@@ -8,7 +8,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::support::{BIG_BYTES, Record, SETTLE, WAIT_LIMIT, connect, wait_until};
+use crate::support::{
+    BIG_BYTES, REST_CHUNK_BYTES, Record, SETTLE, WAIT_LIMIT, connect, wait_until,
+};
 
 async fn send(stream: &mut TcpStream, text: &str) {
     timeout(WAIT_LIMIT, stream.write_all(text.as_bytes())).await.expect("sent").unwrap();
@@ -358,3 +360,19 @@
     let held = record.held.get();
     assert!(held.unwritten >= BIG_BYTES - (128 << 10), "{held:?} of {BIG_BYTES}");
 }
+
+/// Guards against streamed responses that nobody reads, and that are taken from their source all the
+/// same, or not counted.
+#[actix_rt::test]
+async fn a_streamed_response_that_is_not_read_is_not_taken() {
+    let (mut stream, record) = connect(Settings::default(), Some(4 << 10)).await;
+
+    send(&mut stream, "GET /stream/-/rest HTTP/1.1\r\n\r\n").await;
+    started(&record, 1).await;
+    sleep(SETTLE).await;
+
+    let held = record.held.get();
+    let expected = REST_CHUNK_BYTES..=4 * REST_CHUNK_BYTES;
+    assert!(expected.contains(&held.unwritten), "{held:?}");
+    assert!(held.awaiting_caller >= held.unwritten, "{held:?}");
+}
--- a/crates/http1/tests/server/messages.rs
+++ b/crates/http1/tests/server/messages.rs
@@ -5,7 +5,8 @@
 
 use crate::support::{Step, last, ok, response, run};
 use Step::{
-    Cancelled, Close, End, HalfClose, Pause, Receive, Release, Send, ShortPause, Started, Stop,
+    Cancelled, Close, End, HalfClose, Pause, Receive, Release, Reset, Send, ShortPause, Started,
+    Stop,
 };
 
 const CLOSE: &str = "connection: close\r\n";
@@ -276,6 +277,118 @@
     }
 }
 
+/// Guards against streamed bodies that are taken for complete ones, or that hide the next response.
+#[actix_rt::test]
+async fn streamed_bodies_end_where_their_framing_says() {
+    let head = |fields: &str| Receive(format!("HTTP/1.1 200 OK\r\n{fields}\r\n"));
+    let text = |text: &str| Receive(text.to_owned());
+    let chunked = "transfer-encoding: chunked\r\n";
+    let rows: Vec<(&str, Vec<Step>)> = vec![
+        (
+            "a body of known length that hides the next response",
+            vec![
+                Send("GET /stream/5/ab/cde HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"),
+                head("content-length: 5\r\n"),
+                text("abcde"),
+                ok("/b"),
+            ],
+        ),
+        (
+            "a body of unknown length that hides the next response, or ends early",
+            vec![
+                Send("GET /stream/-/ab//cde HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"),
+                head(chunked),
+                text("2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n"),
+                ok("/b"),
+            ],
+        ),
+        (
+            "a response that starts before the streamed one has ended",
+            vec![
+                Send("GET /stream/-/ab/wait/c HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"),
+                head(chunked),
+                text("2\r\nab\r\n"),
+                Pause,
+                Release("wait"),
+                text("1\r\nc\r\n0\r\n\r\n"),
+                ok("/b"),
+            ],
+        ),
+        (
+            "a body that is written although there must be none",
+            vec![
+                Send(
+                    "HEAD /stream/5/abcde HTTP/1.1\r\n\r\nHEAD /stream/-/ab HTTP/1.1\r\n\r\n\
+                     GET /b HTTP/1.1\r\n\r\n",
+                ),
+                head("content-length: 5\r\n"),
+                head(""),
+                ok("/b"),
+            ],
+        ),
+        (
+            "a body that breaks off and seems complete",
+            vec![
+                Send("GET /stream/-/ab/cut HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"),
+                head(chunked),
+                text("2\r\nab\r\n"),
+                End,
+            ],
+        ),
+        (
+            "a body that is shorter than announced and hides the next response",
+            vec![
+                Send("GET /stream/5/ab HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"),
+                head("content-length: 5\r\n"),
+                text("ab"),
+                End,
+            ],
+        ),
+        (
+            "a body that is longer than announced and becomes the next response",
+            vec![
+                Send("GET /stream/3/ab/cde HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"),
+                head("content-length: 3\r\n"),
+                text("ab"),
+                End,
+            ],
+        ),
+        (
+            "a caller of version 1.0 that gets chunks",
+            vec![
+                Send("GET /stream/-/ab/cde HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"),
+                Receive("HTTP/1.0 200 OK\r\nconnection: close\r\n\r\nabcde".into()),
+                End,
+            ],
+        ),
+        (
+            "a caller of version 1.0 for which a body that breaks off seems complete",
+            vec![
+                Send("GET /stream/-/ab/wait/cut HTTP/1.0\r\n\r\n"),
+                Receive("HTTP/1.0 200 OK\r\nconnection: close\r\n\r\nab".into()),
+                Release("wait"),
+                Reset,
+            ],
+        ),
+        (
+            "a stop that cuts a response",
+            vec![
+                Send("GET /stream/-/ab/wait/c HTTP/1.1\r\n\r\n"),
+                head(chunked),
+                text("2\r\nab\r\n"),
+                Close,
+                Pause,
+                Release("wait"),
+                text("1\r\nc\r\n0\r\n\r\n"),
+                End,
+            ],
+        ),
+    ];
+    for (guards_against, steps) in rows {
+        run(guards_against, Settings::default(), steps).await;
+    }
+}
+
 /// Guards against input that is parsed wrongly if it arrives in two pieces.
 #[actix_rt::test]
 async fn requests_may_arrive_in_pieces_of_any_length() {
--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -5,9 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
 use http::{Method, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full};
-use http1::server::{HeldBytes, MemoryFreed, Policy, RequestBody, Settings, Unserved, serve};
+use http1::server::{
+    BrokenOff, HeldBytes, MemoryFreed, Policy, RequestBody, ResponseBody, Settings, Unserved, serve,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
@@ -22,6 +26,9 @@
 /// The length of the response to `/big`.
 pub const BIG_BYTES: usize = 3 << 20;
 
+/// The length of the parts of a body without end.
+pub const REST_CHUNK_BYTES: usize = 16 << 10;
+
 /// What the server and its handlers have recorded.
 #[derive(Default)]
 pub struct Record {
@@ -109,7 +116,7 @@
 async fn handle(
     record: Rc<Record>,
     request: Request<RequestBody>,
-) -> (Response<Full<Bytes>>, impl Sized) {
+) -> (Response<ResponseBody>, impl Sized) {
     let path = request.uri().path().to_owned();
     record.started.borrow_mut().push(path.clone());
     let mut cancel = CancelGuard(record.clone(), Some(path.clone()));
@@ -122,18 +129,20 @@
             changed.await;
         }
     }
-    let mut response = Response::new(Full::default());
+    let mut response = Response::new(Full::default().into());
     if path.ends_with("/echo") {
         match request.into_body().collect().await {
-            Ok(body) => *response.body_mut() = Full::new(body.to_bytes()),
+            Ok(body) => *response.body_mut() = ResponseBody::Full(body.to_bytes()),
             Err(_) => *response.status_mut() = StatusCode::BAD_REQUEST,
         }
     } else if path.ends_with("/big") {
-        *response.body_mut() = Full::new(vec![b'x'; BIG_BYTES].into());
+        *response.body_mut() = ResponseBody::Full(vec![b'x'; BIG_BYTES].into());
+    } else if let Some(script) = path.strip_prefix("/stream/") {
+        *response.body_mut() = streamed(&record, script);
     } else if let Some(status) = path.strip_prefix("/status/") {
         *response.status_mut() = status.parse().unwrap();
     } else {
-        *response.body_mut() = Full::new(Bytes::from(path.clone()));
+        *response.body_mut() = ResponseBody::Full(Bytes::from(path.clone()));
     }
     if path.ends_with("/unserved") {
         response.extensions_mut().insert(Unserved);
@@ -146,6 +155,34 @@
     (response, WriteGuard(record.guards.clone()))
 }
 
+/// Returns a body whose length, or `-`, and parts are separated by slashes. `cut` breaks it off, `wait`
+/// waits until that is released, and `rest` is without end.
+fn streamed(record: &Rc<Record>, script: &str) -> ResponseBody {
+    let (length, parts) = script.split_once('/').unwrap_or((script, ""));
+    let parts: Vec<String> = parts.split('/').map(str::to_owned).collect();
+    let endless = parts.contains(&"rest".to_owned());
+    let record = record.clone();
+    let chunks = stream::iter(parts).then(move |part| {
+        let record = record.clone();
+        async move {
+            while part == "wait" && !record.released.borrow().contains(&part) {
+                record.changed.notified().await;
+            }
+            match &*part {
+                "cut" => Err(BrokenOff),
+                "wait" => Ok(Bytes::new()),
+                _ => Ok(Bytes::from(part)),
+            }
+        }
+    });
+    let rest = stream::repeat(Ok(Bytes::from(vec![b'x'; REST_CHUNK_BYTES])));
+    let chunks = match endless {
+        true => chunks.chain(rest).boxed_local(),
+        false => chunks.boxed_local(),
+    };
+    ResponseBody::Stream { length: length.parse().ok(), chunks }
+}
+
 /// Starts a server for one connection, and connects to it. `receive_buffer` limits what the caller's
 /// side of the connection takes before it is read.
 pub async fn connect(settings: Settings, receive_buffer: Option<u32>) -> (TcpStream, Rc<Record>) {
@@ -198,6 +235,8 @@
     Receive(String),
     /// Expects the end of the stream.
     End,
+    /// The connection is reset, after what was received.
+    Reset,
     /// Tells the server that the process stops.
     Stop,
     /// Tells the connection to close.
@@ -261,6 +300,11 @@
                 read.unwrap_or_else(|_| panic!("{at}: late")).unwrap();
                 assert_eq!(String::from_utf8_lossy(&received), "", "{at}");
             }
+            Step::Reset => {
+                let read = timeout(WAIT_LIMIT, stream.read_buf(&mut received)).await;
+                let read = read.unwrap_or_else(|_| panic!("{at}: late"));
+                assert!(read.is_err(), "{at}: {read:?}");
+            }
             Step::Stop => record.stopping.set(true),
             Step::Close => record.close.notify_waiters(),
             Step::HalfClose => stream.shutdown().await.unwrap(),
