Count what papayarill serve holds for its callers

Seen: 300 uploads of 1 MB that are never complete brought papayarill serve to 176 and 208 of 128 MB, 300 callers that pipeline lookups and read nothing to 131 MB.

Cause: no common account. Bodies were bounded one by one; actix-web reads up to 128 KB ahead of a handler on each connection and keeps responses that nobody reads; the number of connections had no limit of ours.

Change: callers of serve are served by http1::server, with the account of the sidecar, which becomes a crate of its own (client-memory). Half of limits.memory_mb, 64 MB by default, is for all that is held; 256 KB of it count for each response while it is passed on, for the buffers before the connection. Beyond limits.caller_connections, by default half of the descriptors, the connection that has been idle longest is closed. A request without room is refused with 503, not run. Callers are parsed on the host's thread instead of two others.

--- a/crates/sidecar/src/memory.rs
+++ b/crates/client-memory/src/lib.rs
@@ -142,6 +142,15 @@
         charge.attach(bytes)
     }
 
+    /// Counts buffers of `bytes` until the charge is dropped, which are full while the client of
+    /// `holder` doesn't read.
+    pub fn hold_buffers(&self, holder: HolderId, bytes: u64) -> Charge {
+        let mut charge = self.charge(Purpose::Response);
+        charge.grow_anyway(with_overhead(bytes));
+        charge.assign(holder, self.clock.now());
+        charge
+    }
+
     /// Closes holders without progress while memory is short, until the process ends.
     pub async fn close_stalled_holders(self: Rc<Self>) {
         loop {
--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -1,22 +1,23 @@
-//! The HTTP listener for callers: validates requests, passes them to the ingress and streams the
-//! responses back.
+//! Requests of callers: validates them, passes them to the ingress and streams the responses back.
 //!
 //! Requests that can be rejected with local information alone are rejected here, with a specific
 //! status and before anything is sent to a backend server.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix::Addr;
-use actix_web::body::{BodyStream, SizedStream};
-use actix_web::http::StatusCode;
-use actix_web::http::header::HeaderMap;
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use client_memory::{Charge, MemoryAccount};
 use futures_util::StreamExt;
-use model::{Clock, Millis, Outcome, RequestId, UnknownReason, is_final_status};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, request};
+use http1::BodyError;
+use http1::server::{BrokenOff, RequestBody, ResponseBody, Unserved};
+use mesh::{HolderId, Purpose};
+use model::{Clock, Millis, NotRunReason, Outcome, RequestId, UnknownReason, is_final_status};
 use papayarill_config::{Config, RetrySafety, Service};
-use routing::response::{self, ErrorResponse, OUTCOME_HEADER, RETRY_AFTER_HEADER};
+use routing::response::{self, ErrorResponse, OUTCOME_HEADER};
 use routing::rules::{self, RequestPolicy};
 use routing::target::Target;
 use snafu::{ResultExt, Snafu};
@@ -27,20 +28,18 @@
 use crate::backend::{INTERNAL_HEADER_PREFIX, is_hop_by_hop_header};
 use crate::ingress::{BodyReceiver, CallerRequest, Ingress, RequestResult};
 
-/// The number of threads that parse callers' HTTP requests.
-const WORKER_THREADS: usize = 2;
-
-/// Timeout for receiving the head of a request.
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// The maximum total size of a request's headers, in bytes.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
 
-/// How long an idle connection of a caller is kept open.
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(30);
+/// How many copies of a request's head are in memory at most while it is served.
+const HEAD_COPIES: usize = 4;
 
-/// How long a graceful shutdown waits for responses that are still being sent, in seconds.
-const SHUTDOWN_TIMEOUT_SECONDS: u64 = 30;
+/// How long a caller is held back while other bodies take the memory.
+const MEMORY_WAIT: Duration = Duration::from_millis(200);
 
-/// The maximum total size of a request's headers, in bytes.
-const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// What the process buffers of a response whose caller doesn't read, besides what the connection
+/// has taken, in bytes: the window of a stream of another host, and the parts that wait in order.
+const RESPONSE_BUFFER_BYTES: u64 = 256 << 10;
 
 /// How far the timestamp of a request id may be ahead of this host's wall clock. The request waits
 /// until the lead has passed.
@@ -55,8 +54,7 @@
 /// The response header with the address of the owner's host process.
 const OWNER_HEADER: &str = "papayarill-owner";
 
-/// The state shared with the HTTP worker threads.
-#[derive(Clone)]
+/// What requests of callers need.
 pub struct CallersState {
     /// The configuration in force.
     pub config: watch::Receiver<Arc<Config>>,
@@ -67,6 +65,8 @@
     /// Whether this host is draining. If so, connections are closed after the response, so that
     /// callers reconnect to other hosts.
     pub draining: watch::Receiver<bool>,
+    /// The account of what is held for callers.
+    pub memory: Rc<MemoryAccount>,
 }
 
 /// Why a request was rejected before it reached the ingress.
@@ -95,6 +95,8 @@
     BodyTooLong { limit: u64 },
     #[snafu(display("the body broke off"))]
     IncompleteBody,
+    #[snafu(display("there is no memory for the request"))]
+    NoMemory,
 }
 
 impl RequestError {
@@ -104,87 +106,71 @@
             Self::UnsupportedMethod => 405,
             Self::BodyTooLong { .. } => 413,
             Self::HeadersTooLong => 431,
+            Self::NoMemory => 503,
             _ => 400,
         }
     }
 }
 
-/// Starts the listener.
-pub fn listen(
-    listener: std::net::TcpListener,
-    state: CallersState,
-) -> std::io::Result<actix_web::dev::Server> {
-    let server = HttpServer::new(move || {
-        App::new().app_data(web::Data::new(state.clone())).default_service(web::to(handle))
-    });
-    let server = server
-        .workers(WORKER_THREADS)
-        .tcp_nodelay(true)
-        .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-        .keep_alive(KEEP_ALIVE_TIMEOUT)
-        .shutdown_timeout(SHUTDOWN_TIMEOUT_SECONDS)
-        .disable_signals()
-        .listen(listener)?;
-    Ok(server.run())
-}
-
-async fn handle(
-    req: HttpRequest,
-    body: web::Payload,
-    state: web::Data<CallersState>,
-) -> HttpResponse {
-    let draining = *state.draining.borrow();
-    let mut res = match parse_request(&req, body, &state).await {
-        Ok(request) => send_to_ingress(request, &state).await,
-        Err(error) => malformed_response(&error),
+/// Handles a request on the connection `holder`.
+pub async fn handle(
+    state: &CallersState,
+    holder: HolderId,
+    req: Request<RequestBody>,
+) -> Response<ResponseBody> {
+    let (head, body) = req.into_parts();
+    let head_bytes: usize = head.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
+    let copies = HEAD_COPIES * (head_bytes + head.uri.path().len());
+    // The memory counts as used until the request has ended.
+    let Some(_memory) = state.memory.admit_request(copies as u64) else {
+        return rejection(&RequestError::NoMemory);
     };
-    if draining {
-        res.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+    match parse_request(&head, body, holder, state).await {
+        Ok((request, _body_memory)) => send_to_ingress(request, holder, state).await,
+        Err(error) => rejection(&error),
     }
-    res
 }
 
 /// Validates an HTTP request and converts it to a [`CallerRequest`].
 async fn parse_request(
-    req: &HttpRequest,
-    body: web::Payload,
+    req: &request::Parts,
+    body: RequestBody,
+    holder: HolderId,
     state: &CallersState,
-) -> Result<CallerRequest, RequestError> {
+) -> Result<(CallerRequest, Charge), RequestError> {
     let config = state.config.borrow().clone();
-    let target = req.uri().path_and_query().map_or("/", |t| t.as_str());
+    let target = req.uri.path_and_query().map_or("/", |t| t.as_str());
     let service = config.service(Target::new(target).service);
     let service = service.ok_or(RequestError::UnknownService)?;
-    let method =
-        rules::parse_method(req.method().as_str()).ok_or(RequestError::UnsupportedMethod)?;
+    let method = rules::parse_method(req.method.as_str()).ok_or(RequestError::UnsupportedMethod)?;
     let policy = rules::match_rule(service, method, target);
-    let key = rules::read_key(service, target, |name| {
-        let mut values = req.headers().get_all(name);
-        values.next().map(|v| v.as_bytes())
-    })
-    .context(KeySnafu)?;
-    let id = read_id(req.headers(), &policy)?;
+    let key =
+        rules::read_key(service, target, |name| req.headers.get(name).map(HeaderValue::as_bytes))
+            .context(KeySnafu)?;
+    let id = read_id(&req.headers, &policy)?;
     if let Some(id) = id {
         wait_until_minted(id, &state.wall_clock).await?;
     }
-    let time_limit = read_time_limit(req.headers(), &policy)?;
-    let headers = forwarded_headers(req.headers())?;
-    let body = read_body(body, service.max_body_bytes).await?;
-    let digest = rules::digest(req.method().as_str(), target, key.as_deref(), &body);
+    let time_limit = read_time_limit(&req.headers, &policy)?;
+    let headers = forwarded_headers(&req.headers)?;
+    let (body, body_memory) = read_body(body, holder, service.max_body_bytes, state).await?;
+    let digest = rules::digest(req.method.as_str(), target, key.as_deref(), &body);
     let (disconnect_guard, disconnected) = oneshot::channel();
-    Ok(CallerRequest {
+    let request = CallerRequest {
         service: service.name.clone(),
         partition: request_partition(service, key.as_deref(), id),
         id,
         digest,
         policy,
         time_limit,
-        method: req.method().as_str().to_owned(),
+        method: req.method.as_str().to_owned(),
         target: target.to_owned(),
         headers,
         body,
         disconnect_guard: Some(disconnect_guard),
         disconnected,
-    })
+    };
+    Ok((request, body_memory))
 }
 
 /// Returns the partition that must run a request, if any.
@@ -259,28 +245,37 @@
     Ok(forwarded)
 }
 
-async fn read_body(mut body: web::Payload, limit: u64) -> Result<Bytes, RequestError> {
-    let mut buffer = BytesMut::new();
-    while let Some(chunk) = body.next().await {
-        let chunk = chunk.map_err(|_| RequestError::IncompleteBody)?;
-        let length = buffer.len() + chunk.len();
-        if u64::try_from(length).unwrap_or(u64::MAX) > limit {
-            return BodyTooLongSnafu { limit }.fail();
-        }
-        buffer.extend_from_slice(&chunk);
-    }
-    Ok(buffer.freeze())
+/// Reads the body. Its memory counts as used until the charge is dropped.
+async fn read_body(
+    body: RequestBody,
+    holder: HolderId,
+    limit: u64,
+    state: &CallersState,
+) -> Result<(Bytes, Charge), RequestError> {
+    let max_bytes = usize::try_from(limit).unwrap_or(usize::MAX);
+    let mut room = state.memory.request(holder, Purpose::Body, MEMORY_WAIT);
+    let read = http1::read_body_with_room(body, max_bytes, &mut room).await;
+    let body = read.map_err(|e| match e {
+        BodyError::TooLong { .. } => RequestError::BodyTooLong { limit },
+        BodyError::NoRoom => RequestError::NoMemory,
+        BodyError::Incomplete { .. } => RequestError::IncompleteBody,
+    })?;
+    Ok((body, room.arrived()))
 }
 
 /// Passes the request to the ingress. When the caller disconnects, this future is dropped, which
 /// drops the request's `disconnect_guard` and so cancels the request.
-async fn send_to_ingress(mut request: CallerRequest, state: &CallersState) -> HttpResponse {
+async fn send_to_ingress(
+    mut request: CallerRequest,
+    holder: HolderId,
+    state: &CallersState,
+) -> Response<ResponseBody> {
     let disconnect_guard = request.disconnect_guard.take();
     let sent = state.ingress.send(request).await;
     let res = match sent {
-        Ok(result) => outcome_response(result),
+        Ok(result) => outcome_response(result, holder, state),
         Err(_) => error_response(&response::not_run(
-            model::NotRunReason::Draining,
+            NotRunReason::Draining,
             response::DEFAULT_RETRY_AFTER,
         )),
     };
@@ -288,7 +283,11 @@
     res
 }
 
-fn outcome_response(result: RequestResult) -> HttpResponse {
+fn outcome_response(
+    result: RequestResult,
+    holder: HolderId,
+    state: &CallersState,
+) -> Response<ResponseBody> {
     // Records that a host of an earlier release handed over may hold a status of no response.
     let outcome = match result.outcome {
         Outcome::Ran((head, _)) if !is_final_status(head.status) => {
@@ -296,49 +295,84 @@
         }
         outcome => outcome,
     };
-    match response::for_outcome(&outcome, result.retry_after) {
-        Some(error) => error_response(&error),
-        None => match outcome {
-            Outcome::Ran((head, body)) => backend_response(head, body),
-            _ => HttpResponse::InternalServerError().finish(),
-        },
+    match (response::for_outcome(&outcome, result.retry_after), outcome) {
+        (None, Outcome::Ran((head, body))) => backend_response(head, body, holder, state),
+        (Some(error), outcome) => {
+            let mut res = error_response(&error);
+            if matches!(outcome, Outcome::NotRun(_)) {
+                res.extensions_mut().insert(Unserved);
+            }
+            res
+        }
+        (None, _) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, String::new()),
     }
 }
 
-fn backend_response(head: ResponseHead, body: BodyReceiver) -> HttpResponse {
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut res = HttpResponse::build(status);
-    let mut has_outcome_header = false;
+fn backend_response(
+    head: ResponseHead,
+    body: BodyReceiver,
+    holder: HolderId,
+    state: &CallersState,
+) -> Response<ResponseBody> {
+    let buffered = head.body_length.unwrap_or(u64::MAX).min(RESPONSE_BUFFER_BYTES);
+    let memory = state.memory.hold_buffers(holder, buffered);
+    let chunks = ReceiverStream::new(body).map(move |chunk| {
+        // Moved into the stream, so that it counts until the stream is dropped.
+        let _memory = &memory;
+        chunk.map_err(|_| BrokenOff)
+    });
+    let body = ResponseBody::Stream { length: head.body_length, chunks: Box::pin(chunks) };
+    let mut res = Response::new(body);
+    *res.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in &head.headers {
-        has_outcome_header |= name == OUTCOME_HEADER;
-        res.append_header((name.as_str(), value.as_slice()));
-    }
-    if !has_outcome_header {
-        res.insert_header((OUTCOME_HEADER, "ran"));
+        let name = name.parse::<HeaderName>();
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
+            res.headers_mut().append(name, value);
+        }
     }
-    res.insert_header((OWNER_HEADER, head.owner.to_string()));
-    let body = ReceiverStream::new(body);
-    match head.body_length {
-        Some(length) => res.body(SizedStream::new(length, body)),
-        None => res.body(BodyStream::new(body)),
+    if !res.headers().contains_key(OUTCOME_HEADER) {
+        res.headers_mut().insert(OUTCOME_HEADER, HeaderValue::from_static("ran"));
     }
+    insert_header(&mut res, OWNER_HEADER, &head.owner.to_string());
+    res
 }
 
-fn error_response(error: &ErrorResponse) -> HttpResponse {
+fn error_response(error: &ErrorResponse) -> Response<ResponseBody> {
     let status = StatusCode::from_u16(error.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut res = HttpResponse::build(status);
+    let mut res = plain_response(status, error.reason.clone());
     for (name, value) in error.headers() {
-        res.insert_header((name, value));
+        insert_header(&mut res, name, &value);
+    }
+    res
+}
+
+fn plain_response(status: StatusCode, text: String) -> Response<ResponseBody> {
+    let mut res = Response::new(ResponseBody::Full(text.into()));
+    *res.status_mut() = status;
+    insert_header(&mut res, "content-type", "text/plain; charset=utf-8");
+    res
+}
+
+fn insert_header(res: &mut Response<ResponseBody>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        res.headers_mut().insert(HeaderName::from_static(name), value);
     }
-    res.body(error.reason.clone())
 }
 
-fn malformed_response(error: &RequestError) -> HttpResponse {
-    log::info!("ingress: Rejected a malformed request: {error}.");
-    metrics::counter!("papayarill_requests_malformed_total").increment(1);
-    let response = response::malformed(&error.to_string());
-    let mut res = error_response(&response);
+/// Returns the response to a request that is rejected here.
+fn rejection(error: &RequestError) -> Response<ResponseBody> {
+    log::info!("ingress: Rejected a request: {error}.");
+    let mut res = match error {
+        RequestError::NoMemory => error_response(&response::not_run(
+            NotRunReason::Overloaded,
+            response::DEFAULT_RETRY_AFTER,
+        )),
+        _ => {
+            metrics::counter!("papayarill_requests_malformed_total").increment(1);
+            error_response(&response::malformed(&error.to_string()))
+        }
+    };
     *res.status_mut() = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
-    res.headers_mut().remove(RETRY_AFTER_HEADER);
+    res.extensions_mut().insert(Unserved);
     res
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod announce;
 mod backend;
+mod caller_connections;
 mod callers;
 mod config_watch;
 mod context;
@@ -22,5 +23,7 @@
 mod settings;
 mod start;
 
-pub use settings::{ListenAddresses, Settings, SettingsError, TestSwitches, ValidationErrors};
+pub use settings::{
+    Limits, ListenAddresses, Settings, SettingsError, TestSwitches, ValidationErrors,
+};
 pub use start::{BoundAddresses, DrainHandle, RunningHost, StartError, start};
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -15,6 +15,11 @@
 /// The default address of a listener: any free port on the loopback interface.
 const ANY_PORT: &str = "127.0.0.1:0";
 
+const MIB: u64 = 1 << 20;
+
+/// The range of `limits.memory_mb`. A service may have bodies of 16 MiB.
+const MEMORY_MB: std::ops::RangeInclusive<u64> = 64..=1 << 20;
+
 /// Validated settings of a host process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -30,10 +35,44 @@
     pub listen: ListenAddresses,
     /// The timing parameters of the ownership protocol.
     pub timing: ownership::Timing,
+    /// What the process may hold for callers.
+    pub limits: Limits,
     /// Whether operators may cut the connections to other host processes, for tests.
     pub test_switches: TestSwitches,
 }
 
+/// What a host process may hold for callers.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The memory that the process may use, in MB.
+    pub memory_mb: u64,
+    /// The maximum number of connections of callers. By default half of the descriptors; the rest is
+    /// for the backend server and other hosts.
+    pub caller_connections: Option<usize>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: 128, caller_connections: None }
+    }
+}
+
+impl Limits {
+    /// Returns the memory that everything that is held for callers may take: half of it. The rest is
+    /// for the configuration, request records, other hosts, and holes between buffers.
+    pub fn held_bytes(&self) -> u64 {
+        self.memory_mb * MIB / 2
+    }
+
+    /// Returns the maximum number of connections of callers.
+    pub fn max_caller_connections(&self) -> usize {
+        let descriptors = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let half = descriptors.map(|n| usize::try_from(n / 2).unwrap_or(usize::MAX));
+        self.caller_connections.or(half).unwrap_or(usize::MAX).max(1)
+    }
+}
+
 /// Whether a host process accepts commands that exist only for tests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TestSwitches {
@@ -136,6 +175,8 @@
     #[serde(default)]
     timing: TimingDocument,
     #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
     test_switches: bool,
 }
 
@@ -226,6 +267,7 @@
         let platform = check_address("platform", &document.platform, &mut errors);
         let listen = check_listen(&document.listen, &mut errors);
         let timing = check_timing(document.timing.into(), &mut errors);
+        check_limits(&document.limits, &mut errors);
         ensure!(errors.0.is_empty(), InvalidSnafu { errors });
         Ok(Self {
             zone: ZoneName::from(zone),
@@ -234,6 +276,7 @@
             platform_time_limit: Millis(document.platform_time_limit_ms),
             listen,
             timing,
+            limits: document.limits,
             test_switches: TestSwitches::from(document.test_switches),
         })
     }
@@ -278,3 +321,13 @@
     }
     timing
 }
+
+fn check_limits(limits: &Limits, errors: &mut ValidationErrors) {
+    let Limits { memory_mb, caller_connections } = *limits;
+    if !MEMORY_MB.contains(&memory_mb) {
+        errors.push("limits.memory_mb", memory_mb, "64 to 1048576");
+    }
+    if caller_connections == Some(0) {
+        errors.push("limits.caller_connections", 0, "at least 1");
+    }
+}
--- a/crates/host/src/start.rs
+++ b/crates/host/src/start.rs
@@ -10,6 +10,7 @@
 use actix::Actor;
 use actix_web::dev::ServerHandle;
 use admission::Queue;
+use client_memory::MemoryAccount;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use model::{Clock, HostAddr, Incarnation, Millis, Partition};
 use ownership::{Node, NodeSettings};
@@ -19,6 +20,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::backend::Backend;
+use crate::caller_connections::CallerConnections;
 use crate::callers::CallersState;
 use crate::config_watch::ConfigInForce;
 use crate::context::{Cx, HostContext};
@@ -29,7 +31,7 @@
 use crate::owner::Owner;
 use crate::routes::Routes;
 use crate::settings::Settings;
-use crate::{announce, callers, config_watch, drain, operators, owner, peers, routes};
+use crate::{announce, config_watch, drain, operators, owner, peers, routes};
 
 /// The tick interval of the queue while requests wait in it.
 const BUSY_QUEUE_INTERVAL: Duration = Duration::from_millis(Queue::TICK.0);
@@ -90,6 +92,7 @@
     pub addresses: BoundAddresses,
     cx: Cx,
     hosts: Rc<wire::Server>,
+    callers: CallerConnections,
     servers: Vec<ServerHandle>,
 }
 
@@ -140,12 +143,27 @@
     let hosts =
         wire::serve(listeners.hosts, peers::handlers(&cx, &membership)).context(HostsSnafu)?;
     let hosts = Rc::new(hosts);
-    let servers = start_servers(&cx, &hosts, listeners.http, addresses)?;
+    let http = listeners.http;
+    let callers = listen_for_callers(&cx, http.callers)
+        .context(ListenSnafu { part: "callers", addr: addresses.callers })?;
+    let operators = Operators { cx: cx.clone(), hosts: hosts.clone() }.start();
+    let servers = [
+        announce::listen(http.backend, &cx)
+            .context(ListenSnafu { part: "the backend server", addr: addresses.backend })?,
+        operators::listen(http.operators, operators, metrics_handle())
+            .context(ListenSnafu { part: "operators", addr: addresses.operators })?,
+    ];
+    let servers = servers.into_iter().map(|server| {
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        handle
+    });
+    let servers = servers.collect();
     actix_rt::spawn(routes::refresh_tables(cx.clone()));
     actix_rt::spawn(config_watch::poll(cx.clone()));
     actix_rt::spawn(housekeeping(cx.clone()));
     log::info!("host: Started, {addresses}.");
-    Ok(RunningHost { addresses, cx, hosts, servers })
+    Ok(RunningHost { addresses, cx, hosts, callers, servers })
 }
 
 fn new_context(
@@ -215,35 +233,16 @@
     log::info!("host: Joins the cell {}.", cx.settings.cell);
 }
 
-fn start_servers(
-    cx: &Cx,
-    hosts: &Rc<wire::Server>,
-    listeners: HttpListeners,
-    addresses: BoundAddresses,
-) -> Result<Vec<ServerHandle>, StartError> {
+fn listen_for_callers(cx: &Cx, listener: TcpListener) -> std::io::Result<CallerConnections> {
+    let limits = cx.settings.limits;
     let state = CallersState {
         config: cx.config_updates.subscribe(),
         ingress: Ingress::new(cx.clone()).start(),
         wall_clock: cx.wall_clock.clone(),
         draining: cx.draining_updates.subscribe(),
+        memory: MemoryAccount::new(limits.held_bytes(), cx.boot_clock.clone()),
     };
-    let operators = Operators { cx: cx.clone(), hosts: hosts.clone() }.start();
-    let servers = [
-        callers::listen(listeners.callers, state)
-            .context(ListenSnafu { part: "callers", addr: addresses.callers })?,
-        announce::listen(listeners.backend, cx)
-            .context(ListenSnafu { part: "the backend server", addr: addresses.backend })?,
-        operators::listen(listeners.operators, operators, metrics_handle())
-            .context(ListenSnafu { part: "operators", addr: addresses.operators })?,
-    ];
-    Ok(servers
-        .into_iter()
-        .map(|server| {
-            let handle = server.handle();
-            actix_rt::spawn(server);
-            handle
-        })
-        .collect())
+    CallerConnections::listen(listener, limits.max_caller_connections(), state)
 }
 
 /// Returns the metrics of this OS process, shared by all hosts that run in it.
@@ -298,6 +297,7 @@
     pub async fn stopped(self) {
         self.cx.drain_requested.notified().await;
         drain::wait_until_drained(&self.cx).await;
+        self.callers.stop().await;
         for server in &self.servers {
             server.stop(true).await;
         }
--- a/crates/papayarill/tests/misbehaving_clients/serve.rs
+++ b/crates/papayarill/tests/misbehaving_clients/serve.rs
@@ -1,4 +1,4 @@
-//! `papayarill serve`: bodies of callers that are never complete.
+//! `papayarill serve`: callers that don't finish their requests or don't read the responses.
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 use trial::process::Program;
 use uuid::Uuid;
 
-use crate::crowd::{Behaviour, Crowd, send_and_stall, send_without_end};
+use crate::crowd::{Behaviour, Crowd, send_and_stall, send_without_end, silent};
 use crate::{RUNNING_TEST, WATCH_TIME};
 
 /// The memory of a process by default, as for a sidecar.
@@ -47,6 +47,28 @@
     Box::pin(async move { send_without_end(stream, &[], text.as_bytes()).await })
 }
 
+/// Sends most of a head.
+fn half_head(stream: TcpStream, _: usize) -> LocalBoxFuture<'static, ()> {
+    let text = format!("GET /{SERVICE}/keys/k HTTP/1.1\r\ncookie: {}", "c".repeat(60_000));
+    Box::pin(async move { send_and_stall(stream, text.as_bytes()).await })
+}
+
+/// Requests a long response, and doesn't read it.
+fn unread_response(stream: TcpStream, n: usize) -> LocalBoxFuture<'static, ()> {
+    let text = format!(
+        "GET /{SERVICE}/keys/{n} HTTP/1.1\r\nhost: h.example\r\nstand-in-answer-bytes: 64000000\r\n\r\n"
+    );
+    Box::pin(async move { send_and_stall(stream, text.as_bytes()).await })
+}
+
+/// Requests responses again and again, and doesn't read them.
+fn unread_responses(stream: TcpStream, n: usize) -> LocalBoxFuture<'static, ()> {
+    let text = format!(
+        "GET /{SERVICE}/keys/{n} HTTP/1.1\r\nhost: h.example\r\nstand-in-answer-bytes: 100000\r\n\r\n"
+    );
+    Box::pin(async move { send_without_end(stream, &[], text.as_bytes()).await })
+}
+
 fn memory_mb(host: &Host) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", host.process.id())).unwrap();
     let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
@@ -58,21 +80,15 @@
     http::send(http::client().get(url), Bytes::new()).await.status == 200
 }
 
-/// Guards against uploads that together take more memory than the process may use.
-#[actix_rt::test]
-async fn uploads_to_serve_take_a_bounded_part_of_the_memory() {
+/// Checks that a process stays within its memory, and answers while the crowd is still there.
+async fn assert_bounded(rows: &[(&str, usize, Behaviour)]) {
     let _lock = RUNNING_TEST.lock().await;
     let program = Program(env!("CARGO_BIN_EXE_papayarill").into());
-    let rows: [(&str, Behaviour); 3] = [
-        ("half uploads", half_upload),
-        ("half uploads in chunks", half_chunked_upload),
-        ("unread uploads", unread_uploads),
-    ];
-    for (name, behaviour) in rows {
+    for &(name, clients, behaviour) in rows {
         let mut deployment = start_deployment(&program, &ZONES[..1]).await;
         let host = &mut deployment.hosts[0];
 
-        let _crowd = Crowd::start(host.callers, 300, behaviour);
+        let _crowd = Crowd::start(host.callers, clients, behaviour);
         let watched_until = Instant::now() + WATCH_TIME;
         let mut most = 0;
         while Instant::now() < watched_until {
@@ -87,3 +103,26 @@
         assert!(!deployment.hosts[0].process.has_exited(), "{name}: the process ended");
     }
 }
+
+/// Guards against uploads that together take more memory than the process may use.
+#[actix_rt::test]
+async fn uploads_to_serve_take_a_bounded_part_of_the_memory() {
+    assert_bounded(&[
+        ("half uploads", 300, half_upload),
+        ("half uploads in chunks", 300, half_chunked_upload),
+        ("unread uploads", 300, unread_uploads),
+    ])
+    .await;
+}
+
+/// Guards against connections that together take more memory than the process may use.
+#[actix_rt::test]
+async fn connections_to_serve_take_a_bounded_part_of_the_memory() {
+    assert_bounded(&[
+        ("silent connections", 1_000, silent),
+        ("half heads", 1_000, half_head),
+        ("unread responses", 300, unread_responses),
+        ("unread long responses", 300, unread_response),
+    ])
+    .await;
+}
--- a/crates/sidecar/src/bodies.rs
+++ b/crates/sidecar/src/bodies.rs
@@ -13,10 +13,10 @@
 use tokio::sync::oneshot;
 
 use crate::backend::check_runnable;
-use crate::memory::Charge;
 use crate::rpc;
 use crate::state::Cx;
 use crate::wire::{AnnounceReply, AnnounceRequest, Forward, ForwardReply, NotRun, Outcome};
+use client_memory::Charge;
 
 /// A body of this size or more is announced before it is sent to another host.
 pub const LARGE_BODY_BYTES: usize = 16 << 10;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,7 +17,6 @@
 mod lifecycle;
 mod listeners;
 mod log_writer;
-mod memory;
 mod relay;
 mod renewals;
 mod response;
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -22,9 +22,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::memory::{Connection, ConnectionGroup};
 use crate::state::{Connections, Cx, WritingGuard};
 use crate::{cold_start, departures, ingress};
+use client_memory::{Connection, ConnectionGroup};
 
 /// The largest heartbeat, in bytes: all keys of a service in short ranges.
 const MAX_HEARTBEAT_BYTES: usize = 1 << 20;
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -24,13 +24,13 @@
 
 use crate::backend::{Origin, RESPONSE_WAIT};
 use crate::bodies::TransferGuard;
-use crate::memory::Connection;
 use crate::state::{Cx, WritingGuard};
 use crate::wire::{
     Forward, ForwardExtension, ForwardReply, ForwardReplyExtension, Message, NotRun, Outcome,
     decode, decode_extended, encode, encode_extended,
 };
 use crate::{backend, bodies, key_ownership, listeners, relay, renewals};
+use client_memory::Connection;
 
 /// Connect timeout. The longest round trip between regions takes 60 ms; a longer wait would cost
 /// the caller more than trying another host.
@@ -158,7 +158,7 @@
     extension: ForwardExtension,
     body: &Bytes,
 ) -> (ForwardReply, Bytes) {
-    // There must be room for the part of the reply that nobody asks about.
+    // What fits into the window of the stream arrives without being asked for.
     let Some(_window) = cx.memory.admit_request(REPLY_WINDOW_BYTES.into()) else {
         return (not_run(NotRun::NoRoom), Bytes::new());
     };
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -17,11 +17,11 @@
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::memory::{ConnectionGroup, MemoryAccount};
 use crate::renewals::Renewals;
 use crate::rpc::HostConnections;
 use crate::settings::{Limits, Settings};
 use crate::wire::Forward;
+use client_memory::{ConnectionGroup, MemoryAccount};
 
 /// The mutable state of the process.
 pub struct State {
