Count what papayarill serve holds for its backend server and operators

Seen: 1,000 clients that send 120 KB of a head to the operators' address brought papayarill serve to 141 of 128 MB.

Cause: as for callers, actix-web buffers up to 128 KB of input a connection, and nothing limited the number of connections to these addresses.

Change: announcements and operators are served by http1::server as well, with the account of the callers and 4 to 32 connections for each address, as for the sidecar. Both are handled on the host's thread, without a channel or an actor in between.

--- a/crates/client-memory/src/lib.rs
+++ b/crates/client-memory/src/lib.rs
@@ -27,6 +27,23 @@
 /// The same for a connection of another host, which has buffers for HTTP/2 frames.
 const HOST_CONNECTION_BYTES: u64 = 32 << 10;
 
+/// The fraction of the descriptors that connections to an address with few clients may take, and the
+/// bounds on their number. They send a request a second.
+const OTHER_DESCRIPTOR_SHARE: f64 = 1.0 / 32.0;
+const OTHER_CONNECTIONS: (usize, usize) = (4, 32);
+
+/// Returns how many descriptors the process may have, if these are limited.
+pub fn max_descriptors() -> Option<u64> {
+    rustix::process::getrlimit(rustix::process::Resource::Nofile).current
+}
+
+/// Returns the maximum number of connections to an address other than those for callers and hosts.
+pub fn max_other_connections(descriptors: Option<u64>) -> usize {
+    let (min, max) = OTHER_CONNECTIONS;
+    let share = descriptors.map(|n| (n as f64 * OTHER_DESCRIPTOR_SHARE) as usize);
+    share.unwrap_or(max).clamp(min, max)
+}
+
 /// A buffer of this size or more takes pages of its own, which return to the system with it.
 const LARGE_BUFFER_BYTES: u64 = 1 << 20;
 
--- a/crates/host/src/announce.rs
+++ b/crates/host/src/announce.rs
@@ -1,57 +1,58 @@
 //! The HTTP listener on which the local backend server announces itself.
 
-use actix_web::{App, HttpResponse, HttpServer, web};
-use model::ServiceName;
-use tokio::sync::mpsc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http1::BodyError;
+use http1::server::{RequestBody, ResponseBody};
+use mesh::{HolderId, Purpose};
 
 use crate::backend::{Announcement, BackendChange};
 use crate::context::Cx;
+use crate::listener::plain_response;
 use crate::owner;
 
 /// The maximum size of an announcement, in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 4_096;
 
-/// How many announcements the channel to the host thread buffers.
-const ANNOUNCEMENT_QUEUE_CAPACITY: usize = 16;
-
-#[derive(Clone)]
-struct AnnounceState {
-    service: ServiceName,
-    tx: mpsc::Sender<Announcement>,
-}
-
-/// Starts the listener and a task that processes the announcements.
-pub fn listen(listener: std::net::TcpListener, cx: &Cx) -> std::io::Result<actix_web::dev::Server> {
-    let (tx, rx) = mpsc::channel(ANNOUNCEMENT_QUEUE_CAPACITY);
-    actix_rt::spawn(process_announcements(cx.clone(), rx));
-    let state = AnnounceState { service: cx.settings.cell.service.clone(), tx };
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(web::Data::new(state.clone()))
-            .app_data(web::JsonConfig::default().limit(MAX_ANNOUNCEMENT_BYTES))
-            .route("/announce", web::post().to(announce))
-    });
-    Ok(server.workers(1).disable_signals().listen(listener)?.run())
-}
-
-async fn announce(body: web::Json<Announcement>, state: web::Data<AnnounceState>) -> HttpResponse {
-    let announcement = body.into_inner();
-    if announcement.service != state.service.as_str() {
-        let reason =
-            format!("found the service {:?}, expected {}", announcement.service, state.service);
-        return HttpResponse::UnprocessableEntity().body(reason);
+/// Handles a request of the backend server.
+pub async fn handle(
+    cx: &Cx,
+    holder: HolderId,
+    req: Request<RequestBody>,
+) -> Response<ResponseBody> {
+    let (head, body) = req.into_parts();
+    match (head.uri.path(), head.method) {
+        ("/announce", Method::POST) => {}
+        ("/announce", _) => return plain_response(StatusCode::METHOD_NOT_ALLOWED, ""),
+        _ => return plain_response(StatusCode::NOT_FOUND, ""),
     }
-    match state.tx.send(announcement).await {
-        Ok(()) => HttpResponse::NoContent().finish(),
-        Err(_) => HttpResponse::ServiceUnavailable().body("the host process is stopping"),
+    // Announcements matter more than new requests.
+    let mut room = cx.memory.request(holder, Purpose::Control, Duration::ZERO);
+    match http1::read_body_with_room(body, MAX_ANNOUNCEMENT_BYTES, &mut room).await {
+        Ok(body) => announce(cx, &body),
+        Err(BodyError::TooLong { .. }) => plain_response(StatusCode::PAYLOAD_TOO_LARGE, ""),
+        Err(BodyError::NoRoom) => plain_response(StatusCode::SERVICE_UNAVAILABLE, "no memory"),
+        Err(e @ BodyError::Incomplete { .. }) => {
+            plain_response(StatusCode::BAD_REQUEST, e.to_string())
+        }
     }
 }
 
-async fn process_announcements(cx: Cx, mut rx: mpsc::Receiver<Announcement>) {
-    while let Some(announcement) = rx.recv().await {
-        let change = cx.backend.record_announcement(&announcement, cx.now());
-        owner::apply_announcement(&cx, change);
+fn announce(cx: &Cx, body: &Bytes) -> Response<ResponseBody> {
+    let announcement: Announcement = match serde_json::from_slice(body) {
+        Ok(announcement) => announcement,
+        Err(e) => return plain_response(StatusCode::BAD_REQUEST, e.to_string()),
+    };
+    let service = &cx.settings.cell.service;
+    if announcement.service != service.as_str() {
+        let reason = format!("found the service {:?}, expected {service}", announcement.service);
+        return plain_response(StatusCode::UNPROCESSABLE_ENTITY, reason);
     }
+    let change = cx.backend.record_announcement(&announcement, cx.now());
+    owner::apply_announcement(cx, change);
+    plain_response(StatusCode::NO_CONTENT, "")
 }
 
 /// Marks the backend server as down if its announcements have stopped.
--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -27,6 +27,7 @@
 
 use crate::backend::{INTERNAL_HEADER_PREFIX, is_hop_by_hop_header};
 use crate::ingress::{BodyReceiver, CallerRequest, Ingress, RequestResult};
+use crate::listener::plain_response;
 
 /// The maximum total size of a request's headers, in bytes.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
@@ -62,9 +63,6 @@
     pub ingress: Addr<Ingress>,
     /// The wall clock.
     pub wall_clock: Clock,
-    /// Whether this host is draining. If so, connections are closed after the response, so that
-    /// callers reconnect to other hosts.
-    pub draining: watch::Receiver<bool>,
     /// The account of what is held for callers.
     pub memory: Rc<MemoryAccount>,
 }
@@ -304,7 +302,7 @@
             }
             res
         }
-        (None, _) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, String::new()),
+        (None, _) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, ""),
     }
 }
 
@@ -346,13 +344,6 @@
     res
 }
 
-fn plain_response(status: StatusCode, text: String) -> Response<ResponseBody> {
-    let mut res = Response::new(ResponseBody::Full(text.into()));
-    *res.status_mut() = status;
-    insert_header(&mut res, "content-type", "text/plain; charset=utf-8");
-    res
-}
-
 fn insert_header(res: &mut Response<ResponseBody>, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         res.headers_mut().insert(HeaderName::from_static(name), value);
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use client_memory::MemoryAccount;
 use model::{Clock, ConfigVersion, HostAddr, Incarnation, Millis, Partition, ServiceName};
 use ownership::{Event, Node};
 use papayarill_config::{Config, Service};
@@ -49,6 +50,8 @@
     pub client: wire::Client,
     /// The client for the platform.
     pub platform: PlatformClient,
+    /// The account of what is held for clients.
+    pub memory: Rc<MemoryAccount>,
     /// The last ownership decisions.
     pub decisions: DecisionLog,
     /// Sends events to the membership actor.
@@ -59,9 +62,9 @@
     pub drain_requested: Notify,
     /// Notified when this host no longer owns any partition.
     pub drained: Notify,
-    /// Publishes to the HTTP threads whether this host is draining.
+    /// Publishes to the connections whether this host is draining.
     pub draining_updates: watch::Sender<bool>,
-    /// Publishes the configuration to the HTTP threads.
+    /// Publishes the configuration to the connections.
     pub config_updates: watch::Sender<Arc<Config>>,
 }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,13 +8,13 @@
 
 mod announce;
 mod backend;
-mod caller_connections;
 mod callers;
 mod config_watch;
 mod context;
 mod decisions;
 mod drain;
 mod ingress;
+mod listener;
 mod membership;
 pub mod operators;
 mod owner;
--- a/crates/host/src/caller_connections.rs
+++ b/crates/host/src/listener.rs
@@ -1,22 +1,23 @@
-//! The connections of callers: which are accepted, what they may hold, and how they end.
+//! The HTTP/1.1 listeners: which connections are accepted, what they may hold, and how they end.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use client_memory::{Connection, ConnectionGroup};
-use http1::server::{self, HeldBytes, MemoryFreed, Policy};
-use mesh::HolderKind;
+use bytes::Bytes;
+use client_memory::{Connection, ConnectionGroup, MemoryAccount};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http1::server::{self, HeldBytes, MemoryFreed, Policy, RequestBody, ResponseBody};
+use mesh::{HolderId, HolderKind};
 use model::Millis;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::callers::{CallersState, handle};
-
 /// How long an idle connection is kept open, and how long the head of a request may take.
 const IDLE_TIMEOUT: Millis = Millis(30_000);
 
-/// Callers must acknowledge written bytes within this time.
+/// Clients must acknowledge written bytes within this time.
 const TCP_USER_TIMEOUT: Millis = Millis(10_000);
 
 /// Idle connections are probed after this time.
@@ -28,28 +29,43 @@
 /// How long a stop waits for responses that are still being sent.
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The listener for callers.
-pub struct CallerConnections {
+/// What a listener serves.
+pub struct ListenerOptions {
+    /// What its clients are called in the log.
+    pub name: &'static str,
+    /// Beyond this number, the connection that has been idle longest is closed.
+    pub max_connections: usize,
+    /// The account of what is held for the clients.
+    pub memory: Rc<MemoryAccount>,
+    /// Whether connections close after the response in progress.
+    pub draining: watch::Receiver<bool>,
+}
+
+/// A listener that accepts connections.
+pub struct Listener {
+    name: &'static str,
     stop: watch::Sender<bool>,
     open: watch::Receiver<usize>,
 }
 
-impl CallerConnections {
-    /// Serves the callers that connect to `listener`.
-    pub fn listen(
+impl Listener {
+    /// Serves requests on all connections to `listener` with `handler`.
+    pub fn start<F, R>(
         listener: std::net::TcpListener,
-        max_connections: usize,
-        state: CallersState,
-    ) -> std::io::Result<Self> {
+        options: ListenerOptions,
+        handler: F,
+    ) -> std::io::Result<Self>
+    where
+        F: Fn(HolderId, Request<RequestBody>) -> R + 'static,
+        R: Future<Output = Response<ResponseBody>> + 'static,
+    {
         listener.set_nonblocking(true)?;
         let listener = TcpListener::from_std(listener)?;
-        let memory = &state.memory;
-        let group = ConnectionGroup::new(memory, "callers", HolderKind::Client, max_connections);
         let (stop, stopping) = watch::channel(false);
         let (opened, open) = watch::channel(0);
-        actix_rt::spawn(state.memory.clone().close_stalled_holders());
-        actix_rt::spawn(accept_connections(listener, group, Rc::new(state), stopping, opened));
-        Ok(Self { stop, open })
+        let name = options.name;
+        actix_rt::spawn(accept_connections(listener, options, Rc::new(handler), stopping, opened));
+        Ok(Self { name, stop, open })
     }
 
     /// Accepts no further connections, and waits until the others have ended.
@@ -58,18 +74,23 @@
         let mut open = self.open.clone();
         let ended = timeout(STOP_TIMEOUT, open.wait_for(|open| *open == 0)).await.is_ok();
         if !ended {
-            log::warn!("ingress: {} connections of callers are cut.", *self.open.borrow());
+            log::warn!("host: {} connections of {} are cut.", *self.open.borrow(), self.name);
         }
     }
 }
 
-async fn accept_connections(
+async fn accept_connections<F, R>(
     listener: TcpListener,
-    group: ConnectionGroup,
-    state: Rc<CallersState>,
+    options: ListenerOptions,
+    handler: Rc<F>,
     mut stopping: watch::Receiver<bool>,
     opened: watch::Sender<usize>,
-) {
+) where
+    F: Fn(HolderId, Request<RequestBody>) -> R + 'static,
+    R: Future<Output = Response<ResponseBody>> + 'static,
+{
+    let ListenerOptions { name, max_connections, memory, draining } = options;
+    let group = ConnectionGroup::new(&memory, name, HolderKind::Client, max_connections);
     let opened = Rc::new(opened);
     loop {
         let accepted = tokio::select! {
@@ -84,14 +105,15 @@
             Ok(stream) => {
                 let Some(connection) = group.add().await else { continue };
                 let open = OpenGuard::new(&opened);
-                let served = serve(stream, connection, state.clone(), stopping.clone());
-                state.memory.spawn(async move {
+                let policy = ConnectionPolicy { connection, draining: draining.clone() };
+                let served = serve(stream, policy, handler.clone(), stopping.clone());
+                memory.spawn(async move {
                     served.await;
                     drop(open);
                 });
             }
             Err(e) => {
-                log::warn!("ingress: Accepting a connection failed: {e}.");
+                log::warn!("host: Accepting a connection of {name} failed: {e}.");
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -114,22 +136,25 @@
     }
 }
 
-async fn serve(
+async fn serve<F, R>(
     stream: TcpStream,
-    connection: Connection,
-    state: Rc<CallersState>,
+    policy: ConnectionPolicy,
+    handler: Rc<F>,
     mut stopping: watch::Receiver<bool>,
-) {
+) where
+    F: Fn(HolderId, Request<RequestBody>) -> R,
+    R: Future<Output = Response<ResponseBody>>,
+{
     let settings = server::Settings { head_timeout: IDLE_TIMEOUT, ..server::Settings::default() };
-    let (holder, closed, requests) = (connection.id(), connection.closed(), connection.requests());
-    let policy = CallerPolicy { connection, draining: state.draining.clone() };
+    let (holder, closed) = (policy.connection.id(), policy.connection.closed());
+    let requests = policy.connection.requests();
     let handler = move |req| {
         let request = requests.start();
-        let state = state.clone();
-        async move { (handle(&state, holder, req).await, request) }
+        let response = handler(holder, req);
+        async move { (response.await, request) }
     };
     let close = async {
-        // The sender lives as long as the process, as far as callers are concerned.
+        // An error means that the listener is gone, so the connection closes as well.
         let _ = stopping.wait_for(|stopping| *stopping).await;
     };
     tokio::select! {
@@ -138,12 +163,12 @@
     }
 }
 
-struct CallerPolicy {
+struct ConnectionPolicy {
     connection: Connection,
     draining: watch::Receiver<bool>,
 }
 
-impl Policy for CallerPolicy {
+impl Policy for ConnectionPolicy {
     fn may_start_early(&self, _: &http::request::Parts) -> bool {
         false
     }
@@ -164,3 +189,12 @@
         self.connection.is_memory_short()
     }
 }
+
+/// Returns a response with a text.
+pub fn plain_response(status: StatusCode, text: impl Into<Bytes>) -> Response<ResponseBody> {
+    let mut res = Response::new(ResponseBody::Full(text.into()));
+    *res.status_mut() = status;
+    let content_type = HeaderValue::from_static("text/plain; charset=utf-8");
+    res.headers_mut().insert(CONTENT_TYPE, content_type);
+    res
+}
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -2,9 +2,14 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-
-use actix::{Actor, Addr, Context, Handler, Message};
-use actix_web::{App, HttpResponse, HttpServer, web};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http1::BodyError;
+use http1::server::{RequestBody, ResponseBody};
+use mesh::{HolderId, Purpose};
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::{Fence, HostAddr, Incarnation, Partition, Session};
 use ownership::Event;
@@ -14,18 +19,24 @@
 
 use crate::context::Cx;
 use crate::decisions::RecordedDecision;
+use crate::listener::plain_response;
 use crate::settings::TestSwitches;
 use crate::{drain, owner, routes};
 
 /// The maximum number of decisions in an explanation.
 const MAX_EXPLAINED_DECISIONS: usize = 20;
 
-/// The actor that handles operators' queries and commands on the host thread.
+/// The maximum size of the body of a command, in bytes.
+const MAX_COMMAND_BYTES: usize = 1 << 20;
+
+/// Handles operators' queries and commands.
 pub struct Operators {
     /// The context of the host process.
     pub cx: Cx,
     /// The server for other host processes.
     pub hosts: Rc<wire::Server>,
+    /// The metrics of this OS process.
+    pub metrics: Arc<PrometheusHandle>,
 }
 
 impl Operators {
@@ -40,21 +51,6 @@
     }
 }
 
-impl Actor for Operators {
-    type Context = Context<Self>;
-}
-
-/// Requests the state of this host process.
-pub struct GetStatus;
-
-impl Message for GetStatus {
-    type Result = OperatorReply<Status>;
-}
-
-/// The reply of the [`Operators`] actor to a message.
-#[derive(actix::MessageResponse)]
-pub struct OperatorReply<T: 'static>(pub T);
-
 /// The state of one host process, as `/status` returns it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
@@ -138,10 +134,6 @@
     pub key: String,
 }
 
-impl Message for ExplainQuery {
-    type Result = OperatorReply<Result<Explanation, String>>;
-}
-
 /// The owner of a key, and this host's last decisions about its partition.
 #[derive(Clone, Debug, Serialize)]
 pub struct Explanation {
@@ -162,51 +154,6 @@
     pub decisions: Vec<RecordedDecision>,
 }
 
-/// A command from an operator.
-pub enum OperatorCommand {
-    /// Drain this host and stop it.
-    Drain,
-    /// Treat these sessions as permanently dead.
-    DeclareDead(Vec<Session>),
-    /// Allow the quarantined request with this digest to run again.
-    LiftQuarantine(u64),
-    /// Cut the connections to other host processes, or restore them; only for tests.
-    Cut(BlockedPeers),
-}
-
-impl Message for OperatorCommand {
-    type Result = ();
-}
-
-impl Handler<GetStatus> for Operators {
-    type Result = OperatorReply<Status>;
-
-    fn handle(&mut self, _: GetStatus, _: &mut Self::Context) -> OperatorReply<Status> {
-        OperatorReply(status(&self.cx))
-    }
-}
-
-impl Handler<ExplainQuery> for Operators {
-    type Result = OperatorReply<Result<Explanation, String>>;
-
-    fn handle(&mut self, query: ExplainQuery, _: &mut Self::Context) -> Self::Result {
-        OperatorReply(explain(&self.cx, query))
-    }
-}
-
-impl Handler<OperatorCommand> for Operators {
-    type Result = ();
-
-    fn handle(&mut self, command: OperatorCommand, _: &mut Self::Context) {
-        match command {
-            OperatorCommand::Drain => drain::begin(&self.cx),
-            OperatorCommand::DeclareDead(sessions) => self.cx.feed(Event::DeclaredDead(sessions)),
-            OperatorCommand::Cut(cut) => self.cut(cut),
-            OperatorCommand::LiftQuarantine(digest) => owner::lift_quarantine(&self.cx, digest),
-        }
-    }
-}
-
 fn status(cx: &Cx) -> Status {
     let node = cx.node.borrow();
     let now = cx.now();
@@ -275,81 +222,103 @@
     })
 }
 
-#[derive(Clone)]
-struct OperatorsState {
-    operators: Addr<Operators>,
-    metrics: Arc<PrometheusHandle>,
-}
-
-/// Starts the listener.
-pub fn listen(
-    listener: std::net::TcpListener,
-    operators: Addr<Operators>,
-    metrics: Arc<PrometheusHandle>,
-) -> std::io::Result<actix_web::dev::Server> {
-    let state = OperatorsState { operators, metrics };
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(web::Data::new(state.clone()))
-            .route("/metrics", web::get().to(get_metrics))
-            .route("/healthz", web::get().to(get_health))
-            .route("/status", web::get().to(get_status))
-            .route("/explain", web::get().to(get_explanation))
-            .route("/drain", web::post().to(post_drain))
-            .route("/cut", web::post().to(post_cut))
-            .route("/cut", web::delete().to(delete_cut))
-            .route("/declare-dead", web::post().to(post_declare_dead))
-            .route("/quarantine/{digest}", web::delete().to(delete_quarantine))
-    });
-    Ok(server.workers(1).disable_signals().listen(listener)?.run())
-}
+impl Operators {
+    /// Handles a request of an operator.
+    pub async fn handle(
+        &self,
+        holder: HolderId,
+        req: Request<RequestBody>,
+    ) -> Response<ResponseBody> {
+        let (head, body) = req.into_parts();
+        match (head.uri.path(), &head.method) {
+            ("/metrics", &Method::GET) => self.metrics(holder),
+            ("/healthz", &Method::GET) => self.health(),
+            ("/status", &Method::GET) => json_response(&status(&self.cx)),
+            ("/explain", &Method::GET) => self.explanation(head.uri.query().unwrap_or("")),
+            ("/drain", &Method::POST) => {
+                drain::begin(&self.cx);
+                accepted()
+            }
+            ("/cut", &Method::POST) => {
+                self.cut(BlockedPeers::All);
+                accepted()
+            }
+            ("/cut", &Method::DELETE) => {
+                self.cut(BlockedPeers::None);
+                accepted()
+            }
+            ("/declare-dead", &Method::POST) => self.declare_dead(holder, body).await,
+            (path, method) => match path.strip_prefix("/quarantine/") {
+                Some(digest) if method == Method::DELETE => self.lift_quarantine(digest),
+                None if !PATHS.contains(&path) => plain_response(StatusCode::NOT_FOUND, ""),
+                _ => plain_response(StatusCode::METHOD_NOT_ALLOWED, ""),
+            },
+        }
+    }
 
-async fn get_metrics(state: web::Data<OperatorsState>) -> HttpResponse {
-    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(state.metrics.render())
-}
+    fn metrics(&self, holder: HolderId) -> Response<ResponseBody> {
+        let text = self.cx.memory.hold(holder, Bytes::from(self.metrics.render()));
+        let mut res = plain_response(StatusCode::OK, text);
+        let content_type = HeaderValue::from_static("text/plain; version=0.0.4");
+        res.headers_mut().insert(CONTENT_TYPE, content_type);
+        res
+    }
 
-async fn get_health(state: web::Data<OperatorsState>) -> HttpResponse {
-    match state.operators.send(GetStatus).await {
-        Ok(OperatorReply(status)) if status.lease_left_ms.is_some() => {
-            HttpResponse::Ok().body("ok")
+    fn health(&self) -> Response<ResponseBody> {
+        match status(&self.cx).lease_left_ms {
+            Some(_) => plain_response(StatusCode::OK, "ok"),
+            None => plain_response(StatusCode::SERVICE_UNAVAILABLE, "no lease"),
         }
-        Ok(_) => HttpResponse::ServiceUnavailable().body("no lease"),
-        Err(_) => HttpResponse::ServiceUnavailable().body("stopping"),
     }
-}
 
-async fn get_status(state: web::Data<OperatorsState>) -> HttpResponse {
-    match state.operators.send(GetStatus).await {
-        Ok(OperatorReply(status)) => HttpResponse::Ok().json(status),
-        Err(_) => HttpResponse::ServiceUnavailable().body("stopping"),
+    fn explanation(&self, query: &str) -> Response<ResponseBody> {
+        match serde_urlencoded::from_str(query).map(|query| explain(&self.cx, query)) {
+            Ok(Ok(explanation)) => json_response(&explanation),
+            Ok(Err(reason)) => plain_response(StatusCode::NOT_FOUND, reason),
+            Err(e) => plain_response(StatusCode::BAD_REQUEST, e.to_string()),
+        }
     }
-}
 
-async fn get_explanation(
-    query: web::Query<ExplainQuery>,
-    state: web::Data<OperatorsState>,
-) -> HttpResponse {
-    match state.operators.send(query.into_inner()).await {
-        Ok(OperatorReply(Ok(explanation))) => HttpResponse::Ok().json(explanation),
-        Ok(OperatorReply(Err(reason))) => HttpResponse::NotFound().body(reason),
-        Err(_) => HttpResponse::ServiceUnavailable().body("stopping"),
+    async fn declare_dead(&self, holder: HolderId, body: RequestBody) -> Response<ResponseBody> {
+        let mut room = self.cx.memory.request(holder, Purpose::Control, Duration::ZERO);
+        let read = http1::read_body_with_room(body, MAX_COMMAND_BYTES, &mut room).await;
+        let body = match read {
+            Ok(body) => body,
+            Err(e) => {
+                let status = match e {
+                    BodyError::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+                    BodyError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+                    BodyError::Incomplete { .. } => StatusCode::BAD_REQUEST,
+                };
+                return plain_response(status, e.to_string());
+            }
+        };
+        let dead: DeadSessions = match serde_json::from_slice(&body) {
+            Ok(dead) => dead,
+            Err(e) => return plain_response(StatusCode::BAD_REQUEST, e.to_string()),
+        };
+        let parsed: Option<Vec<Session>> = dead.sessions.iter().map(|s| parse_session(s)).collect();
+        let Some(sessions) = parsed else {
+            let reason = "expected sessions such as 1f00c0de.1";
+            return plain_response(StatusCode::BAD_REQUEST, reason);
+        };
+        self.cx.feed(Event::DeclaredDead(sessions));
+        accepted()
     }
-}
-
-async fn post_drain(state: web::Data<OperatorsState>) -> HttpResponse {
-    state.operators.do_send(OperatorCommand::Drain);
-    HttpResponse::Accepted().finish()
-}
 
-async fn post_cut(state: web::Data<OperatorsState>) -> HttpResponse {
-    state.operators.do_send(OperatorCommand::Cut(BlockedPeers::All));
-    HttpResponse::Accepted().finish()
+    fn lift_quarantine(&self, digest: &str) -> Response<ResponseBody> {
+        let Ok(digest) = u64::from_str_radix(digest, 16) else {
+            let reason = "expected a digest in hexadecimal";
+            return plain_response(StatusCode::BAD_REQUEST, reason);
+        };
+        owner::lift_quarantine(&self.cx, digest);
+        accepted()
+    }
 }
 
-async fn delete_cut(state: web::Data<OperatorsState>) -> HttpResponse {
-    state.operators.do_send(OperatorCommand::Cut(BlockedPeers::None));
-    HttpResponse::Accepted().finish()
-}
+/// The paths of all requests but those to lift a quarantine.
+const PATHS: [&str; 7] =
+    ["/metrics", "/healthz", "/status", "/explain", "/drain", "/cut", "/declare-dead"];
 
 /// Sessions in the text form that `status` prints.
 #[derive(Deserialize)]
@@ -357,31 +326,24 @@
     sessions: Vec<String>,
 }
 
-async fn post_declare_dead(
-    body: web::Json<DeadSessions>,
-    state: web::Data<OperatorsState>,
-) -> HttpResponse {
-    let parsed: Option<Vec<Session>> = body.sessions.iter().map(|s| parse_session(s)).collect();
-    let Some(sessions) = parsed else {
-        return HttpResponse::BadRequest().body("expected sessions such as 1f00c0de.1");
-    };
-    state.operators.do_send(OperatorCommand::DeclareDead(sessions));
-    HttpResponse::Accepted().finish()
-}
-
 fn parse_session(text: &str) -> Option<Session> {
     let (incarnation, number) = text.split_once('.')?;
     let incarnation = Incarnation(u64::from_str_radix(incarnation, 16).ok()?);
     Some(Session { incarnation, number: number.parse().ok()? })
 }
 
-async fn delete_quarantine(
-    digest: web::Path<String>,
-    state: web::Data<OperatorsState>,
-) -> HttpResponse {
-    let Ok(digest) = u64::from_str_radix(&digest, 16) else {
-        return HttpResponse::BadRequest().body("expected a digest in hexadecimal");
-    };
-    state.operators.do_send(OperatorCommand::LiftQuarantine(digest));
-    HttpResponse::Accepted().finish()
+fn accepted() -> Response<ResponseBody> {
+    plain_response(StatusCode::ACCEPTED, "")
+}
+
+fn json_response(value: &impl Serialize) -> Response<ResponseBody> {
+    match serde_json::to_vec(value) {
+        Ok(json) => {
+            let mut res = plain_response(StatusCode::OK, json);
+            let content_type = HeaderValue::from_static("application/json");
+            res.headers_mut().insert(CONTENT_TYPE, content_type);
+            res
+        }
+        Err(e) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    }
 }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -67,8 +67,8 @@
 
     /// Returns the maximum number of connections of callers.
     pub fn max_caller_connections(&self) -> usize {
-        let descriptors = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
-        let half = descriptors.map(|n| usize::try_from(n / 2).unwrap_or(usize::MAX));
+        let half =
+            client_memory::max_descriptors().map(|n| usize::try_from(n / 2).unwrap_or(usize::MAX));
         self.caller_connections.or(half).unwrap_or(usize::MAX).max(1)
     }
 }
--- a/crates/host/src/start.rs
+++ b/crates/host/src/start.rs
@@ -8,9 +8,8 @@
 use std::time::Duration;
 
 use actix::Actor;
-use actix_web::dev::ServerHandle;
 use admission::Queue;
-use client_memory::MemoryAccount;
+use client_memory::{MemoryAccount, max_descriptors, max_other_connections};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use model::{Clock, HostAddr, Incarnation, Millis, Partition};
 use ownership::{Node, NodeSettings};
@@ -20,18 +19,18 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::backend::Backend;
-use crate::caller_connections::CallerConnections;
 use crate::callers::CallersState;
 use crate::config_watch::ConfigInForce;
 use crate::context::{Cx, HostContext};
 use crate::decisions::DecisionLog;
 use crate::ingress::Ingress;
+use crate::listener::{Listener, ListenerOptions};
 use crate::membership::Membership;
 use crate::operators::Operators;
 use crate::owner::Owner;
 use crate::routes::Routes;
 use crate::settings::Settings;
-use crate::{announce, config_watch, drain, operators, owner, peers, routes};
+use crate::{announce, callers, config_watch, drain, owner, peers, routes};
 
 /// The tick interval of the queue while requests wait in it.
 const BUSY_QUEUE_INTERVAL: Duration = Duration::from_millis(Queue::TICK.0);
@@ -92,8 +91,7 @@
     pub addresses: BoundAddresses,
     cx: Cx,
     hosts: Rc<wire::Server>,
-    callers: CallerConnections,
-    servers: Vec<ServerHandle>,
+    listeners: [Listener; 3],
 }
 
 struct Listeners {
@@ -143,27 +141,13 @@
     let hosts =
         wire::serve(listeners.hosts, peers::handlers(&cx, &membership)).context(HostsSnafu)?;
     let hosts = Rc::new(hosts);
-    let http = listeners.http;
-    let callers = listen_for_callers(&cx, http.callers)
-        .context(ListenSnafu { part: "callers", addr: addresses.callers })?;
-    let operators = Operators { cx: cx.clone(), hosts: hosts.clone() }.start();
-    let servers = [
-        announce::listen(http.backend, &cx)
-            .context(ListenSnafu { part: "the backend server", addr: addresses.backend })?,
-        operators::listen(http.operators, operators, metrics_handle())
-            .context(ListenSnafu { part: "operators", addr: addresses.operators })?,
-    ];
-    let servers = servers.into_iter().map(|server| {
-        let handle = server.handle();
-        actix_rt::spawn(server);
-        handle
-    });
-    let servers = servers.collect();
+    let listeners = start_listeners(&cx, &hosts, listeners.http, addresses)?;
+    actix_rt::spawn(cx.memory.clone().close_stalled_holders());
     actix_rt::spawn(routes::refresh_tables(cx.clone()));
     actix_rt::spawn(config_watch::poll(cx.clone()));
     actix_rt::spawn(housekeeping(cx.clone()));
     log::info!("host: Started, {addresses}.");
-    Ok(RunningHost { addresses, cx, hosts, callers, servers })
+    Ok(RunningHost { addresses, cx, hosts, listeners })
 }
 
 fn new_context(
@@ -188,6 +172,7 @@
         routes: Routes::new(),
         client: wire::Client::new(wire::ClientSettings::default()),
         platform,
+        memory: MemoryAccount::new(settings.limits.held_bytes(), Clock::boot()),
         decisions: DecisionLog::default(),
         events,
         draining: Cell::new(false),
@@ -233,16 +218,48 @@
     log::info!("host: Joins the cell {}.", cx.settings.cell);
 }
 
-fn listen_for_callers(cx: &Cx, listener: TcpListener) -> std::io::Result<CallerConnections> {
-    let limits = cx.settings.limits;
-    let state = CallersState {
+fn start_listeners(
+    cx: &Cx,
+    hosts: &Rc<wire::Server>,
+    listeners: HttpListeners,
+    addresses: BoundAddresses,
+) -> Result<[Listener; 3], StartError> {
+    let options = |name, max_connections| ListenerOptions {
+        name,
+        max_connections,
+        memory: cx.memory.clone(),
+        draining: cx.draining_updates.subscribe(),
+    };
+    let max_others = max_other_connections(max_descriptors());
+    let state = Rc::new(CallersState {
         config: cx.config_updates.subscribe(),
         ingress: Ingress::new(cx.clone()).start(),
         wall_clock: cx.wall_clock.clone(),
-        draining: cx.draining_updates.subscribe(),
-        memory: MemoryAccount::new(limits.held_bytes(), cx.boot_clock.clone()),
-    };
-    CallerConnections::listen(listener, limits.max_caller_connections(), state)
+        memory: cx.memory.clone(),
+    });
+    let callers = options("callers", cx.settings.limits.max_caller_connections());
+    let callers = Listener::start(listeners.callers, callers, move |holder, req| {
+        let state = state.clone();
+        async move { callers::handle(&state, holder, req).await }
+    });
+    let announcing = cx.clone();
+    let backend = options("the backend server", max_others);
+    let backend = Listener::start(listeners.backend, backend, move |holder, req| {
+        let cx = announcing.clone();
+        async move { announce::handle(&cx, holder, req).await }
+    });
+    let handlers =
+        Rc::new(Operators { cx: cx.clone(), hosts: hosts.clone(), metrics: metrics_handle() });
+    let operators = options("operators", max_others);
+    let operators = Listener::start(listeners.operators, operators, move |holder, req| {
+        let handlers = handlers.clone();
+        async move { handlers.handle(holder, req).await }
+    });
+    Ok([
+        callers.context(ListenSnafu { part: "callers", addr: addresses.callers })?,
+        backend.context(ListenSnafu { part: "the backend server", addr: addresses.backend })?,
+        operators.context(ListenSnafu { part: "operators", addr: addresses.operators })?,
+    ])
 }
 
 /// Returns the metrics of this OS process, shared by all hosts that run in it.
@@ -297,9 +314,8 @@
     pub async fn stopped(self) {
         self.cx.drain_requested.notified().await;
         drain::wait_until_drained(&self.cx).await;
-        self.callers.stop().await;
-        for server in &self.servers {
-            server.stop(true).await;
+        for listener in &self.listeners {
+            listener.stop().await;
         }
         let remaining = self.hosts.stop(STREAM_SHUTDOWN_TIMEOUT).await;
         log::info!("host: Stopped with {remaining} connections from other hosts still open.");
--- a/crates/papayarill/tests/misbehaving_clients/serve.rs
+++ b/crates/papayarill/tests/misbehaving_clients/serve.rs
@@ -1,5 +1,6 @@
 //! `papayarill serve`: callers that don't finish their requests or don't read the responses.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -53,6 +54,18 @@
     Box::pin(async move { send_and_stall(stream, text.as_bytes()).await })
 }
 
+/// Sends most of a longer head.
+fn half_long_head(stream: TcpStream, _: usize) -> LocalBoxFuture<'static, ()> {
+    let text = format!("GET /status HTTP/1.1\r\ncookie: {}", "c".repeat(120_000));
+    Box::pin(async move { send_and_stall(stream, text.as_bytes()).await })
+}
+
+/// Requests the metrics again and again, and doesn't read them.
+fn unread_metrics(stream: TcpStream, _: usize) -> LocalBoxFuture<'static, ()> {
+    let text = "GET /metrics HTTP/1.1\r\nhost: h.example\r\n\r\n".repeat(100);
+    Box::pin(async move { send_without_end(stream, &[], text.as_bytes()).await })
+}
+
 /// Requests a long response, and doesn't read it.
 fn unread_response(stream: TcpStream, n: usize) -> LocalBoxFuture<'static, ()> {
     let text = format!(
@@ -80,15 +93,25 @@
     http::send(http::client().get(url), Bytes::new()).await.status == 200
 }
 
+/// A name, a number of clients, what they do, and the address that they connect to.
+type Row = (&'static str, usize, Behaviour, Address);
+
+/// Returns an address of a process.
+type Address = fn(&Host) -> SocketAddr;
+
+const CALLERS: Address = |host| host.callers;
+const BACKEND: Address = |host| host.announce;
+const OPERATORS: Address = |host| host.operators;
+
 /// Checks that a process stays within its memory, and answers while the crowd is still there.
-async fn assert_bounded(rows: &[(&str, usize, Behaviour)]) {
+async fn assert_bounded(rows: &[Row]) {
     let _lock = RUNNING_TEST.lock().await;
     let program = Program(env!("CARGO_BIN_EXE_papayarill").into());
-    for &(name, clients, behaviour) in rows {
+    for &(name, clients, behaviour, to) in rows {
         let mut deployment = start_deployment(&program, &ZONES[..1]).await;
         let host = &mut deployment.hosts[0];
 
-        let _crowd = Crowd::start(host.callers, clients, behaviour);
+        let _crowd = Crowd::start(to(host), clients, behaviour);
         let watched_until = Instant::now() + WATCH_TIME;
         let mut most = 0;
         while Instant::now() < watched_until {
@@ -108,9 +131,9 @@
 #[actix_rt::test]
 async fn uploads_to_serve_take_a_bounded_part_of_the_memory() {
     assert_bounded(&[
-        ("half uploads", 300, half_upload),
-        ("half uploads in chunks", 300, half_chunked_upload),
-        ("unread uploads", 300, unread_uploads),
+        ("half uploads", 300, half_upload, CALLERS),
+        ("half uploads in chunks", 300, half_chunked_upload, CALLERS),
+        ("unread uploads", 300, unread_uploads, CALLERS),
     ])
     .await;
 }
@@ -119,10 +142,23 @@
 #[actix_rt::test]
 async fn connections_to_serve_take_a_bounded_part_of_the_memory() {
     assert_bounded(&[
-        ("silent connections", 1_000, silent),
-        ("half heads", 1_000, half_head),
-        ("unread responses", 300, unread_responses),
-        ("unread long responses", 300, unread_response),
+        ("silent connections", 1_000, silent, CALLERS),
+        ("half heads", 1_000, half_head, CALLERS),
+        ("unread responses", 300, unread_responses, CALLERS),
+        ("unread long responses", 300, unread_response, CALLERS),
+    ])
+    .await;
+}
+
+/// Guards against clients of the other addresses that together take more memory than the process may
+/// use, or the descriptors of ordinary clients.
+#[actix_rt::test]
+async fn clients_of_other_addresses_of_serve_take_a_bounded_part_of_the_memory() {
+    assert_bounded(&[
+        ("half heads for operators", 1_000, half_long_head, OPERATORS),
+        ("unread metrics", 300, unread_metrics, OPERATORS),
+        ("half heads of announcements", 1_000, half_long_head, BACKEND),
+        ("silent connections for announcements", 1_000, silent, BACKEND),
     ])
     .await;
 }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -106,11 +106,6 @@
 /// The fraction of the descriptors that connections of other hosts may take.
 const HOST_DESCRIPTOR_SHARE: f64 = 0.25;
 
-/// The fraction of the descriptors that connections to each of the other addresses may take, and the
-/// bounds on their number. A few clients send a request a second there.
-const OTHER_DESCRIPTOR_SHARE: f64 = 1.0 / 32.0;
-const OTHER_CONNECTIONS: (usize, usize) = (4, 32);
-
 /// The bodies on the link at once take about this long to arrive, longer than a round trip between
 /// regions, so that the link stays busy.
 const LINK_FILL_MS: f64 = 100.0;
@@ -150,9 +145,7 @@
 
     /// Returns the same for connections to each of the other addresses.
     pub fn max_other_connections(descriptors: Option<u64>) -> usize {
-        let (min, max) = OTHER_CONNECTIONS;
-        let share = descriptors.map(|n| (n as f64 * OTHER_DESCRIPTOR_SHARE) as usize);
-        share.unwrap_or(max).clamp(min, max)
+        client_memory::max_other_connections(descriptors)
     }
 
     /// Returns what the link carries, in bytes per millisecond.
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -21,7 +21,7 @@
 use crate::rpc::HostConnections;
 use crate::settings::{Limits, Settings};
 use crate::wire::Forward;
-use client_memory::{ConnectionGroup, MemoryAccount};
+use client_memory::{ConnectionGroup, MemoryAccount, max_descriptors};
 
 /// The mutable state of the process.
 pub struct State {
@@ -211,7 +211,7 @@
 
 impl Connections {
     fn new(limits: &Limits, memory: &Rc<MemoryAccount>) -> Self {
-        let descriptors = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let descriptors = max_descriptors();
         let group = |name, kind, max| ConnectionGroup::new(memory, name, kind, max);
         let max_others = Limits::max_other_connections(descriptors);
         let other = |name| group(name, HolderKind::Client, max_others);
