Count the buffers of a response of serve only once it is a long one

Cause: 256 KB counted for each response of papayarill serve from its start, also for one of unknown length that stays short, so 156 responses in progress would have refused further requests with no buffer in use.

Change: they count once 32 KB of the response have passed, which the connection and the system take of one that nobody reads.

--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -42,6 +42,10 @@
 /// has taken, in bytes: the window of a stream of another host, and the parts that wait in order.
 const RESPONSE_BUFFER_BYTES: u64 = 256 << 10;
 
+/// The connection and the system take this much of a response that nobody reads, so that a shorter
+/// one leaves no buffers full.
+const SHORT_RESPONSE_BYTES: usize = 32 << 10;
+
 /// How far the timestamp of a request id may be ahead of this host's wall clock. The request waits
 /// until the lead has passed.
 const MAX_CALLER_CLOCK_LEAD: Millis = Millis(1_000);
@@ -312,12 +316,16 @@
     holder: HolderId,
     state: &CallersState,
 ) -> Response<ResponseBody> {
-    let buffered = head.body_length.unwrap_or(u64::MAX).min(RESPONSE_BUFFER_BYTES);
-    let memory = state.memory.hold_buffers(holder, buffered);
+    let memory = state.memory.clone();
+    let (mut passed, mut buffers) = (0, None);
     let chunks = ReceiverStream::new(body).map(move |chunk| {
-        // Moved into the stream, so that it counts until the stream is dropped.
-        let _memory = &memory;
-        chunk.map_err(|_| BrokenOff)
+        let chunk = chunk.map_err(|_| BrokenOff)?;
+        passed += chunk.len();
+        if passed > SHORT_RESPONSE_BYTES {
+            // Counts until the stream is dropped.
+            buffers.get_or_insert_with(|| memory.hold_buffers(holder, RESPONSE_BUFFER_BYTES));
+        }
+        Ok(chunk)
     });
     let body = ResponseBody::Stream { length: head.body_length, chunks: Box::pin(chunks) };
     let mut res = Response::new(body);
