Count the query of a request with its head

Cause: the copies of a head that a request takes while it is served counted without the query, a quarter of what these requests took.

Change: the whole target counts.

--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -122,7 +122,8 @@
 ) -> Response<ResponseBody> {
     let (head, body) = req.into_parts();
     let head_bytes: usize = head.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
-    let copies = HEAD_COPIES * (head_bytes + head.uri.path().len());
+    let target_bytes = head.uri.path_and_query().map_or(0, |t| t.as_str().len());
+    let copies = HEAD_COPIES * (head_bytes + target_bytes);
     // The memory counts as used until the request has ended.
     let Some(_memory) = state.memory.admit_request(copies as u64) else {
         return rejection(&RequestError::NoMemory);
--- a/crates/papayarill/tests/misbehaving_clients/main.rs
+++ b/crates/papayarill/tests/misbehaving_clients/main.rs
@@ -117,6 +117,13 @@
     Box::pin(async move { send_and_read(stream, text.as_bytes()).await })
 }
 
+/// Pipelines lookups with long queries and reads the responses.
+fn long_targets(stream: TcpStream, n: usize) -> LocalBoxFuture<'static, ()> {
+    let line = format!("GET /browse/x?q={}", "q".repeat(60_000));
+    let text = request(&line, &format!("target-{n}"), 0);
+    Box::pin(async move { send_and_read(stream, text.as_bytes()).await })
+}
+
 /// Requests that are refused, so that their responses fill the buffers of the connection.
 fn unread_refusals(n: usize) -> String {
     request("GET /none/x", &format!("none-{n}"), 0).repeat(3_000)
@@ -245,6 +252,7 @@
 cases! {
     half_heads: case(1_000, half_head);
     long_heads_in_a_pipeline: case(250, long_heads);
+    long_targets_in_a_pipeline: case(250, long_targets);
     requests_behind_unread_responses: case(250, queued_requests);
     uploads_behind_unread_responses: case(400, queued_upload);
     half_uploads: case(200, half_upload);
@@ -265,6 +273,7 @@
 // The same by way of another host, where requests and responses take memory once more.
 cases! {
     far_long_heads_in_a_pipeline: Case { far: true, ..case(250, long_heads) };
+    far_long_targets_in_a_pipeline: Case { far: true, ..case(250, long_targets) };
     far_chunked_uploads_without_length: Case { far: true, ..case(100, chunked_uploads) };
     far_heads_of_responses_that_are_not_read: Case { far: true, ..case(200, response_heads) };
 }
--- a/crates/sidecar/src/ingress.rs
+++ b/crates/sidecar/src/ingress.rs
@@ -103,7 +103,8 @@
         );
     }
     let head_bytes: usize = head.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
-    let copies = HEAD_COPIES * (head_bytes + head.uri.path().len());
+    let target_bytes = head.uri.path_and_query().map_or(0, |t| t.as_str().len());
+    let copies = HEAD_COPIES * (head_bytes + target_bytes);
     // The memory counts as used until the request has ended.
     let Some(_memory) = cx.memory.admit_request(copies as u64) else {
         info!("event=refused id={id} why=memory");
