Let long requests leave room for ordinary ones

Cause: requests of any length are admitted until 15/16 of the account are used. Long ones fill it, and a request that is sent to another host finds no room for its reply.

Change: a request whose head takes 16 KB or more in all copies needs the room of a body, up to 7/8. What a reply or the response of a backend server takes is reserved as before.

--- a/crates/client-memory/src/lib.rs
+++ b/crates/client-memory/src/lib.rs
@@ -44,6 +44,9 @@
     share.unwrap_or(max).clamp(min, max)
 }
 
+/// All copies of a usual head together are shorter.
+const LONG_REQUEST_BYTES: u64 = 16 << 10;
+
 /// A buffer of this size or more takes pages of its own, which return to the system with it.
 const LARGE_BUFFER_BYTES: u64 = 1 << 20;
 
@@ -120,12 +123,23 @@
     }
 
     /// Reserves memory for a request, after closing holders if there is too little. Returns `None` if
-    /// the request must not start.
+    /// the request must not start. A long one needs the room of a body, so that such requests leave
+    /// some for ordinary ones.
     pub fn admit_request(self: &Rc<Self>, bytes: u64) -> Option<Charge> {
+        let is_long = bytes >= LONG_REQUEST_BYTES;
+        self.admit(if is_long { Purpose::Body } else { Purpose::Request }, bytes)
+    }
+
+    /// Reserves memory for what may arrive of a reply before there is room for the rest. Returns
+    /// `None` if its request must not be sent.
+    pub fn admit_reply(self: &Rc<Self>, bytes: u64) -> Option<Charge> {
+        self.admit(Purpose::Request, bytes)
+    }
+
+    fn admit(self: &Rc<Self>, purpose: Purpose, bytes: u64) -> Option<Charge> {
         let bytes = with_overhead(bytes);
-        let mut charge = self.charge(Purpose::Request);
-        let admitted =
-            self.make_room(Purpose::Request, bytes) && charge.try_grow(bytes, self.clock.now());
+        let mut charge = self.charge(purpose);
+        let admitted = self.make_room(purpose, bytes) && charge.try_grow(bytes, self.clock.now());
         if !admitted {
             metrics::counter!("papayarill_refused_requests", "why" => "memory").increment(1);
         }
--- a/crates/sidecar/src/backend.rs
+++ b/crates/sidecar/src/backend.rs
@@ -396,7 +396,7 @@
             return not_run(NotRun::Malformed);
         }
     };
-    let Some(_memory) = cx.memory.admit_request(http1::MAX_BUFFER_BYTES as u64) else {
+    let Some(_memory) = cx.memory.admit_reply(http1::MAX_BUFFER_BYTES as u64) else {
         guard.take_back();
         return not_run(NotRun::NoRoom);
     };
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -159,7 +159,7 @@
     body: &Bytes,
 ) -> (ForwardReply, Bytes) {
     // What fits into the window of the stream arrives without being asked for.
-    let Some(_window) = cx.memory.admit_request(REPLY_WINDOW_BYTES.into()) else {
+    let Some(_window) = cx.memory.admit_reply(REPLY_WINDOW_BYTES.into()) else {
         return (not_run(NotRun::NoRoom), Bytes::new());
     };
     let mut path = RUN_PATH.to_owned();
